Learn what engines have cached when all routers have stopped at once

Change: a router that hears of none that knows asks the engines themselves; others hand out what they know.

--- a/dotterelpaddle/config/plain.py
+++ b/dotterelpaddle/config/plain.py
@@ -6,12 +6,32 @@
 
 from __future__ import annotations
 
-from typing import Any, TypeVar
+from typing import Any
+
+import orjson
 
 from dotterelpaddle.address import Address
 from dotterelpaddle.exceptions import SettingsError
 
-T = TypeVar("T")
+
+def parse_yaml(*, text: str) -> Any:
+    """Return what a YAML text holds.
+
+    Text in the flow style with quoted names is JSON as well, which a parser reads
+    that every router has loaded anyway; YAML's own would cost it 3.4 MB for good.
+
+    Raises:
+        SettingsError: If it is no YAML.
+    """
+    try:
+        return orjson.loads(text)
+    except orjson.JSONDecodeError:
+        import yaml
+
+    try:
+        return yaml.safe_load(text)
+    except yaml.YAMLError as error:
+        raise SettingsError(f"the text is no YAML: {error}") from error
 
 
 class Section:
@@ -54,6 +74,13 @@
             raise self._wrong(name, f"a number from {minimum:g} on", value)
         return float(value)
 
+    def flag(self, name: str, *, default: bool) -> bool:
+        """Return true or false."""
+        value = self._take(name, default=default)
+        if not isinstance(value, bool):
+            raise self._wrong(name, "true or false", value)
+        return value
+
     def address(self, name: str) -> Address:
         """Return an address."""
         return self._address(name, self._take(name))
--- a/dotterelpaddle/daemon/process.py
+++ b/dotterelpaddle/daemon/process.py
@@ -11,6 +11,7 @@
 from dotterelpaddle.links import Links
 from dotterelpaddle.logs import get_logger
 from dotterelpaddle.platform.documents import PlatformDocuments
+from dotterelpaddle.platform.engines import EngineCaches
 from dotterelpaddle.platform.protocols import PlatformProtocols
 from dotterelpaddle.platform.store import StoreSource
 
@@ -33,6 +34,7 @@
             source=source,
             protocols=PlatformProtocols(),
             documents=documents,
+            caches_reader=EngineCaches(links=links),
             links=links,
         ):
             async for received in signals:
--- a/dotterelpaddle/forwarding/attempts.py
+++ b/dotterelpaddle/forwarding/attempts.py
@@ -134,6 +134,7 @@
         route = exchange.route
         assert route is not None
         entry = choice.entry
+        self._log_choice(exchange=exchange, choice=choice)
         attempt = exchange.attempts.begin(idempotent=route.repeatable)
         exchange.last_endpoint = entry.endpoint
         progress = _Progress(attempt=attempt, clock=self._clock)
@@ -227,6 +228,24 @@
             return False
         return self._repeats.take(service=service)
 
+    def _log_choice(self, *, exchange: ForwardExchange, choice: Choice) -> None:
+        source = choice.fetch_from
+        log.info(
+            "placed",
+            request_id=exchange.request.request_id,
+            attempt=exchange.attempts.count + 1,
+            service=exchange.service,
+            version=exchange.version,
+            endpoint=choice.entry.endpoint,
+            revision=choice.entry.revision,
+            reason=choice.reason.value,
+            load=choice.load,
+            mean_load=round(choice.mean_load, 2),
+            candidates=choice.candidates,
+            missing_tokens=choice.missing,
+            fetch_from=source.endpoint if source is not None else "",
+        )
+
     def _note_failure(
         self,
         *,
--- a/dotterelpaddle/forwarding/caches.py
+++ b/dotterelpaddle/forwarding/caches.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 from collections import OrderedDict
+from itertools import islice
 from typing import TYPE_CHECKING
 
 from dotterelpaddle.placement.rendezvous import tag
@@ -26,13 +27,18 @@
 MOST_PARTS = 20_000
 """Parts that are remembered: 3 MB, and far more than endpoints can keep."""
 
-NEWS_TIME = 0.7
-"""Seconds that a use is told to other routers, three reports or so, because
-datagrams get lost."""
+TIMES_TOLD = 3
+"""Reports in which a use is told to other routers, because datagrams get lost."""
+
+MOST_USES_TOLD = 48
+"""Uses in one report, so that it stays in one packet or two."""
 
 PartTag = int
 """32 bits of a part's digest and its model's name."""
 
+Use = tuple["PartTag", "EndpointId"]
+"""A part, and an endpoint that has read it."""
+
 
 class CacheMap:
     """Where parts of prompts are.
@@ -44,7 +50,12 @@
     def __init__(self, *, clock: Clock) -> None:
         self._clock = clock
         self._holders: OrderedDict[PartTag, dict[EndpointId, float]] = OrderedDict()
-        self._news: OrderedDict[tuple[PartTag, EndpointId], float] = OrderedDict()
+        self._news: OrderedDict[Use, int] = OrderedDict()
+
+    @property
+    def parts(self) -> int:
+        """Parts that are remembered."""
+        return len(self._holders)
 
     def missing(self, *, endpoint: EndpointId, request: ForwardRequest) -> int:
         """Tell how many tokens of shared parts an endpoint would have to read."""
@@ -60,14 +71,18 @@
 
     def note(self, *, endpoint: EndpointId, request: ForwardRequest) -> None:
         """Note that an endpoint reads a request's prompt."""
-        now = self._clock()
         for part in shared_parts(request=request):
-            held = part_tag(model=request.model, part=part)
-            self._hold(held, endpoint, now)
-            self._news[held, endpoint] = now
-            self._news.move_to_end((held, endpoint))
+            self.note_part(
+                endpoint=endpoint, part=part_tag(model=request.model, part=part)
+            )
+
+    def note_part(self, *, endpoint: EndpointId, part: PartTag) -> None:
+        """Note that an endpoint has a part, and tell other routers."""
+        self._hold(part, endpoint, self._clock())
+        self._news[part, endpoint] = TIMES_TOLD
+        self._news.move_to_end((part, endpoint))
 
-    def hear(self, *, uses: Iterable[tuple[PartTag, EndpointId]]) -> None:
+    def hear(self, *, uses: Iterable[Use]) -> None:
         """Take in where another router sent requests."""
         now = self._clock()
         for held, endpoint in uses:
@@ -78,15 +93,22 @@
         for holders in self._holders.values():
             holders.pop(endpoint, None)
 
-    def news(self) -> list[tuple[PartTag, EndpointId]]:
-        """This router's uses of late, for the others."""
-        oldest = self._clock() - NEWS_TIME
-        while self._news:
-            key, used_at = next(iter(self._news.items()))
-            if used_at >= oldest:
-                break
-            del self._news[key]
-        return list(self._news)
+    def news(self) -> list[Use]:
+        """The next uses to tell the others; each is told a few times."""
+        told = list(islice(self._news, MOST_USES_TOLD))
+        for use in told:
+            left = self._news.pop(use) - 1
+            if left:
+                self._news[use] = left
+        return told
+
+    def uses(self) -> list[Use]:
+        """All that is known, for a router that has just started."""
+        return [
+            (part, endpoint)
+            for part, holders in self._holders.items()
+            for endpoint in holders
+        ]
 
     def _hold(self, held: PartTag, endpoint: EndpointId, now: float) -> None:
         holders = self._holders.get(held)
--- a/dotterelpaddle/forwarding/interface.py
+++ b/dotterelpaddle/forwarding/interface.py
@@ -10,6 +10,7 @@
     from typing import Any
 
     from dotterelpaddle.address import Address
+    from dotterelpaddle.forwarding.caches import PartTag
     from dotterelpaddle.forwarding.model import (
         EndpointEntry,
         FleetConfiguration,
@@ -198,6 +199,17 @@
         """
 
 
+class CachesReader(Protocol):
+    """Asks endpoints for what they have cached."""
+
+    async def cached_parts(self, *, entry: EndpointEntry) -> list[PartTag]:
+        """Return the parts of prompts that an endpoint has cached.
+
+        Raises:
+            EndpointError: If it gives no usable answer in time.
+        """
+
+
 class Source(Protocol):
     """Where configuration and endpoints' entries are kept.
 
--- a/dotterelpaddle/forwarding/placement.py
+++ b/dotterelpaddle/forwarding/placement.py
@@ -50,8 +50,8 @@
 beat reading them."""
 
 HOME_TOKENS = 150
-"""Prompt tokens by which a request's home is favoured, so that routers that see
-a new part at the same moment send it to the same endpoint."""
+"""Prompt tokens by which the home of a part that nobody has is favoured, so that
+routers that see it at the same moment send it to the same endpoint."""
 
 NO_ENDPOINT_WAIT = 0.3
 """Seconds after which a caller may come back when no endpoint is known.
@@ -196,6 +196,7 @@
             for entry in within
         }
         holder, lacking = self._best_holder(request=request, candidates=candidates)
+        unknown = lacking == sum(part.tokens for part in shared_parts(request=request))
 
         def _cost(entry: EndpointEntry) -> float:
             lacks = missing[entry.endpoint]
@@ -204,7 +205,7 @@
                 read
                 + FETCH_SHARE * (lacks - read)
                 + LOAD_TOKENS * loads[entry.endpoint]
-                - HOME_TOKENS * (entry is home)
+                - HOME_TOKENS * (unknown and entry is home)
             )
 
         entry = min(within, key=_cost)
--- a/dotterelpaddle/forwarding/router.py
+++ b/dotterelpaddle/forwarding/router.py
@@ -34,7 +34,12 @@
     from collections.abc import AsyncIterator
 
     from dotterelpaddle.clock import Clock
-    from dotterelpaddle.forwarding.interface import Documents, Protocols, Source
+    from dotterelpaddle.forwarding.interface import (
+        CachesReader,
+        Documents,
+        Protocols,
+        Source,
+    )
     from dotterelpaddle.forwarding.settings import ForwardSettings
     from dotterelpaddle.links import Links
 
@@ -61,6 +66,7 @@
     source: Source,
     protocols: Protocols,
     documents: Documents,
+    caches_reader: CachesReader,
     links: Links,
     clock: Clock = monotonic,
 ) -> AsyncIterator[ForwardApp]:
@@ -71,6 +77,7 @@
         source: Where configuration and endpoints are kept.
         protocols: Translates callers' requests and endpoints' answers.
         documents: Decodes what the source holds.
+        caches_reader: Asks endpoints for what they have cached.
         links: The process's links.
         clock: Monotonic clock.
 
@@ -105,6 +112,8 @@
         caches=caches,
         documents=documents,
         platform_age=lambda: follower.age,
+        caches_reader=caches_reader,
+        first=settings.first,
         links=links,
         clock=clock,
         generator=generator,
@@ -142,7 +151,7 @@
         tasks.start_soon(exchange.run)
         tasks.start_soon(_keep_house, client, health, view)
         await stack.enter_async_context(
-            serve(app=SnapshotApp(view=view), address=settings.control)
+            serve(app=SnapshotApp(view=view, caches=caches), address=settings.control)
         )
         await stack.enter_async_context(
             serve(app=ReadinessApp(ready=lambda: app.ready), address=settings.readiness)
--- a/dotterelpaddle/forwarding/settings.py
+++ b/dotterelpaddle/forwarding/settings.py
@@ -5,9 +5,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-import yaml
-
-from dotterelpaddle.config.plain import Section
+from dotterelpaddle.config.plain import Section, parse_yaml
 from dotterelpaddle.exceptions import SettingsError
 from dotterelpaddle.forwarding.repeats import RepeatLimits
 from dotterelpaddle.ids import FailureDomain, RouterId
@@ -33,6 +31,7 @@
         store: Where the platform's store listens.
         shutdown: Seconds from the signal to stop until the process is killed.
         repeats: What repeats over all routers may cost.
+        first: Whether the whole fleet starts for the first time.
     """
 
     router: RouterId
@@ -45,6 +44,7 @@
     store: Address
     shutdown: float
     repeats: RepeatLimits
+    first: bool = False
 
 
 def load_settings(*, path: Path) -> ForwardSettings:
@@ -55,11 +55,9 @@
             names the field and what to change.
     """
     try:
-        content = yaml.safe_load(path.read_text())
+        content = parse_yaml(text=path.read_text())
     except OSError as error:
         raise SettingsError(f"settings file '{path}': {error.strerror}") from error
-    except yaml.YAMLError as error:
-        raise SettingsError(f"settings file '{path}' is no YAML: {error}") from error
     try:
         return _settings(Section(content=content))
     except SettingsError as error:
@@ -80,6 +78,7 @@
         store=top.address("store"),
         shutdown=top.number("shutdown_seconds", minimum=1.0),
         repeats=_repeats(top.section("repeats")),
+        first=top.flag("first_start", default=False),
     )
     for section in (listen, peers, top):
         section.finish()
--- a/dotterelpaddle/peers/app.py
+++ b/dotterelpaddle/peers/app.py
@@ -12,6 +12,7 @@
     from collections.abc import Mapping
 
     from dotterelpaddle.forwarding.app import Receive
+    from dotterelpaddle.forwarding.caches import CacheMap
     from dotterelpaddle.forwarding.reply import Send
     from dotterelpaddle.forwarding.view import FleetView
 
@@ -20,11 +21,13 @@
     """Hands out what this router knows.
 
     Args:
-        view: What it knows.
+        view: What it acts on.
+        caches: Where it knows parts of prompts to be.
     """
 
-    def __init__(self, *, view: FleetView) -> None:
+    def __init__(self, *, view: FleetView, caches: CacheMap) -> None:
         self._view = view
+        self._caches = caches
 
     async def __call__(
         self, scope: Mapping[str, Any], receive: Receive, send: Send
@@ -36,7 +39,9 @@
         query = parse_qs(scope["query_string"].decode("latin-1"))
         version = query.get("version", ["0"])[0]
         body = encode_snapshot(
-            view=self._view, version=int(version) if version.isdigit() else 0
+            view=self._view,
+            caches=self._caches,
+            version=int(version) if version.isdigit() else 0,
         )
         await _reply(send=send, status=200, body=body)
 
--- a/dotterelpaddle/peers/directory.py
+++ b/dotterelpaddle/peers/directory.py
@@ -94,6 +94,11 @@
                 self._candidates.setdefault(each, now)
         return True
 
+    def knows(self, *, report: PeerReport) -> bool:
+        """Tell whether the process that sent a report was heard of before."""
+        known = self._peers.get(report.router)
+        return known is not None and known.report.incarnation == report.incarnation
+
     def targets(self) -> list[Address]:
         """Addresses that are due for a report now."""
         now = self._clock()
--- a/dotterelpaddle/peers/exchange.py
+++ b/dotterelpaddle/peers/exchange.py
@@ -11,7 +11,7 @@
 import httpcore
 
 from dotterelpaddle.address import Address
-from dotterelpaddle.exceptions import ControlError, RecordError
+from dotterelpaddle.exceptions import ControlError, EndpointError, RecordError
 from dotterelpaddle.ids import Revision
 from dotterelpaddle.logs import get_logger
 from dotterelpaddle.network import LinkedBackend
@@ -26,8 +26,9 @@
 
     from dotterelpaddle.clock import Clock
     from dotterelpaddle.forwarding.caches import CacheMap
-    from dotterelpaddle.forwarding.interface import Documents
+    from dotterelpaddle.forwarding.interface import CachesReader, Documents
     from dotterelpaddle.forwarding.loads import LoadBook
+    from dotterelpaddle.forwarding.model import EndpointEntry
     from dotterelpaddle.forwarding.repeats import SharedRepeats
     from dotterelpaddle.forwarding.view import FleetView
     from dotterelpaddle.ids import RouterId
@@ -50,6 +51,13 @@
 """Seconds without word of the platform after which endpoints are fetched from
 other routers, because leaving must be known within two."""
 
+ALONE_AFTER = 0.1
+"""Seconds after the start from which a router that knows no places of parts, and
+hears of none, asks endpoints; a router that lives answers its first report."""
+
+START_PAUSE = 0.03
+"""Seconds between looks while the places of parts are not known."""
+
 UNKNOWN = Revision(-1)
 """Revision of a router that knows no endpoints yet."""
 
@@ -70,6 +78,9 @@
         caches: Where parts of prompts are.
         documents: Decodes what others hand out.
         platform_age: Tells the seconds since the platform's last word.
+        caches_reader: Asks endpoints for what they have cached.
+        first: Whether the whole fleet starts for the first time, so that no
+            endpoint has cached anything.
         links: The process's links.
         clock: Monotonic clock.
         generator: Source of jitter.
@@ -88,6 +99,8 @@
         caches: CacheMap,
         documents: Documents,
         platform_age: Callable[[], float],
+        caches_reader: CachesReader,
+        first: bool,
         links: Links,
         clock: Clock,
         generator: random.Random,
@@ -102,12 +115,15 @@
         self._caches = caches
         self._documents = documents
         self._platform_age = platform_age
+        self._caches_reader = caches_reader
         self._links = links
         self._clock = clock
         self._generator = generator
         self._incarnation = secrets.randbits(53)
         self._sequence = 0
         self._dropped = 0
+        self._started_at = clock()
+        self._caches_known = first
         self._pool = httpcore.AsyncConnectionPool(
             network_backend=LinkedBackend(links=links),
             max_connections=4,
@@ -134,14 +150,22 @@
         while True:
             report = encode_report(report=self._report())
             for target in self._directory.targets():
-                if not self._links.is_open(peer=target) or self._links.loses():
-                    continue
-                try:
-                    await datagrams.sendto(report, target.host, target.port)
-                except OSError as error:
-                    log.warning("report_unsent", peer=str(target), cause=str(error))
+                await self._send_to(datagrams, report, target)
             await anyio.sleep(REPORT_PAUSE * self._generator.uniform(0.9, 1.1))
 
+    async def _send_report(self, *, datagrams: UDPSocket, target: Address) -> None:
+        await self._send_to(datagrams, encode_report(report=self._report()), target)
+
+    async def _send_to(
+        self, datagrams: UDPSocket, report: bytes, target: Address
+    ) -> None:
+        if not self._links.is_open(peer=target) or self._links.loses():
+            return
+        try:
+            await datagrams.sendto(report, target.host, target.port)
+        except OSError as error:
+            log.warning("report_unsent", peer=str(target), cause=str(error))
+
     def _report(self) -> PeerReport:
         self._sequence += 1
         revision = self._view.endpoints_revision
@@ -156,6 +180,7 @@
             loads=self._loads.own,
             repeats=self._repeats.counts(),
             uses=tuple(self._caches.news()),
+            parts=self._caches.parts,
             peers=tuple(peer.address for peer in self._directory.alive),
         )
 
@@ -175,23 +200,33 @@
                     dropped=self._dropped,
                 )
                 continue
-            self._hear(report=report, address=address)
+            if self._hear(report=report, address=address):
+                await self._send_report(datagrams=datagrams, target=address)
 
-    def _hear(self, *, report: PeerReport, address: Address) -> None:
+    def _hear(self, *, report: PeerReport, address: Address) -> bool:
+        """Take in a report.
+
+        Returns:
+            Whether its process was not heard of before, and waits for an answer.
+        """
         if report.router == self._router:
-            return
+            return False
+        known = self._directory.knows(report=report)
         if not self._directory.hear(report=report, address=address):
-            return
+            return False
         self._loads.hear(router=report.router, counts=report.loads)
         self._repeats.hear(router=report.router, counts=report.repeats)
         self._caches.hear(uses=report.uses)
+        return not known
 
     async def _catch_up(self) -> None:
         """Fetch from another router what this one lacks."""
         while True:
-            await anyio.sleep(FETCH_PAUSE * self._generator.uniform(0.8, 1.2))
+            pause = FETCH_PAUSE if self._caches_known else START_PAUSE
+            await anyio.sleep(pause * self._generator.uniform(0.8, 1.2))
             peer = self._better_informed()
             if peer is None:
+                await self._read_caches()
                 continue
             try:
                 await self._fetch(peer=peer)
@@ -211,12 +246,40 @@
         best = max(alive, key=lambda peer: (peer.report.version, peer.report.revision))
         if best.report.version > self._view.version:
             return best
+        if not self._caches_known:
+            most = max(alive, key=lambda peer: peer.report.parts)
+            if most.report.parts:
+                return most
         newest = max(alive, key=lambda peer: peer.report.revision)
         behind = revision is None or newest.report.revision > revision
         if behind and self._platform_age() > STALE_AFTER:
             return newest
         return None
 
+    async def _read_caches(self) -> None:
+        """Ask endpoints what they have cached, if no router can tell.
+
+        That is so after all routers have stopped at once. Each asks for itself:
+        to wait for another one's word would cost more than the question.
+        """
+        waited = self._clock() - self._started_at
+        if self._caches_known or not self._view.complete or waited < ALONE_AFTER:
+            return
+        self._caches_known = True
+        async with anyio.create_task_group() as tasks:
+            for entry in self._view.entries:
+                if entry.models:
+                    tasks.start_soon(self._read_cache, entry)
+
+    async def _read_cache(self, entry: EndpointEntry) -> None:
+        try:
+            parts = await self._caches_reader.cached_parts(entry=entry)
+        except EndpointError as error:
+            log.warning("cache_unread", endpoint=entry.endpoint, cause=error.message)
+            return
+        self._caches.hear(uses=[(part, entry.endpoint) for part in parts])
+        log.info("cache_read", endpoint=entry.endpoint, parts=len(parts))
+
     async def _fetch(self, *, peer: Peer) -> None:
         """Fetch what another router knows.
 
@@ -247,6 +310,9 @@
             self._view.take_configuration(configuration=snapshot.configuration)
         if snapshot.endpoints is not None:
             self._view.take_endpoints(read=snapshot.endpoints)
+        if not self._caches_known:
+            self._caches_known = True
+            self._caches.hear(uses=snapshot.uses)
         log.info(
             "snapshot_taken",
             router=peer.report.router,
--- a/dotterelpaddle/peers/messages.py
+++ b/dotterelpaddle/peers/messages.py
@@ -15,7 +15,7 @@
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
-    from dotterelpaddle.forwarding.caches import PartTag
+    from dotterelpaddle.forwarding.caches import Use
 
 FORMAT = 1
 """Version of the format; reports of another one are dropped and counted."""
@@ -39,6 +39,7 @@
         loads: Its requests in flight, by endpoint.
         repeats: What it sent of late, by service.
         uses: Where it sent parts of prompts of late.
+        parts: Parts of prompts that it knows the places of.
         peers: Addresses of routers that it hears.
     """
 
@@ -51,7 +52,8 @@
     fresh: bool
     loads: Mapping[EndpointId, int]
     repeats: Mapping[ServiceName, RepeatCounts]
-    uses: tuple[tuple[PartTag, EndpointId], ...] = ()
+    uses: tuple[Use, ...] = ()
+    parts: int = 0
     peers: tuple[Address, ...] = ()
 
 
@@ -73,6 +75,7 @@
                 for service, counts in report.repeats.items()
             },
             report.uses,
+            report.parts,
             [str(peer) for peer in report.peers[:MOST_PEERS_TOLD]],
         ]
     )
@@ -104,7 +107,8 @@
                 for name, counts in fields[9].items()
             },
             uses=tuple((int(part), EndpointId(name)) for part, name in fields[10]),
-            peers=tuple(Address.parse(text=peer) for peer in fields[11]),
+            parts=int(fields[11]),
+            peers=tuple(Address.parse(text=peer) for peer in fields[12]),
         )
     except (
         orjson.JSONDecodeError,
--- a/dotterelpaddle/peers/snapshot.py
+++ b/dotterelpaddle/peers/snapshot.py
@@ -12,6 +12,7 @@
 from dotterelpaddle.ids import EndpointId, Revision
 
 if TYPE_CHECKING:
+    from dotterelpaddle.forwarding.caches import CacheMap, Use
     from dotterelpaddle.forwarding.interface import Documents
     from dotterelpaddle.forwarding.model import FleetConfiguration
     from dotterelpaddle.forwarding.view import FleetView
@@ -24,14 +25,16 @@
     Attributes:
         configuration: Its configuration, None if it has no later one.
         endpoints: Its endpoints, None if it knows none.
+        uses: Where it knows parts of prompts to be.
     """
 
     configuration: FleetConfiguration | None
     endpoints: EndpointsRead | None
+    uses: tuple[Use, ...]
 
 
-def encode_snapshot(*, view: FleetView, version: int) -> bytes:
-    """Turn a view into a document for a router that has a certain version."""
+def encode_snapshot(*, view: FleetView, caches: CacheMap, version: int) -> bytes:
+    """Turn what is known into a document for a router with a certain version."""
     configuration = view.configuration
     wanted = configuration is not None and configuration.version > version
     return orjson.dumps(
@@ -44,6 +47,7 @@
                 [entry.endpoint, entry.revision, entry.document.decode()]
                 for entry in view.entries
             ],
+            "uses": caches.uses(),
         }
     )
 
@@ -63,6 +67,7 @@
             (EndpointId(name), Revision(int(version)), document.encode())
             for name, version, document in fields["endpoints"]
         ]
+        uses = tuple((int(part), EndpointId(name)) for part, name in fields["uses"])
     except (orjson.JSONDecodeError, KeyError, TypeError, ValueError) as error:
         raise ControlError(f"a document that is no snapshot: {error!r}") from error
     return Snapshot(
@@ -83,4 +88,5 @@
             if revision is not None
             else None
         ),
+        uses=uses,
     )
--- a/dotterelpaddle/platform/names.py
+++ b/dotterelpaddle/platform/names.py
@@ -78,10 +78,11 @@
 
 
 class Call:
-    """Paths of the store's calls."""
+    """Paths of calls to the store and to engines."""
 
     READ = "/-/rows-get"
     WATCH = "/-/rows-feed"
+    CACHE_LIST = "/-/kv-list"
 
 
 READY_PATH = "/-/ready"
