--- a/dotterelpaddle/peers/exchange.py
+++ b/dotterelpaddle/peers/exchange.py
@@ -122,6 +122,7 @@
         self._incarnation = secrets.randbits(53)
         self._sequence = 0
         self._dropped = 0
+        self._sending = anyio.Lock()
         self._started_at = clock()
         self._caches_known = first
         self._pool = httpcore.AsyncConnectionPool(
@@ -162,7 +163,9 @@
         if not self._links.is_open(peer=target) or self._links.loses():
             return
         try:
-            await datagrams.sendto(report, target.host, target.port)
+            # Reports and answers to new routers are sent by different tasks.
+            async with self._sending:
+                await datagrams.sendto(report, target.host, target.port)
         except OSError as error:
             log.warning("report_unsent", peer=str(target), cause=str(error))
 
