--- a/dotterelpaddle/forwarding/attempts.py
+++ b/dotterelpaddle/forwarding/attempts.py
@@ -252,6 +252,7 @@
             load=choice.load,
             mean_load=round(choice.mean_load, 2),
             candidates=choice.candidates,
+            part=choice.part,
             missing_tokens=choice.missing,
             fetch_from=source.endpoint if source is not None else "",
         )
--- a/dotterelpaddle/forwarding/placement.py
+++ b/dotterelpaddle/forwarding/placement.py
@@ -86,6 +86,7 @@
         load: Its requests in flight, this one excluded.
         mean_load: The mean over the candidates.
         candidates: Endpoints that it was chosen from.
+        part: Tag of the deepest shared part of the prompt, 0 without one.
         missing: Shared prompt tokens that it does not have.
         fetch_from: Endpoint from whose cache it may fetch them, None if none
             has more of them.
@@ -96,6 +97,7 @@
     load: int
     mean_load: float
     candidates: int
+    part: int = 0
     missing: int = 0
     fetch_from: EndpointEntry | None = None
 
@@ -244,6 +246,7 @@
             load=loads[entry.endpoint],
             mean_load=mean,
             candidates=len(candidates),
+            part=part_tag(model=request.model, part=shared_parts(request=request)[-1]),
             missing=lacks,
             fetch_from=holder if lacks - lacking >= LEAST_FETCH else None,
         )
