--- a/dotterelpaddle/daemon/process.py
+++ b/dotterelpaddle/daemon/process.py
@@ -7,6 +7,8 @@
 
 import anyio
 
+from dotterelpaddle.clock import monotonic
+from dotterelpaddle.forwarding.parts import Surroundings
 from dotterelpaddle.forwarding.router import run_forwarder
 from dotterelpaddle.links import Links
 from dotterelpaddle.logs import get_logger
@@ -28,15 +30,16 @@
     links = Links()
     documents = PlatformDocuments()
     source = StoreSource(address=settings.store, documents=documents, links=links)
+    surroundings = Surroundings(
+        source=source,
+        protocols=PlatformProtocols(),
+        documents=documents,
+        caches_reader=EngineCaches(links=links),
+        links=links,
+        clock=monotonic,
+    )
     with anyio.open_signal_receiver(*STOP_SIGNALS, signal.SIGHUP) as signals:
-        async with run_forwarder(
-            settings=settings,
-            source=source,
-            protocols=PlatformProtocols(),
-            documents=documents,
-            caches_reader=EngineCaches(links=links),
-            links=links,
-        ):
+        async with run_forwarder(settings=settings, surroundings=surroundings):
             async for received in signals:
                 if received in STOP_SIGNALS:
                     break
--- a/dotterelpaddle/forwarding/client.py
+++ b/dotterelpaddle/forwarding/client.py
@@ -21,7 +21,6 @@
     MalformedRequest,
     Step,
 )
-from dotterelpaddle.network import LinkedBackend
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -36,7 +35,7 @@
         Protocols,
     )
     from dotterelpaddle.forwarding.model import EndpointEntry
-    from dotterelpaddle.links import Links
+    from dotterelpaddle.network import LinkedBackend
 
 MAX_ANSWER = 8 * 1024 * 1024
 """Bytes of an answer that is read whole; the largest known take a few KB."""
@@ -145,7 +144,7 @@
 
     Args:
         protocols: Translates to the endpoints' wire.
-        links: The process's links.
+        backend: Opens connections.
         clock: Monotonic clock.
         limits: Bounds of each endpoint's connections.
     """
@@ -154,12 +153,12 @@
         self,
         *,
         protocols: Protocols,
-        links: Links,
+        backend: LinkedBackend,
         clock: Clock,
         limits: PoolLimits = POOL_LIMITS,
     ) -> None:
         self._protocols = protocols
-        self._backend = LinkedBackend(links=links)
+        self._backend = backend
         self._clock = clock
         self._limits = limits
         self._pools: dict[Address, ConnectionPool] = {}
--- /dev/null
+++ b/dotterelpaddle/forwarding/parts.py
@@ -0,0 +1,202 @@
+"""Puts the parts of a forwarding router together, without running them."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from dotterelpaddle.forwarding.app import ForwardApp
+from dotterelpaddle.forwarding.attempts import Attempts
+from dotterelpaddle.forwarding.caches import CacheMap
+from dotterelpaddle.forwarding.client import ForwardClient
+from dotterelpaddle.forwarding.filters import FindRoute, Forward, KeepDeadline
+from dotterelpaddle.forwarding.follower import Follower
+from dotterelpaddle.forwarding.health import HealthBook
+from dotterelpaddle.forwarding.loads import LoadBook
+from dotterelpaddle.forwarding.placement import ForwardPlacer
+from dotterelpaddle.forwarding.reachability import Reachability
+from dotterelpaddle.forwarding.repeats import SharedRepeats
+from dotterelpaddle.forwarding.view import FleetView
+from dotterelpaddle.forwarding.waits import WaitBook
+from dotterelpaddle.network import LinkedBackend
+from dotterelpaddle.peers.directory import PeerDirectory
+from dotterelpaddle.peers.exchange import PeerExchange
+from dotterelpaddle.peers.fetching import Fetcher
+from dotterelpaddle.pipeline import compose
+
+if TYPE_CHECKING:
+    from dotterelpaddle.clock import Clock
+    from dotterelpaddle.forwarding.interface import (
+        CachesReader,
+        Documents,
+        Protocols,
+        Source,
+    )
+    from dotterelpaddle.forwarding.settings import ForwardSettings
+    from dotterelpaddle.links import Links
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Surroundings:
+    """What a router is connected to.
+
+    Attributes:
+        source: Where configuration and endpoints are kept.
+        protocols: Translates callers' requests and endpoints' answers.
+        documents: Decodes what the source holds.
+        caches_reader: Asks endpoints for what they have cached.
+        links: The process's links.
+        clock: Monotonic clock.
+    """
+
+    source: Source
+    protocols: Protocols
+    documents: Documents
+    caches_reader: CachesReader
+    links: Links
+    clock: Clock
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Knowledge:
+    """What a router knows, which its parts share.
+
+    Attributes:
+        view: Configuration and endpoints in force.
+        loads: Requests in flight.
+        health: Results of requests.
+        caches: Where parts of prompts are.
+        repeats: What repeats cost.
+        directory: The other routers.
+    """
+
+    view: FleetView
+    loads: LoadBook
+    health: HealthBook
+    caches: CacheMap
+    repeats: SharedRepeats
+    directory: PeerDirectory
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Parts:
+    """The parts of a router that are run.
+
+    Attributes:
+        knowledge: What they share.
+        app: Serves callers.
+        client: Client of endpoints.
+        follower: Reads from the source.
+        reachability: Tries connections to endpoints that could not be reached.
+        exchange: Exchanges reports with other routers.
+        fetcher: Fetches from other routers what is lacking.
+    """
+
+    knowledge: Knowledge
+    app: ForwardApp
+    client: ForwardClient
+    follower: Follower
+    reachability: Reachability
+    exchange: PeerExchange
+    fetcher: Fetcher
+
+
+def build_parts(*, settings: ForwardSettings, surroundings: Surroundings) -> Parts:
+    """Put the parts of a router together.
+
+    Args:
+        settings: The router's settings.
+        surroundings: What it is connected to.
+    """
+    clock = surroundings.clock
+    generator = random.Random(settings.router)
+    knowledge = _knowledge(settings=settings, clock=clock)
+    backend = LinkedBackend(links=surroundings.links)
+    client = ForwardClient(
+        protocols=surroundings.protocols, backend=backend, clock=clock
+    )
+    follower = Follower(
+        source=surroundings.source,
+        view=knowledge.view,
+        clock=clock,
+        generator=generator,
+    )
+    reachability = Reachability(
+        view=knowledge.view,
+        backend=backend,
+        failure_domain=settings.failure_domain,
+        clock=clock,
+    )
+    placer = ForwardPlacer(
+        view=knowledge.view,
+        loads=knowledge.loads,
+        health=knowledge.health,
+        reachability=reachability,
+        caches=knowledge.caches,
+        failure_domain=settings.failure_domain,
+        generator=generator,
+    )
+    attempts = Attempts(
+        placer=placer,
+        loads=knowledge.loads,
+        health=knowledge.health,
+        reachability=reachability,
+        repeats=knowledge.repeats,
+        waits=WaitBook(),
+        clock=clock,
+    )
+    filters = (
+        FindRoute(view=knowledge.view, generator=generator),
+        KeepDeadline(clock=clock),
+        Forward(attempts=attempts, client=client, repeats=knowledge.repeats),
+    )
+    return Parts(
+        knowledge=knowledge,
+        app=ForwardApp(
+            pipeline=compose(filters=filters),
+            protocols=surroundings.protocols,
+            view=knowledge.view,
+            clock=clock,
+        ),
+        client=client,
+        follower=follower,
+        reachability=reachability,
+        exchange=PeerExchange(
+            router=settings.router,
+            view=knowledge.view,
+            loads=knowledge.loads,
+            repeats=knowledge.repeats,
+            caches=knowledge.caches,
+            directory=knowledge.directory,
+            platform_age=lambda: follower.age,
+            links=surroundings.links,
+            generator=generator,
+        ),
+        fetcher=Fetcher(
+            view=knowledge.view,
+            caches=knowledge.caches,
+            directory=knowledge.directory,
+            documents=surroundings.documents,
+            caches_reader=surroundings.caches_reader,
+            platform_age=lambda: follower.age,
+            caches_known=settings.first,
+            backend=backend,
+            clock=clock,
+            generator=generator,
+        ),
+    )
+
+
+def _knowledge(*, settings: ForwardSettings, clock: Clock) -> Knowledge:
+    directory = PeerDirectory(own=settings.peers, seeds=settings.seeds, clock=clock)
+    return Knowledge(
+        view=FleetView(clock=clock),
+        loads=LoadBook(clock=clock),
+        health=HealthBook(clock=clock),
+        caches=CacheMap(clock=clock),
+        repeats=SharedRepeats(
+            limits=settings.repeats, routers=lambda: directory.count, clock=clock
+        ),
+        directory=directory,
+    )
--- a/dotterelpaddle/forwarding/settings.py
+++ b/dotterelpaddle/forwarding/settings.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from dotterelpaddle.address import Address
 from dotterelpaddle.config.plain import Section, parse_yaml
 from dotterelpaddle.exceptions import SettingsError
 from dotterelpaddle.forwarding.repeats import RepeatLimits
@@ -13,8 +14,6 @@
 if TYPE_CHECKING:
     from pathlib import Path
 
-    from dotterelpaddle.address import Address
-
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class ForwardSettings:
@@ -27,11 +26,13 @@
         readiness: Where the balancer asks whether it is ready.
         control: Where other routers fetch what it knows.
         peers: Where it exchanges datagrams with other routers.
-        seeds: Control addresses of some routers; they may be out of date.
+        seeds: Where some routers exchange datagrams; they may be out of date.
         store: Where the platform's store listens.
         shutdown: Seconds from the signal to stop until the process is killed.
         repeats: What repeats over all routers may cost.
         first: Whether the whole fleet starts for the first time.
+        leave_time: Seconds that a stopping router still takes requests, until the
+            balancer has noticed; it asks once a second and needs two misses.
     """
 
     router: RouterId
@@ -45,6 +46,7 @@
     shutdown: float
     repeats: RepeatLimits
     first: bool = False
+    leave_time: float = 2.6
 
 
 def load_settings(*, path: Path) -> ForwardSettings:
@@ -67,14 +69,19 @@
 def _settings(top: Section) -> ForwardSettings:
     listen = top.section("listen")
     peers = top.section("peers")
+    own = peers.address("address")
+    # Seeds are control addresses; ports are the same on all hosts.
+    seeds = tuple(
+        Address(host=seed.host, port=own.port) for seed in peers.addresses("seeds")
+    )
     settings = ForwardSettings(
         router=RouterId(top.text("router")),
         failure_domain=FailureDomain(top.text("failure_domain")),
         callers=listen.address("callers"),
         readiness=listen.address("readiness"),
         control=listen.address("control"),
-        peers=peers.address("address"),
-        seeds=peers.addresses("seeds"),
+        peers=own,
+        seeds=seeds,
         store=top.address("store"),
         shutdown=top.number("shutdown_seconds", minimum=1.0),
         repeats=_repeats(top.section("repeats")),
--- a/dotterelpaddle/peers/app.py
+++ b/dotterelpaddle/peers/app.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING, Any
 from urllib.parse import parse_qs
 
-from dotterelpaddle.peers.exchange import SNAPSHOT_PATH
+from dotterelpaddle.peers.fetching import SNAPSHOT_PATH
 from dotterelpaddle.peers.snapshot import encode_snapshot
 
 if TYPE_CHECKING:
--- /dev/null
+++ b/dotterelpaddle/peers/fetching.py
@@ -0,0 +1,202 @@
+"""Fetches from other routers, or from endpoints, what this router lacks."""
+
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING
+
+import anyio
+import httpcore
+
+from dotterelpaddle.exceptions import ControlError, EndpointError, RecordError
+from dotterelpaddle.logs import get_logger
+from dotterelpaddle.peers.snapshot import decode_snapshot
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Callable
+
+    from dotterelpaddle.clock import Clock
+    from dotterelpaddle.forwarding.caches import CacheMap
+    from dotterelpaddle.forwarding.interface import CachesReader, Documents
+    from dotterelpaddle.forwarding.model import EndpointEntry
+    from dotterelpaddle.forwarding.view import FleetView
+    from dotterelpaddle.network import LinkedBackend
+    from dotterelpaddle.peers.directory import Peer, PeerDirectory
+
+log = get_logger(name=__name__)
+
+FETCH_TIME = 0.8
+"""Seconds that another router gets to hand out what it knows."""
+
+FETCH_PAUSE = 0.25
+"""Seconds between looks at whether another router knows more."""
+
+STALE_AFTER = 0.8
+"""Seconds without word of the platform after which endpoints are fetched from
+other routers, because leaving must be known within two."""
+
+ALONE_AFTER = 0.1
+"""Seconds after the start from which a router that knows no places of parts, and
+hears of none, asks endpoints; a router that lives answers its first report."""
+
+START_PAUSE = 0.03
+"""Seconds between looks while the places of parts are not known."""
+
+SNAPSHOT_PATH = "/snapshot"
+
+
+class Fetcher:
+    """Catches up with other routers.
+
+    Args:
+        view: What this router acts on.
+        caches: Where parts of prompts are.
+        directory: The other routers.
+        documents: Decodes what others hand out.
+        caches_reader: Asks endpoints for what they have cached.
+        platform_age: Tells the seconds since the platform's last word.
+        caches_known: Whether no endpoint has cached anything, because the whole
+            fleet starts for the first time.
+        backend: Opens connections.
+        clock: Monotonic clock.
+        generator: Source of jitter.
+    """
+
+    def __init__(
+        self,
+        *,
+        view: FleetView,
+        caches: CacheMap,
+        directory: PeerDirectory,
+        documents: Documents,
+        caches_reader: CachesReader,
+        platform_age: Callable[[], float],
+        caches_known: bool,
+        backend: LinkedBackend,
+        clock: Clock,
+        generator: random.Random,
+    ) -> None:
+        self._view = view
+        self._caches = caches
+        self._directory = directory
+        self._documents = documents
+        self._caches_reader = caches_reader
+        self._platform_age = platform_age
+        self._caches_known = caches_known
+        self._clock = clock
+        self._generator = generator
+        self._started_at = clock()
+        self._pool = httpcore.AsyncConnectionPool(
+            network_backend=backend,
+            max_connections=4,
+            max_keepalive_connections=2,
+            keepalive_expiry=5.0,
+        )
+
+    async def run(self) -> None:
+        """Fetch what is lacking until cancelled."""
+        async with self._pool:
+            while True:
+                pause = FETCH_PAUSE if self._caches_known else START_PAUSE
+                await anyio.sleep(pause * self._generator.uniform(0.8, 1.2))
+                peer = self._better_informed()
+                if peer is None:
+                    await self._read_caches()
+                    continue
+                try:
+                    await self._fetch(peer=peer)
+                except (ControlError, RecordError) as error:
+                    log.warning(
+                        "snapshot_failed",
+                        router=peer.report.router,
+                        cause=error.message,
+                    )
+
+    def _better_informed(self) -> Peer | None:
+        """The router that knows the most, if it knows more than this one."""
+        alive = self._directory.alive
+        if not alive:
+            return None
+        latest = max(alive, key=lambda peer: peer.report.version)
+        if latest.report.version > self._view.version:
+            return latest
+        most = max(alive, key=lambda peer: peer.report.parts)
+        if most.report.parts and not self._caches_known:
+            return most
+        newest = max(alive, key=lambda peer: peer.report.revision)
+        revision = self._view.endpoints_revision
+        behind = revision is None or newest.report.revision > revision
+        if behind and self._platform_age() > STALE_AFTER:
+            return newest
+        return None
+
+    async def _fetch(self, *, peer: Peer) -> None:
+        """Fetch what another router knows.
+
+        Raises:
+            ControlError: If it gave no usable answer in time.
+            RecordError: If something that it knows can't be used here.
+        """
+        content = await self._get(peer=peer)
+        snapshot = decode_snapshot(content=content, documents=self._documents)
+        if snapshot.configuration is not None:
+            self._view.take_configuration(configuration=snapshot.configuration)
+        if snapshot.endpoints is not None:
+            self._view.take_endpoints(read=snapshot.endpoints)
+        if not self._caches_known:
+            self._caches_known = True
+            self._caches.hear(uses=snapshot.uses)
+        age = self._platform_age()
+        log.info(
+            "snapshot_taken",
+            router=peer.report.router,
+            version=self._view.version,
+            revision=self._view.endpoints_revision,
+            platform_age=round(age, 3) if math.isfinite(age) else None,
+        )
+
+    async def _get(self, *, peer: Peer) -> bytes:
+        control = peer.report.control
+        url = httpcore.URL(
+            scheme=b"http",
+            host=control.host.encode(),
+            port=control.port,
+            target=f"{SNAPSHOT_PATH}?version={self._view.version}".encode(),
+        )
+        try:
+            with anyio.fail_after(FETCH_TIME):
+                response = await self._pool.request("GET", url)
+        except TimeoutError as error:
+            raise ControlError("no answer in time", peer=str(control)) from error
+        except (
+            httpcore.NetworkError,
+            httpcore.ProtocolError,
+            httpcore.TimeoutException,
+        ) as error:
+            raise ControlError(f"no answer: {error!r}", peer=str(control)) from error
+        return response.content
+
+    async def _read_caches(self) -> None:
+        """Ask endpoints what they have cached, if no router can tell.
+
+        That is so after all routers have stopped at once. Each asks for itself:
+        to wait for another one's word would cost more than the question.
+        """
+        waited = self._clock() - self._started_at
+        if self._caches_known or not self._view.complete or waited < ALONE_AFTER:
+            return
+        self._caches_known = True
+        async with anyio.create_task_group() as tasks:
+            for entry in self._view.entries:
+                if entry.models:
+                    tasks.start_soon(self._read_cache, entry)
+
+    async def _read_cache(self, entry: EndpointEntry) -> None:
+        try:
+            parts = await self._caches_reader.cached_parts(entry=entry)
+        except EndpointError as error:
+            log.warning("cache_unread", endpoint=entry.endpoint, cause=error.message)
+            return
+        self._caches.hear(uses=[(part, entry.endpoint) for part in parts])
+        log.info("cache_read", endpoint=entry.endpoint, parts=len(parts))
--- /dev/null
+++ b/dotterelpaddle/standins/runner.py
@@ -0,0 +1,376 @@
+"""A stand-in of an endpoint that registers itself, with its possible faults.
+
+It answers byte by byte over a plain connection, because what it has to get wrong
+no HTTP server would send.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Any
+
+import anyio
+import h11
+import orjson
+from anyio.abc import SocketAttribute
+
+from dotterelpaddle.address import Address
+from dotterelpaddle.platform.names import Header
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+    from anyio.abc import SocketStream
+
+SEAL = b"seal"
+READ_SIZE = 65536
+STREAM_PATH = b"/stream/"
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Serve:
+    """It answers as it should."""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Refuse:
+    """It promises not to run the request.
+
+    Attributes:
+        status: The status of its answer.
+    """
+
+    status: int = 503
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class WrongEndpoint:
+    """It is not the endpoint that the request is meant for."""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Fail:
+    """It runs the request and says that it failed.
+
+    Attributes:
+        status: The status of its answer.
+    """
+
+    status: int = 500
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class CutAnswer:
+    """It runs the request and closes the connection in the middle of its answer.
+
+    Attributes:
+        events: Events of a stream that are whole before.
+    """
+
+    events: int = 2
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class LoseAnswer:
+    """It runs the request and closes the connection without an answer."""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Garbage:
+    """It sends bytes that are no answer."""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Foreign:
+    """It answers another request."""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ExtraAnswer:
+    """It sends a second answer after its own."""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Unsealed:
+    """Its success bears no proof of origin."""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Unframed:
+    """Its answer states no length and ends with the connection."""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Hang:
+    """It runs the request and never answers.
+
+    Attributes:
+        events: Events of a stream that it sends before.
+    """
+
+    events: int = 0
+
+
+Behaviour = (
+    Serve
+    | Refuse
+    | WrongEndpoint
+    | Fail
+    | CutAnswer
+    | LoseAnswer
+    | Garbage
+    | Foreign
+    | ExtraAnswer
+    | Unsealed
+    | Unframed
+    | Hang
+)
+"""What it does with one request."""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Received:
+    """A request that came in.
+
+    Attributes:
+        method: HTTP method.
+        target: Path and query.
+        headers: Headers by lower-case name.
+        body: Whole body.
+    """
+
+    method: bytes
+    target: bytes
+    headers: dict[bytes, bytes]
+    body: bytes
+
+    @property
+    def request_id(self) -> bytes:
+        """The caller's name of the request."""
+        return self.headers.get(Header.REQUEST_ID, b"")
+
+
+@dataclass(kw_only=True)
+class RunnerStandin:
+    """One endpoint.
+
+    Attributes:
+        name: Its name, which its answers hold.
+        events: Events of a stream.
+        plan: What it does with the next requests; `Serve` afterwards.
+        received: All requests that came in.
+        runs: Requests that it ran.
+        closed_early: Requests whose connection was closed before its answer's end.
+    """
+
+    name: str
+    events: int = 5
+    plan: deque[Behaviour] = field(default_factory=deque)
+    received: list[Received] = field(default_factory=list)
+    runs: list[Received] = field(default_factory=list)
+    closed_early: list[Received] = field(default_factory=list)
+
+    def entry(self, *, address: Address, service: str, **fields: Any) -> dict[str, Any]:
+        """The row by which it registers itself."""
+        return {
+            "service": service,
+            "address": str(address),
+            "zone": "here",
+            "version": "v1",
+            "slots": 4,
+            "state": "ready",
+            "coldLeftMs": 0,
+            "seq": 1,
+            **fields,
+        }
+
+    async def handle(self, stream: SocketStream) -> None:
+        """Serve one connection."""
+        async with stream:
+            try:
+                await self._serve(stream)
+            except (anyio.EndOfStream, anyio.BrokenResourceError):
+                return
+
+    async def _serve(self, stream: SocketStream) -> None:
+        connection = h11.Connection(our_role=h11.SERVER)
+        while True:
+            request = await _receive(stream, connection)
+            if request is None:
+                return
+            self.received.append(request)
+            behaviour = self.plan.popleft() if self.plan else Serve()
+            if not await self._answer(stream, request, behaviour):
+                return
+            # The answers are written by hand; the parser only needs to follow.
+            connection = h11.Connection(our_role=h11.SERVER)
+
+    async def _answer(
+        self, stream: SocketStream, request: Received, behaviour: Behaviour
+    ) -> bool:
+        """Answer one request; False if the connection ends with it."""
+        match behaviour:
+            case Refuse(status=status):
+                refusal = {Header.NOT_EXECUTED: b"1"}
+                await stream.send(self._whole(request, status=status, extra=refusal))
+                return True
+            case WrongEndpoint():
+                await stream.send(self._whole(request, status=421, sealed=False))
+                return True
+        self.runs.append(request)
+        match behaviour:
+            case Fail(status=status):
+                await stream.send(self._whole(request, status=status))
+            case LoseAnswer():
+                return False
+            case Garbage():
+                await stream.send(b"\x00\x01 this is no answer\r\n\r\n")
+                return False
+            case Foreign():
+                await stream.send(self._whole(request, request_id=b"another"))
+            case Unsealed():
+                await stream.send(self._whole(request, sealed=False))
+            case ExtraAnswer():
+                answer = self._whole(request)
+                await stream.send(answer + self._whole(request, request_id=b"late"))
+            case Unframed():
+                await stream.send(self._head(request, framing=b"connection: close"))
+                await stream.send(self._body(request))
+                return False
+            case Hang() | CutAnswer() | Serve() if _is_stream(request):
+                return await self._stream(stream, request, behaviour)
+            case Hang():
+                await self._wait_for_close(stream, request)
+                return False
+            case CutAnswer():
+                await stream.send(self._whole(request)[:-3])
+                return False
+            case _:
+                await stream.send(self._whole(request))
+        return True
+
+    async def _stream(
+        self, stream: SocketStream, request: Received, behaviour: Behaviour
+    ) -> bool:
+        first = int(request.headers.get(Header.LAST_EVENT, b"0")) + 1
+        last = self.events
+        match behaviour:
+            case Hang(events=events) | CutAnswer(events=events):
+                last = min(last, first + events - 1)
+        await stream.send(self._head(request, framing=b"transfer-encoding: chunked"))
+        for number in range(first, last + 1):
+            await stream.send(_chunk(b"id: %d\ndata: e%d\n\n" % (number, number)))
+        match behaviour:
+            case Hang():
+                await self._wait_for_close(stream, request)
+                return False
+            case CutAnswer():
+                await stream.send(_chunk(b"id: %d\nda" % (last + 1)))
+                return False
+        await stream.send(b"0\r\n\r\n")
+        return True
+
+    async def _wait_for_close(self, stream: SocketStream, request: Received) -> None:
+        try:
+            await stream.receive()
+        except (anyio.EndOfStream, anyio.BrokenResourceError):
+            self.closed_early.append(request)
+
+    def _body(self, request: Received) -> bytes:
+        return orjson.dumps(
+            {"by": self.name, "id": request.request_id.decode(), "of": "request"}
+        )
+
+    def _whole(
+        self,
+        request: Received,
+        *,
+        status: int = 200,
+        sealed: bool = True,
+        request_id: bytes = b"",
+        extra: dict[bytes, bytes] | None = None,
+    ) -> bytes:
+        body = self._body(request)
+        head = self._head(
+            request,
+            status=status,
+            sealed=sealed,
+            request_id=request_id,
+            extra=extra,
+            framing=b"content-length: %d" % len(body),
+        )
+        return head + body
+
+    def _head(
+        self,
+        request: Received,
+        *,
+        framing: bytes,
+        status: int = 200,
+        sealed: bool = True,
+        request_id: bytes = b"",
+        extra: dict[bytes, bytes] | None = None,
+    ) -> bytes:
+        lines = [b"HTTP/1.1 %d Answer" % status, framing]
+        lines.append(Header.REQUEST_ID + b": " + (request_id or request.request_id))
+        if sealed:
+            lines.append(Header.SEAL + b": " + SEAL)
+        lines += [name + b": " + value for name, value in (extra or {}).items()]
+        return b"\r\n".join(lines) + b"\r\n\r\n"
+
+
+@asynccontextmanager
+async def run_runner(*, runner: RunnerStandin) -> AsyncIterator[Address]:
+    """Serve an endpoint until the context ends.
+
+    Yields:
+        Where it listens.
+    """
+    listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+    port = listener.extra(SocketAttribute.local_port)
+    async with listener, anyio.create_task_group() as tasks:
+        tasks.start_soon(listener.serve, runner.handle)
+        yield Address(host="127.0.0.1", port=port)
+        tasks.cancel_scope.cancel()
+
+
+async def _receive(stream: SocketStream, connection: h11.Connection) -> Received | None:
+    """Read one request; None if the connection ends before."""
+    head: h11.Request | None = None
+    body: list[bytes] = []
+    while True:
+        event = connection.next_event()
+        match event:
+            case h11.Request():
+                head = event
+            case h11.Data(data=data):
+                body.append(bytes(data))
+            case h11.EndOfMessage():
+                assert head is not None
+                return Received(
+                    method=head.method,
+                    target=head.target,
+                    headers=dict(head.headers),
+                    body=b"".join(body),
+                )
+            case h11.ConnectionClosed():
+                return None
+            case _:
+                connection.receive_data(await _read(stream))
+
+
+async def _read(stream: SocketStream) -> bytes:
+    try:
+        return await stream.receive(READ_SIZE)
+    except anyio.EndOfStream:
+        return b""
+
+
+def _is_stream(request: Received) -> bool:
+    return request.target.startswith(STREAM_PATH)
+
+
+def _chunk(data: bytes) -> bytes:
+    return b"%x\r\n%b\r\n" % (len(data), data)
--- /dev/null
+++ b/dotterelpaddle/tests/forwarding/harness.py
@@ -0,0 +1,240 @@
+"""One or more forwarding routers over stand-ins of store and endpoints."""
+
+from __future__ import annotations
+
+import itertools
+from contextlib import AsyncExitStack, asynccontextmanager
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Any
+
+import anyio
+import httpcore
+
+from dotterelpaddle.address import Address
+from dotterelpaddle.clock import monotonic
+from dotterelpaddle.forwarding.parts import Surroundings
+from dotterelpaddle.forwarding.repeats import RepeatLimits
+from dotterelpaddle.forwarding.router import RunningForwarder, run_forwarder
+from dotterelpaddle.forwarding.settings import ForwardSettings
+from dotterelpaddle.ids import FailureDomain, RouterId
+from dotterelpaddle.links import Links
+from dotterelpaddle.platform.documents import PlatformDocuments
+from dotterelpaddle.platform.engines import EngineCaches
+from dotterelpaddle.platform.names import Header, Table
+from dotterelpaddle.platform.protocols import PlatformProtocols
+from dotterelpaddle.platform.store import StoreSource
+from dotterelpaddle.standins.runner import RunnerStandin, run_runner
+from dotterelpaddle.standins.store import StoreStandin, run_store
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator, Mapping
+
+ANYWHERE = Address(host="127.0.0.1", port=0)
+SERVICE = "records"
+KEY = "key-1"
+ACCOUNT = "acme"
+HOST = "a.example"
+LIMIT = 10.0
+"""Seconds after which a wait of a test fails."""
+
+REPEATS = RepeatLimits(share=0.2, allowance=50.0, window=10.0)
+
+Headers = dict[bytes, bytes]
+
+_numbers = itertools.count(1)
+
+
+def route(prefix: str, kind: str, **fields: Any) -> dict[str, Any]:
+    """A route of the configuration."""
+    return {
+        "name": f"r-{prefix}",
+        "host": HOST,
+        "prefix": f"/{prefix}/",
+        "kind": kind,
+        "timeoutMs": 2000,
+        "sloMs": 300,
+        "priority": 1,
+        "service": SERVICE,
+        "maxAttempts": 2,
+        "public": False,
+        "sticky": False,
+        "streamResume": False,
+        **fields,
+    }
+
+
+def configuration(version: int = 1, **fields: Any) -> dict[str, Any]:
+    """A whole configuration."""
+    return {
+        "version": version,
+        "routes": [
+            route("safe", "idempotent"),
+            route("unsafe", "non_idempotent"),
+            route("stream", "stream"),
+            route("stream/again", "stream", streamResume=True),
+            route("open", "idempotent", public=True),
+        ],
+        "services": [{"name": SERVICE, "healthPath": "/health", "maxConns": 50}],
+        "limits": {
+            "maxHeaderBytes": 16384,
+            "maxBodyBytes": 65536,
+            "headerTimeoutMs": 3000,
+            "idleTimeoutMs": 15000,
+        },
+        "tenants": [{"name": ACCOUNT, "apiKeys": [KEY], "priority": 1}],
+        **fields,
+    }
+
+
+@dataclass(kw_only=True)
+class Fleet:
+    """Stand-ins and routers of one test.
+
+    Attributes:
+        store: The store.
+        runners: The endpoints by name.
+        routers: The routers, in the order of their start.
+        http: Client for callers.
+    """
+
+    store: StoreStandin
+    runners: dict[str, RunnerStandin] = field(default_factory=dict)
+    addresses: dict[str, Address] = field(default_factory=dict)
+    routers: list[RunningForwarder] = field(default_factory=list)
+    http: httpcore.AsyncConnectionPool
+    stack: AsyncExitStack
+    store_address: Address
+
+    async def add_runner(self, name: str, **fields: Any) -> RunnerStandin:
+        """Start an endpoint and register it."""
+        runner = RunnerStandin(name=name)
+        address = await self.stack.enter_async_context(run_runner(runner=runner))
+        self.runners[name] = runner
+        self.addresses[name] = address
+        self.register(name, **fields)
+        return runner
+
+    def register(self, name: str, **fields: Any) -> None:
+        """Write an endpoint's row."""
+        entry = self.runners[name].entry(
+            address=self.addresses[name], **{"service": SERVICE, **fields}
+        )
+        self.store.put(table=Table.ENDPOINTS, key=name, value=entry)
+
+    async def add_router(self, **fields: Any) -> RunningForwarder:
+        """Start a router that knows those before it."""
+        links = Links()
+        source = StoreSource(
+            address=fields.pop("store", self.store_address),
+            documents=PlatformDocuments(),
+            links=links,
+        )
+        settings = ForwardSettings(
+            **{
+                "router": RouterId(f"router-{len(self.routers) + 1}"),
+                "failure_domain": FailureDomain("here"),
+                "callers": ANYWHERE,
+                "readiness": ANYWHERE,
+                "control": ANYWHERE,
+                "peers": ANYWHERE,
+                "seeds": tuple(router.peers for router in self.routers),
+                "store": self.store_address,
+                "shutdown": 2.0,
+                "leave_time": 0.0,
+                "repeats": REPEATS,
+                **fields,
+            }
+        )
+        router = await self.stack.enter_async_context(
+            run_forwarder(
+                settings=settings,
+                surroundings=Surroundings(
+                    source=source,
+                    protocols=PlatformProtocols(),
+                    documents=PlatformDocuments(),
+                    caches_reader=EngineCaches(links=links),
+                    links=links,
+                    clock=monotonic,
+                ),
+            )
+        )
+        self.routers.append(router)
+        return router
+
+    async def call(
+        self,
+        path: str,
+        *,
+        method: str = "POST",
+        body: bytes = b"",
+        router: int = 0,
+        headers: Mapping[bytes, bytes] | None = None,
+    ) -> httpcore.Response:
+        """Send a request as a caller does, and read its answer."""
+        return await self.http.request(
+            method,
+            self.url(path, router=router),
+            headers=list(self.headers(headers).items()),
+            content=body,
+        )
+
+    def url(self, path: str, *, router: int = 0) -> httpcore.URL:
+        """Where a path is at a router."""
+        address = self.routers[router].callers
+        return httpcore.URL(
+            scheme=b"http",
+            host=address.host.encode(),
+            port=address.port,
+            target=path.encode(),
+        )
+
+    def headers(self, extra: Mapping[bytes, bytes] | None = None) -> Headers:
+        """Headers of a caller's request with an id of its own."""
+        return {
+            b"host": HOST.encode(),
+            Header.REQUEST_ID: b"request-%d" % next(_numbers),
+            Header.TIME_LEFT: b"5000",
+            Header.KEY: KEY.encode(),
+            **(extra or {}),
+        }
+
+
+@asynccontextmanager
+async def run_fleet(
+    *, runners: int = 1, routers: int = 1, **fields: Any
+) -> AsyncIterator[Fleet]:
+    """Run stand-ins and routers until the context ends.
+
+    Args:
+        runners: Endpoints.
+        routers: Routers.
+        fields: Fields of the configuration that differ.
+    """
+    store = StoreStandin()
+    store.configure(configuration=configuration(**fields))
+    async with (
+        httpcore.AsyncConnectionPool() as http,
+        AsyncExitStack() as stack,
+    ):
+        address = await stack.enter_async_context(run_store(store=store))
+        fleet = Fleet(store=store, http=http, stack=stack, store_address=address)
+        for number in range(runners):
+            await fleet.add_runner(f"runner-{number + 1}")
+        for _ in range(routers):
+            router = await fleet.add_router()
+            await until(lambda router=router: router.parts.app.ready)  # type: ignore[misc]
+        view = fleet.routers[0].parts.knowledge.view if routers else None
+        if view is not None:
+            await until(lambda: len(view.entries) == runners)
+        yield fleet
+
+
+async def until(condition: Any) -> None:
+    """Wait until a condition holds.
+
+    Raises:
+        TimeoutError: If it does not within the limit.
+    """
+    with anyio.fail_after(LIMIT):
+        while not condition():
+            await anyio.sleep(0.005)
