Keep promises of endpoints apart from their statuses, and bound refusals

Cause, found by the tests of faults: a 429 or 408 of an endpoint that had run the request was passed on, which promises callers the opposite; a request that all endpoints refused was sent on twenty times within milliseconds; an endpoint whose address another has was asked again; a late answer on a kept connection failed a request that could be sent again there; a return of the store within half a second of the first failure was not noticed, so entries that had lapsed were lost. Change: such statuses count as failures that have run; at most two refusals; a replaced endpoint is never a candidate; late answers count as a lost connection; the return is told by the age of the last answer.

--- a/dotterelpaddle/exceptions.py
+++ b/dotterelpaddle/exceptions.py
@@ -301,9 +301,10 @@
 
 
 class IdleConnectionLost(AnswerBroken):
-    """A kept connection was gone when the request was sent on it.
+    """A kept connection was of no use when the request was sent on it.
 
-    It says nothing of the endpoint, which may drop idle connections.
+    It was closed, or a late answer to an earlier request came. It says nothing of
+    the endpoint, which may drop idle connections.
     """
 
 
--- a/dotterelpaddle/forwarding/app.py
+++ b/dotterelpaddle/forwarding/app.py
@@ -15,7 +15,7 @@
     RequestError,
 )
 from dotterelpaddle.forwarding.exchange import ForwardExchange
-from dotterelpaddle.forwarding.filters import PROMISES
+from dotterelpaddle.forwarding.relays import PROMISES
 from dotterelpaddle.forwarding.reply import ForwardReply
 from dotterelpaddle.http_server import ReplyCut
 from dotterelpaddle.logs import get_logger
--- a/dotterelpaddle/forwarding/attempts.py
+++ b/dotterelpaddle/forwarding/attempts.py
@@ -48,11 +48,9 @@
 MAX_UNREACHABLE = 4
 """Endpoints that are tried in vain for a connection, which costs them nothing."""
 
-REFUSAL_WAIT = 0.25
-"""Seconds after which a caller may come back when endpoints are full.
-
-A full endpoint of a plain service frees a slot every 10 ms or so.
-"""
+MAX_REFUSED = 2
+"""Endpoints that may refuse a request before its caller is told to come back;
+each refusal costs all routers a repeat."""
 
 
 class Attempts:
@@ -119,22 +117,11 @@
     def _choose(self, *, exchange: ForwardExchange, tried: set[EndpointId]) -> Choice:
         assert exchange.service is not None
         assert exchange.route is not None
-        try:
-            return self._placer.choose(
-                service=exchange.service,
-                request=exchange.request,
-                repeatable=exchange.route.repeatable,
-                excluded=frozenset(tried),
-            )
-        except NoEndpoint:
-            if not tried or not exchange.attempts.proves_not_run:
-                raise
-        # Each one was tried and could not be reached or refused; none has run it.
         return self._placer.choose(
             service=exchange.service,
             request=exchange.request,
             repeatable=exchange.route.repeatable,
-            excluded=frozenset(),
+            excluded=frozenset(tried),
         )
 
     async def _once(
@@ -236,6 +223,8 @@
             return attempts.count <= MAX_UNREACHABLE
         if attempts.maybe_run >= route.max_attempts:
             return False
+        if attempts.sent - attempts.maybe_run > MAX_REFUSED:
+            return False
         return self._repeats.take(service=service)
 
     def _log_choice(self, *, exchange: ForwardExchange, choice: Choice) -> None:
--- a/dotterelpaddle/forwarding/client.py
+++ b/dotterelpaddle/forwarding/client.py
@@ -188,7 +188,7 @@
             head = self._protocols.read_answer(
                 status=response.status, headers=response.headers
             )
-            _check(head=head, call=call)
+            _check(head=head, call=call, reused=connection.reused)
             yield ForwardAnswer(
                 head=head, response=response, connection=connection, call=call
             )
@@ -268,10 +268,11 @@
         )
 
 
-def _check(*, head: AnswerHead, call: ForwardCall) -> None:
+def _check(*, head: AnswerHead, call: ForwardCall, reused: bool) -> None:
     endpoint = call.entry.endpoint
     if head.request_id and head.request_id != call.request.request_id:
-        raise ForeignAnswer(
+        # On a kept connection it is a late answer to an earlier request.
+        raise (IdleConnectionLost if reused else ForeignAnswer)(
             f"asked for request '{call.request.request_id}', "
             f"got an answer to '{head.request_id}'",
             peer=endpoint,
--- a/dotterelpaddle/forwarding/filters.py
+++ b/dotterelpaddle/forwarding/filters.py
@@ -16,7 +16,12 @@
 )
 from dotterelpaddle.forwarding.exchange import Streamed, WholeAnswer
 from dotterelpaddle.forwarding.model import RequestKind
-from dotterelpaddle.forwarding.relays import EventRelay, WholeRelay
+from dotterelpaddle.forwarding.relays import (
+    PROMISES,
+    SERVER_ERROR,
+    EventRelay,
+    WholeRelay,
+)
 
 if TYPE_CHECKING:
     import random
@@ -148,12 +153,12 @@
                 exchange=exchange, relay=self._relay(exchange=exchange)
             )
         except FailedAnswer as error:
-            if exchange.reply.started or not _may_pass_on(answer=error.answer):
+            if exchange.reply.started or error.answer.head.status in PROMISES:
                 raise
             result = error.answer
         match result:
             case WholeAnswer(head=head, body=body):
-                if head.status < FIRST_SERVER_ERROR:
+                if head.status < SERVER_ERROR:
                     exchange.attempts.deliver()
                 await exchange.reply.whole(
                     status=head.status, headers=head.headers, body=body
@@ -169,18 +174,3 @@
                 return EventRelay(exchange=exchange, client=self._client)
             case RequestKind.IDEMPOTENT | RequestKind.NON_IDEMPOTENT:
                 return WholeRelay(exchange=exchange, client=self._client)
-
-
-FIRST_SERVER_ERROR = 500
-
-PROMISES = frozenset({408, 421, 429, 503})
-"""Statuses that promise callers that a request has not run."""
-
-
-def _may_pass_on(*, answer: WholeAnswer) -> bool:
-    """Tell whether a failure may be told as it is.
-
-    A status that promises that the request has not run is passed on only from
-    an endpoint that promises it itself.
-    """
-    return answer.head.not_executed or answer.head.status not in PROMISES
--- a/dotterelpaddle/forwarding/follower.py
+++ b/dotterelpaddle/forwarding/follower.py
@@ -43,7 +43,8 @@
 """
 
 AWAY_AFTER = 1.0
-"""Seconds without a usable answer after which the platform counts as away."""
+"""Seconds without a usable answer after which, if calls failed, the platform
+counts as away: no entry lapses in less."""
 
 RETRY_PAUSE = 0.1
 """Seconds before a failed call is tried again; doubles up to the next one."""
@@ -78,7 +79,7 @@
         self._clock = clock
         self._generator = generator
         self._answered_at: float | None = None
-        self._away = False
+        self._failing = False
 
     @property
     def age(self) -> float:
@@ -145,14 +146,15 @@
             self._view.expire()
 
     def _note_answer(self) -> None:
-        if self._away:
-            self._away = False
+        if self._failing and AWAY_AFTER < self.age < float("inf"):
             log.info("platform_regained", silent_for=round(self.age, 3))
             self._view.note_return()
+        self._failing = False
         self._answered_at = self._clock()
 
     def _note_failure(self, *, what: str, error: PlatformError) -> None:
-        if self._away or self.age < AWAY_AFTER:
-            return
-        self._away = True
-        log.warning("platform_lost", what=what, cause=str(error))
+        if not self._failing:
+            log.warning(
+                "platform_failing", what=what, cause=error.message, peer=error.peer
+            )
+        self._failing = True
--- a/dotterelpaddle/forwarding/health.py
+++ b/dotterelpaddle/forwarding/health.py
@@ -62,6 +62,7 @@
     silent_at: float = float("-inf")
     error_share: float = 0.0
     results: int = 0
+    gone: bool = False
 
 
 class HealthBook:
@@ -125,10 +126,14 @@
 
     def gone(self, *, entry: EndpointEntry) -> None:
         """Note that another endpoint has the address; this one is gone for good."""
-        record = self._record(entry.endpoint)
-        record.ejected_until = float("inf")
+        self._record(entry.endpoint).gone = True
         log.warning("endpoint_replaced", endpoint=entry.endpoint)
 
+    def is_gone(self, *, endpoint: EndpointId) -> bool:
+        """Tell whether another endpoint has an endpoint's address."""
+        record = self._records.get(endpoint)
+        return record is not None and record.gone
+
     def usable(self, *, entries: Iterable[EndpointEntry]) -> list[EndpointEntry]:
         """Return the endpoints that are not passed over."""
         now = self._clock()
--- a/dotterelpaddle/forwarding/placement.py
+++ b/dotterelpaddle/forwarding/placement.py
@@ -183,6 +183,7 @@
             entry
             for entry in self._view.ready(service=service)
             if _serves(entry=entry, request=request)
+            and not self._health.is_gone(endpoint=entry.endpoint)
         ]
         fresh = [entry for entry in entries if entry.endpoint not in excluded]
         reachable = self._reachability.reachable(entries=fresh)
--- a/dotterelpaddle/forwarding/relays.py
+++ b/dotterelpaddle/forwarding/relays.py
@@ -19,6 +19,14 @@
 
 SUCCESS = range(200, 300)
 SERVER_ERROR = 500
+
+PROMISES = frozenset({408, 421, 429, 503})
+"""Statuses that promise callers that a request has not run.
+
+An endpoint's answer with one of them keeps that promise only if it says so in a
+header as well, by which it is told apart before it comes here.
+"""
+
 ID_FIELD = b"id:"
 
 
@@ -132,7 +140,7 @@
     head = answer.head
     whole = WholeAnswer(head=head, body=await answer.read())
     call.observe(Evidence.ANSWER_COMPLETE)
-    if head.status >= SERVER_ERROR:
+    if head.status >= SERVER_ERROR or head.status in PROMISES:
         raise FailedAnswer(
             f"answered with status {head.status}",
             answer=whole,
--- a/dotterelpaddle/standins/runner.py
+++ b/dotterelpaddle/standins/runner.py
@@ -159,6 +159,7 @@
     Attributes:
         name: Its name, which its answers hold.
         events: Events of a stream.
+        pause: Seconds before each event.
         plan: What it does with the next requests; `Serve` afterwards.
         received: All requests that came in.
         runs: Requests that it ran.
@@ -167,6 +168,7 @@
 
     name: str
     events: int = 5
+    pause: float = 0.0
     plan: deque[Behaviour] = field(default_factory=deque)
     received: list[Received] = field(default_factory=list)
     runs: list[Received] = field(default_factory=list)
@@ -261,6 +263,7 @@
                 last = min(last, first + events - 1)
         await stream.send(self._head(request, framing=b"transfer-encoding: chunked"))
         for number in range(first, last + 1):
+            await anyio.sleep(self.pause)
             await stream.send(_chunk(b"id: %d\ndata: e%d\n\n" % (number, number)))
         match behaviour:
             case Hang():
--- /dev/null
+++ b/dotterelpaddle/tests/forwarding/test_faults.py
@@ -0,0 +1,242 @@
+"""What callers get when endpoints fail, by what may be repeated."""
+
+from __future__ import annotations
+
+from collections import deque
+
+import anyio
+import httpcore
+import pytest
+
+from dotterelpaddle.address import Address
+from dotterelpaddle.platform.names import Header, Table
+from dotterelpaddle.standins.runner import (
+    Behaviour,
+    CutAnswer,
+    ExtraAnswer,
+    Fail,
+    Foreign,
+    Garbage,
+    Hang,
+    LoseAnswer,
+    Refuse,
+    Serve,
+    Unframed,
+    Unsealed,
+    WrongEndpoint,
+)
+from dotterelpaddle.tests.forwarding.harness import Fleet, route, run_fleet, until
+
+pytestmark = pytest.mark.anyio
+
+MAY_HAVE_RUN = [
+    Fail(),
+    CutAnswer(),
+    LoseAnswer(),
+    Garbage(),
+    Foreign(),
+    Unsealed(),
+]
+HAS_NOT_RUN = [Refuse(), Refuse(status=429), WrongEndpoint()]
+CLOSED = Address(host="127.0.0.1", port=1)
+EVENTS = b"".join(b"id: %d\ndata: e%d\n\n" % (n, n) for n in range(1, 6))
+
+
+def _runs(fleet: Fleet) -> int:
+    return sum(len(runner.runs) for runner in fleet.runners.values())
+
+
+def _received(fleet: Fleet) -> int:
+    return sum(len(runner.received) for runner in fleet.runners.values())
+
+
+def _plan_first(fleet: Fleet, *behaviours: Behaviour) -> None:
+    """Let whichever endpoint gets the next requests behave so, the others serve."""
+    shared = deque(behaviours)
+    for runner in fleet.runners.values():
+        runner.plan = shared
+
+
+@pytest.mark.parametrize("fault", MAY_HAVE_RUN + HAS_NOT_RUN, ids=repr)
+async def test_idempotent_request_goes_elsewhere(fault: Behaviour) -> None:
+    async with run_fleet(runners=2) as fleet:
+        _plan_first(fleet, fault)
+        answer = await fleet.call("/safe/")
+
+    assert answer.status == 200
+    assert _received(fleet) == 2
+
+
+@pytest.mark.parametrize("fault", MAY_HAVE_RUN, ids=repr)
+async def test_other_request_runs_once_at_most(fault: Behaviour) -> None:
+    async with run_fleet(runners=2) as fleet:
+        _plan_first(fleet, fault)
+        answer = await fleet.call("/unsafe/")
+
+    assert answer.status >= 500
+    assert answer.status not in (503, 429)
+    assert _runs(fleet) == 1
+
+
+@pytest.mark.parametrize("fault", HAS_NOT_RUN, ids=repr)
+async def test_other_request_goes_elsewhere_on_proof(fault: Behaviour) -> None:
+    async with run_fleet(runners=2) as fleet:
+        _plan_first(fleet, fault)
+        answer = await fleet.call("/unsafe/")
+
+    assert answer.status == 200
+    assert _runs(fleet) == 1
+
+
+async def test_refusal_by_all_says_when_to_come_back() -> None:
+    async with run_fleet(runners=2) as fleet:
+        _plan_first(fleet, *[Refuse()] * 20)
+        answer = await fleet.call("/unsafe/")
+
+    headers = {name.lower(): value for name, value in answer.headers}
+    assert answer.status == 503
+    assert 0 < float(headers[b"retry-after"]) < 1
+    assert _runs(fleet) == 0
+
+
+@pytest.mark.parametrize("status", [408, 429, 503])
+async def test_failure_that_has_run_is_no_promise(status: int) -> None:
+    async with run_fleet() as fleet:
+        _plan_first(fleet, Fail(status=status))
+        answer = await fleet.call("/unsafe/")
+
+    headers = {name.lower(): value for name, value in answer.headers}
+    assert answer.status == 502
+    assert Header.SEAL not in headers
+
+
+async def test_failed_answer_is_passed_on_as_it_is() -> None:
+    async with run_fleet() as fleet:
+        _plan_first(fleet, Fail(status=500))
+        answer = await fleet.call("/unsafe/")
+
+    headers = {name.lower(): value for name, value in answer.headers}
+    assert answer.status == 500
+    assert headers[Header.SEAL] == b"seal"
+    assert b"runner-1" in answer.content
+
+
+async def test_answer_without_length_is_whole_at_its_end() -> None:
+    async with run_fleet() as fleet:
+        _plan_first(fleet, Unframed())
+        answer = await fleet.call("/unsafe/")
+
+    assert answer.status == 200
+    assert b"runner-1" in answer.content
+
+
+async def test_late_answer_goes_to_no_other_request() -> None:
+    async with run_fleet() as fleet:
+        _plan_first(fleet, ExtraAnswer())
+        first = await fleet.call("/safe/")
+        second = await fleet.call("/safe/", headers={Header.REQUEST_ID: b"second"})
+
+    assert first.status == 200
+    assert second.status == 200
+    assert b'"id":"second"' in second.content
+
+
+async def test_dead_endpoint_costs_no_failure() -> None:
+    async with run_fleet(runners=2) as fleet:
+        gone = fleet.runners["runner-1"].entry(address=CLOSED, service="records")
+        fleet.store.put(table=Table.ENDPOINTS, key="runner-1", value=gone)
+        view = fleet.routers[0].parts.knowledge.view
+        await until(lambda: any(entry.address == CLOSED for entry in view.entries))
+        answers = [await fleet.call("/unsafe/") for _ in range(6)]
+
+    assert {answer.status for answer in answers} == {200}
+
+
+@pytest.mark.parametrize("fault", [CutAnswer(events=2), CutAnswer(events=0)], ids=repr)
+async def test_stream_goes_on_elsewhere(fault: Behaviour) -> None:
+    async with run_fleet(runners=2) as fleet:
+        _plan_first(fleet, fault)
+        answer = await fleet.call("/stream/again/x")
+
+    assert answer.status == 200
+    assert answer.content == EVENTS
+
+
+async def test_silent_stream_goes_on_elsewhere_and_its_run_is_cut() -> None:
+    async with run_fleet(runners=2) as fleet:
+        _plan_first(fleet, Hang(events=2))
+        answer = await fleet.call("/stream/again/x")
+        closed = [
+            each for runner in fleet.runners.values() for each in runner.closed_early
+        ]
+
+    assert answer.content == EVENTS
+    assert len(closed) == 1
+
+
+async def test_stream_that_may_not_go_on_is_cut_visibly() -> None:
+    async with run_fleet(runners=2) as fleet:
+        _plan_first(fleet, CutAnswer(events=2))
+        with pytest.raises(httpcore.RemoteProtocolError):
+            await fleet.call("/stream/x")
+
+    assert _runs(fleet) == 1
+
+
+async def test_repeats_stop_where_the_route_says() -> None:
+    async with run_fleet(runners=3) as fleet:
+        _plan_first(fleet, *[LoseAnswer()] * 10)
+        answer = await fleet.call("/safe/")
+
+    assert answer.status == 502
+    assert _runs(fleet) == 2
+
+
+async def test_answer_that_does_not_come_is_told_at_the_routes_timeout() -> None:
+    routes = [route("short", "idempotent", timeoutMs=300, maxAttempts=1)]
+    async with run_fleet(runners=2, routes=routes) as fleet:
+        _plan_first(fleet, Hang())
+        answer = await fleet.call("/short/")
+        await until(lambda: any(r.closed_early for r in fleet.runners.values()))
+
+    assert answer.status == 504
+
+
+async def test_endpoint_stops_when_its_caller_goes() -> None:
+    async with run_fleet(runners=2) as fleet:
+        _plan_first(fleet, Hang(events=2))
+        request = httpcore.Request(
+            "POST", fleet.url("/stream/x"), headers=list(fleet.headers().items())
+        )
+        async with httpcore.AsyncConnectionPool() as pool:
+            response = await pool.handle_async_request(request)
+            await anext(response.aiter_stream())
+            await response.aclose()
+        await until(lambda: any(r.closed_early for r in fleet.runners.values()))
+
+
+async def test_requests_in_flight_survive_a_planned_stop() -> None:
+    statuses = []
+
+    async def _call(fleet: Fleet) -> None:
+        answer = await fleet.call("/stream/x")
+        statuses.append((answer.status, answer.content))
+
+    async with anyio.create_task_group() as tasks, run_fleet(runners=1) as fleet:
+        runner = fleet.runners["runner-1"]
+        runner.pause = 0.05
+        tasks.start_soon(_call, fleet)
+        await until(lambda: runner.runs)
+        fleet_router = fleet.routers[0]
+        assert fleet_router.parts.app.in_flight == 1
+
+    assert statuses == [(200, EVENTS)]
+
+
+async def test_address_of_another_endpoint_gets_no_second_try() -> None:
+    async with run_fleet(runners=1) as fleet:
+        _plan_first(fleet, WrongEndpoint(), Serve())
+        first = await fleet.call("/unsafe/")
+
+    assert first.status == 503
+    assert _runs(fleet) == 0
