Take no answer without the request's id for an answer to it

Ruled out: requests that may not run twice, which always get a new connection. Change: an answer must bear the id, unless it promises that nothing ran.

--- a/dotterelpaddle/forwarding/client.py
+++ b/dotterelpaddle/forwarding/client.py
@@ -270,7 +270,8 @@
 
 def _check(*, head: AnswerHead, call: ForwardCall, reused: bool) -> None:
     endpoint = call.entry.endpoint
-    if head.request_id and head.request_id != call.request.request_id:
+    refused = head.not_executed or head.wrong_endpoint
+    if head.request_id != call.request.request_id and (head.request_id or not refused):
         # On a kept connection it is a late answer to an earlier request.
         raise (IdleConnectionLost if reused else ForeignAnswer)(
             f"asked for request '{call.request.request_id}', "
--- a/dotterelpaddle/standins/runner.py
+++ b/dotterelpaddle/standins/runner.py
@@ -84,12 +84,24 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Foreign:
-    """It answers another request."""
+    """It answers another request.
+
+    Attributes:
+        request_id: The id that its answer bears, empty for none.
+    """
+
+    request_id: bytes = b"another"
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class ExtraAnswer:
-    """It sends a second answer after its own."""
+    """It sends a second answer after its own.
+
+    Attributes:
+        request_id: The id that the second one bears, empty for none.
+    """
+
+    request_id: bytes = b"late"
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -230,13 +242,13 @@
             case Garbage():
                 await stream.send(b"\x00\x01 this is no answer\r\n\r\n")
                 return False
-            case Foreign():
-                await stream.send(self._whole(request, request_id=b"another"))
+            case Foreign(request_id=request_id):
+                await stream.send(self._whole(request, request_id=request_id))
             case Unsealed():
                 await stream.send(self._whole(request, sealed=False))
-            case ExtraAnswer():
-                answer = self._whole(request)
-                await stream.send(answer + self._whole(request, request_id=b"late"))
+            case ExtraAnswer(request_id=request_id):
+                extra = self._whole(request, request_id=request_id)
+                await stream.send(self._whole(request) + extra)
             case Unframed():
                 await stream.send(self._head(request, framing=b"connection: close"))
                 await stream.send(self._body(request))
@@ -292,7 +304,7 @@
         *,
         status: int = 200,
         sealed: bool = True,
-        request_id: bytes = b"",
+        request_id: bytes | None = None,
         extra: dict[bytes, bytes] | None = None,
     ) -> bytes:
         body = self._body(request)
@@ -313,11 +325,13 @@
         framing: bytes,
         status: int = 200,
         sealed: bool = True,
-        request_id: bytes = b"",
+        request_id: bytes | None = None,
         extra: dict[bytes, bytes] | None = None,
     ) -> bytes:
         lines = [b"HTTP/1.1 %d Answer" % status, framing]
-        lines.append(Header.REQUEST_ID + b": " + (request_id or request.request_id))
+        echoed = request.request_id if request_id is None else request_id
+        if echoed:
+            lines.append(Header.REQUEST_ID + b": " + echoed)
         if sealed:
             lines.append(Header.SEAL + b": " + SEAL)
         lines += [name + b": " + value for name, value in (extra or {}).items()]
--- a/dotterelpaddle/tests/forwarding/test_faults.py
+++ b/dotterelpaddle/tests/forwarding/test_faults.py
@@ -35,6 +35,7 @@
     LoseAnswer(),
     Garbage(),
     Foreign(),
+    Foreign(request_id=b""),
     Unsealed(),
 ]
 HAS_NOT_RUN = [Refuse(), Refuse(status=429), WrongEndpoint()]
@@ -130,9 +131,10 @@
     assert b"runner-1" in answer.content
 
 
-async def test_late_answer_goes_to_no_other_request() -> None:
+@pytest.mark.parametrize("late_id", [b"late", b""])
+async def test_late_answer_goes_to_no_other_request(late_id: bytes) -> None:
     async with run_fleet() as fleet:
-        _plan_first(fleet, ExtraAnswer())
+        _plan_first(fleet, ExtraAnswer(request_id=late_id))
         first = await fleet.call("/safe/")
         second = await fleet.call("/safe/", headers={Header.REQUEST_ID: b"second"})
 
