--- a/dotterelpaddle/exceptions.py
+++ b/dotterelpaddle/exceptions.py
@@ -11,7 +11,6 @@
 
 if TYPE_CHECKING:
     from dotterelpaddle.backing.interface import Row
-    from dotterelpaddle.forwarding.exchange import WholeAnswer
 
 
 class Step(Enum):
@@ -267,10 +266,6 @@
     """An endpoint refused the request because it takes no new work at all."""
 
 
-class EndpointReplaced(EndpointRefused):
-    """Another endpoint has the address, which refused the request."""
-
-
 class EndpointUnreachable(EndpointError):
     """No connection to the endpoint could be made, so nothing was sent.
 
@@ -300,33 +295,6 @@
     """A connection broke, or an answer ended, before the answer was whole."""
 
 
-class IdleConnectionLost(AnswerBroken):
-    """A kept connection was of no use when the request was sent on it.
-
-    It was closed, or a late answer to an earlier request came. It says nothing of
-    the endpoint, which may drop idle connections.
-    """
-
-
-class FailedAnswer(EndpointError):
-    """An endpoint answered that it failed on the request, which has run.
-
-    Attributes:
-        answer: The answer, for the caller if no other one comes.
-    """
-
-    def __init__(
-        self,
-        message: str,
-        *,
-        answer: WholeAnswer,
-        step: Step | None = None,
-        peer: str = "",
-    ):
-        super().__init__(message, step=step, peer=peer)
-        self.answer = answer
-
-
 class ForeignAnswer(EndpointError):
     """An endpoint answered with another request's id."""
 
--- a/dotterelpaddle/forwarding/attempts.py
+++ b/dotterelpaddle/forwarding/attempts.py
@@ -15,15 +15,17 @@
     DeadlineExceeded,
     EndpointError,
     EndpointRefused,
-    EndpointReplaced,
     EndpointSilent,
     EndpointUnreachable,
-    FailedAnswer,
     ForeignAnswer,
-    IdleConnectionLost,
     NoEndpoint,
 )
 from dotterelpaddle.forwarding.client import ForwardCall
+from dotterelpaddle.forwarding.exceptions import (
+    EndpointReplaced,
+    FailedAnswer,
+    IdleConnectionLost,
+)
 from dotterelpaddle.forwarding.interface import Delivery
 from dotterelpaddle.logs import get_logger
 
--- a/dotterelpaddle/forwarding/client.py
+++ b/dotterelpaddle/forwarding/client.py
@@ -14,13 +14,12 @@
 from dotterelpaddle.exceptions import (
     AnswerBroken,
     EndpointRefused,
-    EndpointReplaced,
     EndpointSilent,
     ForeignAnswer,
-    IdleConnectionLost,
     MalformedRequest,
     Step,
 )
+from dotterelpaddle.forwarding.exceptions import EndpointReplaced, IdleConnectionLost
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
--- a/dotterelpaddle/forwarding/filters.py
+++ b/dotterelpaddle/forwarding/filters.py
@@ -8,12 +8,12 @@
 
 from dotterelpaddle.exceptions import (
     DeadlineExceeded,
-    FailedAnswer,
     NotAccepting,
     NotAuthenticated,
     RouteNotFound,
     Step,
 )
+from dotterelpaddle.forwarding.exceptions import FailedAnswer
 from dotterelpaddle.forwarding.exchange import Streamed, WholeAnswer
 from dotterelpaddle.forwarding.model import RequestKind
 from dotterelpaddle.forwarding.relays import (
--- a/dotterelpaddle/forwarding/relays.py
+++ b/dotterelpaddle/forwarding/relays.py
@@ -6,7 +6,8 @@
 
 from dotterelpaddle.endpoint.evidence import Evidence
 from dotterelpaddle.endpoint.sse import END_OF_EVENT, EventBuffer
-from dotterelpaddle.exceptions import AnswerBroken, FailedAnswer
+from dotterelpaddle.exceptions import AnswerBroken
+from dotterelpaddle.forwarding.exceptions import FailedAnswer
 from dotterelpaddle.forwarding.exchange import Result, Streamed, WholeAnswer
 
 if TYPE_CHECKING:
