--- a/dotterelpaddle/forwarding/follower.py
+++ b/dotterelpaddle/forwarding/follower.py
@@ -35,7 +35,7 @@
 wait as long.
 """
 
-ENDPOINTS_PAUSE = 0.4
+ENDPOINTS_PAUSE = 0.8
 """Seconds between calls for endpoints.
 
 Without it each heartbeat of each endpoint would end a call, and every router
