--- a/dotterelpaddle/forwarding/attempts.py
+++ b/dotterelpaddle/forwarding/attempts.py
@@ -32,6 +32,7 @@
 if TYPE_CHECKING:
     from dotterelpaddle.clock import Clock
     from dotterelpaddle.dispatch.outcome import Attempt
+    from dotterelpaddle.forwarding.caches import CacheMap
     from dotterelpaddle.forwarding.exchange import ForwardExchange, Result
     from dotterelpaddle.forwarding.health import HealthBook
     from dotterelpaddle.forwarding.loads import LoadBook
@@ -63,6 +64,7 @@
         loads: Requests in flight.
         health: Results of requests.
         reachability: Where no connection can be made.
+        caches: Where parts of prompts are.
         repeats: What repeats may cost.
         waits: What was learnt of answers' progress.
         clock: Monotonic clock.
@@ -75,6 +77,7 @@
         loads: LoadBook,
         health: HealthBook,
         reachability: Reachability,
+        caches: CacheMap,
         repeats: SharedRepeats,
         waits: WaitBook,
         clock: Clock,
@@ -83,6 +86,7 @@
         self._loads = loads
         self._health = health
         self._reachability = reachability
+        self._caches = caches
         self._repeats = repeats
         self._waits = waits
         self._clock = clock
@@ -93,6 +97,8 @@
         Raises:
             RequestError: If none did and none may follow.
         """
+        if exchange.request.prompt:
+            await self._caches.wait_known()
         tried: set[EndpointId] = set()
         failure: EndpointError | None = None
         while True:
--- a/dotterelpaddle/forwarding/caches.py
+++ b/dotterelpaddle/forwarding/caches.py
@@ -12,6 +12,8 @@
 from itertools import islice
 from typing import TYPE_CHECKING
 
+import anyio
+
 from dotterelpaddle.placement.rendezvous import tag
 
 if TYPE_CHECKING:
@@ -27,6 +29,10 @@
 MOST_PARTS = 20_000
 """Parts that are remembered: 3 MB, and far more than endpoints can keep."""
 
+KNOWN_WAIT = 0.3
+"""Seconds that requests wait after a router's start to learn where parts are; it
+takes about 0.1 s, and reading a prompt of 10,000 tokens 0.12 s and more."""
+
 TIMES_TOLD = 3
 """Reports in which a use is told to other routers, because datagrams get lost."""
 
@@ -51,12 +57,31 @@
         self._clock = clock
         self._holders: OrderedDict[PartTag, dict[EndpointId, float]] = OrderedDict()
         self._news: OrderedDict[Use, int] = OrderedDict()
+        self._known = anyio.Event()
 
     @property
     def parts(self) -> int:
         """Parts that are remembered."""
         return len(self._holders)
 
+    @property
+    def known(self) -> bool:
+        """Whether what endpoints had cached before this process began is known."""
+        return self._known.is_set()
+
+    def mark_known(self) -> None:
+        """Note that it is, or can't be."""
+        self._known.set()
+
+    async def wait_known(self) -> None:
+        """Wait until it is known, for a moment at most.
+
+        A prompt that is placed before is read again at an endpoint that does not
+        have it, which takes as long as the wait and makes others wait as well.
+        """
+        with anyio.move_on_after(KNOWN_WAIT):
+            await self._known.wait()
+
     def missing(self, *, endpoint: EndpointId, request: ForwardRequest) -> int:
         """Tell how many tokens of shared parts an endpoint would have to read."""
         parts = shared_parts(request=request)
--- a/dotterelpaddle/forwarding/parts.py
+++ b/dotterelpaddle/forwarding/parts.py
@@ -142,6 +142,7 @@
         loads=knowledge.loads,
         health=knowledge.health,
         reachability=reachability,
+        caches=knowledge.caches,
         repeats=knowledge.repeats,
         waits=WaitBook(),
         clock=clock,
@@ -180,7 +181,6 @@
             documents=surroundings.documents,
             caches_reader=surroundings.caches_reader,
             platform_age=lambda: follower.age,
-            caches_known=settings.first,
             backend=backend,
             clock=clock,
             generator=generator,
@@ -189,12 +189,16 @@
 
 
 def _knowledge(*, settings: ForwardSettings, clock: Clock) -> Knowledge:
+    caches = CacheMap(clock=clock)
+    if settings.first:
+        # The whole fleet starts for the first time: no endpoint has cached anything.
+        caches.mark_known()
     directory = PeerDirectory(own=settings.peers, seeds=settings.seeds, clock=clock)
     return Knowledge(
         view=FleetView(clock=clock),
         loads=LoadBook(clock=clock),
         health=HealthBook(clock=clock),
-        caches=CacheMap(clock=clock),
+        caches=caches,
         repeats=SharedRepeats(
             limits=settings.repeats, routers=lambda: directory.count, clock=clock
         ),
--- a/dotterelpaddle/peers/exchange.py
+++ b/dotterelpaddle/peers/exchange.py
@@ -125,7 +125,7 @@
             loads=self._loads.own,
             repeats=self._repeats.counts(),
             uses=tuple(self._caches.news()),
-            parts=self._caches.parts,
+            parts=self._caches.parts if self._caches.known else 0,
             peers=tuple(peer.address for peer in self._directory.alive),
         )
 
--- a/dotterelpaddle/peers/fetching.py
+++ b/dotterelpaddle/peers/fetching.py
@@ -56,8 +56,6 @@
         documents: Decodes what others hand out.
         caches_reader: Asks endpoints for what they have cached.
         platform_age: Tells the seconds since the platform's last word.
-        caches_known: Whether no endpoint has cached anything, because the whole
-            fleet starts for the first time.
         backend: Opens connections.
         clock: Monotonic clock.
         generator: Source of jitter.
@@ -72,7 +70,6 @@
         documents: Documents,
         caches_reader: CachesReader,
         platform_age: Callable[[], float],
-        caches_known: bool,
         backend: LinkedBackend,
         clock: Clock,
         generator: random.Random,
@@ -83,7 +80,6 @@
         self._documents = documents
         self._caches_reader = caches_reader
         self._platform_age = platform_age
-        self._caches_known = caches_known
         self._clock = clock
         self._generator = generator
         self._started_at = clock()
@@ -98,7 +94,7 @@
         """Fetch what is lacking until cancelled."""
         async with self._pool:
             while True:
-                pause = FETCH_PAUSE if self._caches_known else START_PAUSE
+                pause = FETCH_PAUSE if self._caches.known else START_PAUSE
                 await anyio.sleep(pause * self._generator.uniform(0.8, 1.2))
                 peer = self._better_informed()
                 if peer is None:
@@ -122,7 +118,7 @@
         if latest.report.version > self._view.version:
             return latest
         most = max(alive, key=lambda peer: peer.report.parts)
-        if most.report.parts and not self._caches_known:
+        if most.report.parts and not self._caches.known:
             return most
         newest = max(alive, key=lambda peer: peer.report.revision)
         revision = self._view.endpoints_revision
@@ -144,9 +140,9 @@
             self._view.take_configuration(configuration=snapshot.configuration)
         if snapshot.endpoints is not None:
             self._view.take_endpoints(read=snapshot.endpoints)
-        if not self._caches_known:
-            self._caches_known = True
+        if not self._caches.known:
             self._caches.hear(uses=snapshot.uses)
+            self._caches.mark_known()
         age = self._platform_age()
         log.info(
             "snapshot_taken",
@@ -184,13 +180,13 @@
         to wait for another one's word would cost more than the question.
         """
         waited = self._clock() - self._started_at
-        if self._caches_known or not self._view.complete or waited < ALONE_AFTER:
+        if self._caches.known or not self._view.complete or waited < ALONE_AFTER:
             return
-        self._caches_known = True
         async with anyio.create_task_group() as tasks:
             for entry in self._view.entries:
                 if entry.models:
                     tasks.start_soon(self._read_cache, entry)
+        self._caches.mark_known()
 
     async def _read_cache(self, entry: EndpointEntry) -> None:
         try:
--- a/dotterelpaddle/peers/messages.py
+++ b/dotterelpaddle/peers/messages.py
@@ -39,7 +39,8 @@
         loads: Its requests in flight, by endpoint.
         repeats: What it sent of late, by service.
         uses: Where it sent parts of prompts of late.
-        parts: Parts of prompts that it knows the places of.
+        parts: Parts of prompts that it knows the places of, 0 while it is still
+            learning what was there before it began.
         peers: Addresses of routers that it hears.
     """
 
