--- a/dotterelpaddle/forwarding/app.py
+++ b/dotterelpaddle/forwarding/app.py
@@ -46,6 +46,9 @@
 """Seconds after which a caller may come back where the error names no time."""
 
 BAD_GATEWAY = 502
+UNAVAILABLE = 503
+GATEWAY_ERRORS = frozenset({502, 504})
+"""Statuses that say nothing of whether a request has run."""
 
 
 class ForwardApp:
@@ -178,10 +181,7 @@
         reply = exchange.reply
         if reply.started:
             raise ReplyCut(error.message)
-        status = error.status
-        if status in PROMISES and not exchange.attempts.proves_not_run:
-            # The status would promise that the request has not run.
-            status = BAD_GATEWAY
+        status = _status(exchange=exchange, error=error)
         await reply.whole(
             status=status,
             headers=_headers(status=status, error=error),
@@ -207,6 +207,19 @@
         )
 
 
+def _status(*, exchange: ForwardExchange, error: RequestError) -> int:
+    """Return the status that tells the truth about whether the request has run.
+
+    Callers may repeat what they are told has not run, whatever it is.
+    """
+    not_run = exchange.attempts.proves_not_run
+    if error.status in PROMISES and not not_run:
+        return BAD_GATEWAY
+    if error.status in GATEWAY_ERRORS and not_run:
+        return UNAVAILABLE
+    return error.status
+
+
 def _headers(*, status: int, error: RequestError) -> Headers:
     headers = [(b"content-type", b"text/plain; charset=utf-8")]
     if status in PROMISES:
--- a/dotterelpaddle/forwarding/view.py
+++ b/dotterelpaddle/forwarding/view.py
@@ -10,6 +10,8 @@
 from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING
 
+import anyio
+
 from dotterelpaddle.forwarding.model import EndpointState
 from dotterelpaddle.logs import get_logger
 
@@ -27,6 +29,10 @@
 
 log = get_logger(name=__name__)
 
+COMPLETE_WAIT = 0.4
+"""Seconds that requests wait after a router's start for configuration and
+endpoints; the platform answers in 4 ms when all is well."""
+
 LAST_RESORT_TIME = 1.2
 """Seconds that an endpoint without an entry may still serve if no other can.
 
@@ -83,6 +89,7 @@
         self._endpoints_revision: Revision | None = None
         self._returned_at = float("-inf")
         self._handlers: list[Callable[[], None]] = []
+        self._completed = anyio.Event()
 
     @property
     def configuration(self) -> FleetConfiguration | None:
@@ -104,6 +111,11 @@
         """Whether there is enough to serve requests."""
         return self._configuration is not None and self._endpoints_revision is not None
 
+    async def wait_complete(self) -> None:
+        """Wait until there is enough to serve requests, for a moment at most."""
+        with anyio.move_on_after(COMPLETE_WAIT):
+            await self._completed.wait()
+
     @property
     def entries(self) -> tuple[EndpointEntry, ...]:
         """All entries that are there."""
@@ -155,6 +167,7 @@
         )
         self._configuration = configuration
         self._routes = _routes_by_host(routes=configuration.routes)
+        self._note_complete()
         return True
 
     def take_endpoints(self, *, read: EndpointsRead) -> bool:
@@ -177,6 +190,7 @@
         known = self._endpoints_revision
         if known is None or read.revision > known:
             self._endpoints_revision = read.revision
+        self._note_complete()
         if changed:
             self._index()
         self._forget(now=now)
@@ -196,6 +210,10 @@
         if lapsed:
             self._index()
 
+    def _note_complete(self) -> None:
+        if self.complete:
+            self._completed.set()
+
     def _put(self, *, entry: EndpointEntry) -> bool:
         known = self._entries.get(entry.endpoint)
         if known is not None and known.revision >= entry.revision:
--- a/dotterelpaddle/tests/forwarding/test_faults.py
+++ b/dotterelpaddle/tests/forwarding/test_faults.py
@@ -242,3 +242,18 @@
 
     assert first.status == 503
     assert _runs(fleet) == 0
+
+
+@pytest.mark.parametrize("path", ["/unsafe/", "/safe/", "/stream/x"])
+async def test_what_reached_no_endpoint_may_be_repeated(path: str) -> None:
+    async with run_fleet(runners=0) as fleet:
+        await fleet.add_runner("runner-1")
+        fleet.addresses["runner-1"] = CLOSED
+        fleet.register("runner-1")
+        view = fleet.routers[0].parts.knowledge.view
+        await until(lambda: any(entry.address == CLOSED for entry in view.entries))
+        answer = await fleet.call(path)
+
+    headers = {name.lower(): value for name, value in answer.headers}
+    assert answer.status == 503
+    assert float(headers[b"retry-after"]) > 0
