Take a part for cached only where it was read; test placement and settings

Cause: an unknown holder counted as a use one second before the clock's zero, so a host up for under two minutes took every known part for cached everywhere (found by a test of placement); parts were noted for endpoints that never got the prompt. Change: unknown is never; what proves not to have run takes its notes back. State machines over lost, late and doubled news for the view and the budget of repeats.

--- a/dotterelpaddle/forwarding/app.py
+++ b/dotterelpaddle/forwarding/app.py
@@ -11,7 +11,6 @@
 from dotterelpaddle.exceptions import (
     BodyTooLarge,
     DotterelpaddleError,
-    NotAccepting,
     RequestError,
 )
 from dotterelpaddle.forwarding.exchange import ForwardExchange
@@ -39,9 +38,6 @@
 DEFAULT_BODY_BYTES = 4 * 1024 * 1024
 """Longest body while no configuration says otherwise."""
 
-STOPPING_WAIT = 0.05
-"""Seconds after which a caller may go to another router when this one stops."""
-
 REFUSAL_WAIT = 0.3
 """Seconds after which a caller may come back where the error names no time."""
 
@@ -70,7 +66,6 @@
         self._clock = clock
         self._in_flight = 0
         self._leaving = False
-        self._accepting = True
 
     @property
     def in_flight(self) -> int:
@@ -86,10 +81,6 @@
         """Report not ready and close connections after answers; still serve."""
         self._leaving = True
 
-    def stop_accepting(self) -> None:
-        """Refuse new requests; those in flight go on to their end."""
-        self._accepting = False
-
     async def __call__(
         self, scope: Mapping[str, Any], receive: Receive, send: Send
     ) -> None:
@@ -118,11 +109,6 @@
 
     async def _run(self, *, exchange: ForwardExchange, receive: Receive) -> None:
         try:
-            if not self._accepting:
-                raise NotAccepting(
-                    "this router is shutting down; try another one",
-                    retry_after=STOPPING_WAIT,
-                )
             exchange.body = await self._read_body(receive=receive)
             await self._run_pipeline(exchange=exchange, receive=receive)
         except RequestError as error:
--- a/dotterelpaddle/forwarding/attempts.py
+++ b/dotterelpaddle/forwarding/attempts.py
@@ -265,6 +265,8 @@
         route = exchange.route
         assert route is not None
         entry = choice.entry
+        if progress.attempt.proves_not_run:
+            self._caches.retract(endpoint=entry.endpoint, parts=choice.noted)
         match error:
             case EndpointReplaced():
                 self._health.gone(entry=entry)
--- a/dotterelpaddle/forwarding/caches.py
+++ b/dotterelpaddle/forwarding/caches.py
@@ -89,17 +89,32 @@
         oldest = self._clock() - REMEMBERED_TIME
         for part in parts:
             holders = self._holders.get(part_tag(model=request.model, part=part))
-            if holders is None or holders.get(endpoint, -1.0) < oldest:
+            if holders is None or holders.get(endpoint, float("-inf")) < oldest:
                 return left
             left -= part.tokens
         return left
 
-    def note(self, *, endpoint: EndpointId, request: ForwardRequest) -> None:
-        """Note that an endpoint reads a request's prompt."""
+    def note(
+        self, *, endpoint: EndpointId, request: ForwardRequest
+    ) -> tuple[PartTag, ...]:
+        """Note that an endpoint reads a request's prompt.
+
+        Returns:
+            The parts that were not known to be there.
+        """
+        new = []
         for part in shared_parts(request=request):
-            self.note_part(
-                endpoint=endpoint, part=part_tag(model=request.model, part=part)
-            )
+            held = part_tag(model=request.model, part=part)
+            if endpoint not in self._holders.get(held, ()):
+                new.append(held)
+            self.note_part(endpoint=endpoint, part=held)
+        return tuple(new)
+
+    def retract(self, *, endpoint: EndpointId, parts: Iterable[PartTag]) -> None:
+        """Note that an endpoint did not get a prompt after all."""
+        for part in parts:
+            self._holders.get(part, {}).pop(endpoint, None)
+            self._news.pop((part, endpoint), None)
 
     def note_part(self, *, endpoint: EndpointId, part: PartTag) -> None:
         """Note that an endpoint has a part, and tell other routers."""
--- a/dotterelpaddle/forwarding/placement.py
+++ b/dotterelpaddle/forwarding/placement.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from enum import Enum
 from typing import TYPE_CHECKING
 
@@ -15,7 +15,7 @@
     from collections import Counter
     from collections.abc import Sequence
 
-    from dotterelpaddle.forwarding.caches import CacheMap
+    from dotterelpaddle.forwarding.caches import CacheMap, PartTag
     from dotterelpaddle.forwarding.health import HealthBook
     from dotterelpaddle.forwarding.interface import ForwardRequest
     from dotterelpaddle.forwarding.loads import LoadBook
@@ -90,6 +90,7 @@
         missing: Shared prompt tokens that it does not have.
         fetch_from: Endpoint from whose cache it may fetch them, None if none
             has more of them.
+        noted: Parts that it was not known to have before this choice.
     """
 
     entry: EndpointEntry
@@ -100,6 +101,7 @@
     part: int = 0
     missing: int = 0
     fetch_from: EndpointEntry | None = None
+    noted: tuple[PartTag, ...] = ()
 
 
 class ForwardPlacer:
@@ -166,8 +168,9 @@
         choice = self._least_cost(
             request=request, candidates=candidates, loads=loads, mean=mean, risk=risk
         )
-        self._caches.note(endpoint=choice.entry.endpoint, request=request)
-        return choice
+        # Noted before the request is sent, so that those beside it go there too.
+        noted = self._caches.note(endpoint=choice.entry.endpoint, request=request)
+        return replace(choice, noted=noted)
 
     def _share(self, entry: EndpointEntry) -> float:
         return self._health.error_share(endpoint=entry.endpoint)
--- a/dotterelpaddle/forwarding/router.py
+++ b/dotterelpaddle/forwarding/router.py
@@ -109,8 +109,8 @@
         log.info("router_stopping", in_flight=app.in_flight)
         app.announce_leaving()
         await anyio.sleep(settings.leave_time)
-        app.stop_accepting()
-        # The caller's server ends first: it waits for requests in flight.
+        # Callers' server ends first: it takes no new connection, closes idle ones,
+        # and waits for the requests that it has.
         await stack.aclose()
         log.info("router_stopped", in_flight=app.in_flight)
         await parts.client.aclose()
--- /dev/null
+++ b/dotterelpaddle/tests/forwarding/test_placement.py
@@ -0,0 +1,360 @@
+"""Which endpoint a request is sent to."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass, field
+from types import SimpleNamespace
+from typing import Any
+
+import pytest
+
+from dotterelpaddle.address import Address
+from dotterelpaddle.exceptions import NoEndpoint
+from dotterelpaddle.forwarding.caches import MOST_USES_TOLD, TIMES_TOLD, CacheMap
+from dotterelpaddle.forwarding.health import (
+    FIRST_EJECTION,
+    MIN_RESULTS,
+    HealthBook,
+)
+from dotterelpaddle.forwarding.interface import (
+    EndpointsRead,
+    ForwardRequest,
+    PromptPart,
+)
+from dotterelpaddle.forwarding.loads import FRESH_TIME, LoadBook
+from dotterelpaddle.forwarding.model import EndpointEntry, EndpointState
+from dotterelpaddle.forwarding.placement import (
+    LOAD_ALLOWANCE,
+    Choice,
+    ChoiceReason,
+    ForwardPlacer,
+)
+from dotterelpaddle.forwarding.reachability import Reachability
+from dotterelpaddle.forwarding.view import FleetView
+from dotterelpaddle.ids import (
+    EndpointId,
+    FailureDomain,
+    ModelId,
+    RequestId,
+    Revision,
+    RouterId,
+    ServiceName,
+)
+
+pytestmark = pytest.mark.anyio
+
+SERVICE = ServiceName("engines")
+HERE, THERE = FailureDomain("here"), FailureDomain("there")
+A, B, C = EndpointId("a"), EndpointId("b"), EndpointId("c")
+
+
+def _request(*parts: tuple[str, int]) -> ForwardRequest:
+    own = PromptPart(part="own", tokens=100)
+    shared = [PromptPart(part=part, tokens=tokens) for part, tokens in parts]
+    return ForwardRequest(
+        request_id=RequestId("request"),
+        method="POST",
+        host="a.example",
+        path="/",
+        target=b"/",
+        headers=[],
+        model=ModelId("m"),
+        prompt=(*shared, own) if shared else (),
+    )
+
+
+PLAIN = _request()
+LONG = _request(("system", 500), ("chat", 10_000))
+
+
+@dataclass(kw_only=True)
+class World:
+    """What a placer knows, with a clock that tests turn."""
+
+    now: float = 0.0
+    endpoints: tuple[EndpointId, ...] = (A, B, C)
+    draining: frozenset[EndpointId] = frozenset()
+    parts: Any = field(init=False)
+
+    def __post_init__(self) -> None:
+        def clock() -> float:
+            return self.now
+
+        view = FleetView(clock=clock)
+        loads, health = LoadBook(clock=clock), HealthBook(clock=clock)
+        caches = CacheMap(clock=clock)
+        reachability = Reachability(
+            view=view,
+            backend=None,  # type: ignore[arg-type]
+            failure_domain=HERE,
+            clock=clock,
+        )
+        placer = ForwardPlacer(
+            view=view,
+            loads=loads,
+            health=health,
+            reachability=reachability,
+            caches=caches,
+            failure_domain=HERE,
+            generator=random.Random(1),
+        )
+        self.parts = SimpleNamespace(
+            view=view,
+            loads=loads,
+            health=health,
+            caches=caches,
+            reachability=reachability,
+            placer=placer,
+        )
+        entries = tuple(self.entry(name) for name in self.endpoints)
+        view.take_endpoints(
+            read=EndpointsRead(revision=Revision(1), entries=entries, whole=True)
+        )
+
+    def entry(self, name: EndpointId) -> EndpointEntry:
+        leaving = name in self.draining
+        return EndpointEntry(
+            endpoint=name,
+            service=SERVICE,
+            address=Address(host="10.0.0.1", port=ord(name[0])),
+            failure_domain=THERE if name == C else HERE,
+            slots=8,
+            state=EndpointState.DRAINING if leaving else EndpointState.READY,
+            revision=Revision(1),
+            models=frozenset({ModelId("m")}),
+        )
+
+    def choose(
+        self,
+        request: ForwardRequest = PLAIN,
+        *,
+        repeatable: bool = True,
+        excluded: frozenset[EndpointId] = frozenset(),
+    ) -> Choice:
+        choice: Choice = self.parts.placer.choose(
+            service=SERVICE,
+            request=request,
+            repeatable=repeatable,
+            excluded=excluded,
+        )
+        return choice
+
+    def load(self, **loads: int) -> None:
+        counts = {EndpointId(name): load for name, load in loads.items()}
+        self.parts.loads.hear(router=RouterId("other"), counts=counts)
+
+
+def test_plain_request_goes_where_the_least_is_in_flight() -> None:
+    world = World()
+    world.load(a=3, b=1, c=2)
+
+    assert world.choose().entry.endpoint == B
+
+
+def test_ties_go_to_the_own_failure_domain() -> None:
+    world = World()
+
+    assert {world.choose().entry.failure_domain for _ in range(20)} == {HERE}
+
+
+def test_other_model_is_not_sent_there() -> None:
+    world = World()
+    other = ForwardRequest(
+        request_id=RequestId("request"),
+        method="POST",
+        host="",
+        path="/",
+        target=b"/",
+        headers=[],
+        model=ModelId("other"),
+    )
+
+    with pytest.raises(NoEndpoint) as caught:
+        world.choose(other)
+
+    assert caught.value.retry_after
+
+
+def test_prompt_goes_back_to_where_it_was_read() -> None:
+    world = World()
+    first = world.choose(LONG)
+    others = {A, B, C} - {first.entry.endpoint}
+    world.load(**{first.entry.endpoint: 3, **dict.fromkeys(others, 2)})
+
+    again = world.choose(LONG)
+
+    assert again.entry is first.entry
+    assert again.reason is ChoiceReason.CACHED
+
+
+def test_part_stays_when_an_endpoint_joins() -> None:
+    world = World(endpoints=(A, B))
+    requests = [_request(("system", 500), (f"chat-{n}", 10_000)) for n in range(30)]
+    before = [world.choose(request).entry.endpoint for request in requests]
+    joined = EndpointsRead(revision=Revision(2), entries=(world.entry(C),))
+    world.parts.view.take_endpoints(read=joined)
+
+    assert [world.choose(request).entry.endpoint for request in requests] == before
+
+
+def test_overloaded_endpoint_is_passed_over_and_its_cache_fetched() -> None:
+    world = World()
+    first = world.choose(LONG)
+    world.load(**{first.entry.endpoint: 20})
+
+    again = world.choose(LONG)
+
+    assert again.entry is not first.entry
+    assert again.fetch_from is first.entry
+
+
+def test_leaving_endpoint_hands_out_its_cache() -> None:
+    world = World()
+    first = world.choose(LONG)
+    world.draining = frozenset({first.entry.endpoint})
+    leaving = EndpointEntry(
+        **{
+            name: getattr(first.entry, name)
+            for name in first.entry.__slots__
+            if name not in ("state", "revision")
+        },
+        state=EndpointState.DRAINING,
+        revision=Revision(2),
+    )
+    read = EndpointsRead(revision=Revision(2), entries=(leaving,))
+    world.parts.view.take_endpoints(read=read)
+
+    again = world.choose(LONG)
+
+    assert again.entry.endpoint != first.entry.endpoint
+    assert again.fetch_from is not None
+    assert again.fetch_from.endpoint == first.entry.endpoint
+
+
+def test_no_endpoint_is_given_more_than_the_bound() -> None:
+    world = World()
+    placed: list[EndpointId] = []
+    for _ in range(60):
+        choice = world.choose(LONG)
+        placed.append(choice.entry.endpoint)
+        world.load(**{name: placed.count(name) for name in (A, B, C)})
+
+    most = max(placed.count(name) for name in (A, B, C))
+    assert most <= 2 * 20 + 3
+    assert most <= 1.7 * 20 + LOAD_ALLOWANCE + 1
+
+
+def test_failing_endpoint_gets_what_can_be_repeated_only() -> None:
+    world = World(endpoints=(A, B))
+    for _ in range(3):
+        world.parts.health.failed_answer(entry=world.entry(A))
+    world.load(a=1, b=3)
+
+    assert world.choose(repeatable=True).entry.endpoint == A
+    assert world.choose(repeatable=False).entry.endpoint == B
+
+
+def test_ejected_endpoint_comes_back() -> None:
+    world = World(endpoints=(A, B))
+    world.parts.health.failed_hard(entry=world.entry(A), cause="broke off")
+    chosen = {world.choose().entry.endpoint for _ in range(10)}
+    world.now += FIRST_EJECTION + 0.1
+    world.load(a=0, b=5)
+
+    assert chosen == {B}
+    assert world.choose().entry.endpoint == A
+
+
+def test_success_of_an_older_request_does_not_end_an_ejection() -> None:
+    world = World(endpoints=(A, B))
+    world.now = 5.0
+    world.parts.health.failed_hard(entry=world.entry(A), cause="broke off")
+    world.parts.health.succeeded(endpoint=A, begun_at=4.0)
+
+    assert world.choose().entry.endpoint == B
+
+
+def test_one_silence_is_no_reason_to_pass_an_endpoint_over() -> None:
+    world = World(endpoints=(A, B))
+    world.load(a=0, b=5)
+    world.parts.health.was_silent(entry=world.entry(A))
+    after_one = world.choose().entry.endpoint
+    world.parts.health.was_silent(entry=world.entry(A))
+
+    assert after_one == A
+    assert world.choose().entry.endpoint == B
+
+
+def test_endpoints_that_all_fail_alike_stay_in_use() -> None:
+    world = World()
+    for name in (A, B, C):
+        for _ in range(MIN_RESULTS * 2):
+            world.parts.health.failed_answer(entry=world.entry(name))
+
+    assert world.choose().candidates == 3
+
+
+def test_replaced_endpoint_is_never_chosen() -> None:
+    world = World(endpoints=(A,))
+    world.parts.health.gone(entry=world.entry(A))
+
+    with pytest.raises(NoEndpoint):
+        world.choose()
+
+
+async def test_silent_endpoint_puts_its_failure_domain_in_doubt() -> None:
+    world = World()
+    world.parts.reachability.suspect(entry=world.entry(C), silent=True)
+    assert world.choose().candidates == 2
+
+    world.parts.reachability.suspect(entry=world.entry(A), silent=True)
+    assert {world.choose().entry.endpoint for _ in range(5)} == {B}
+
+
+async def test_where_all_are_in_doubt_one_is_tried() -> None:
+    world = World(endpoints=(A,))
+    world.parts.reachability.suspect(entry=world.entry(A), silent=False)
+
+    assert world.choose().entry.endpoint == A
+
+
+def test_word_of_a_silent_router_is_forgotten() -> None:
+    world = World()
+    world.load(a=50)
+    world.now = FRESH_TIME + 0.1
+
+    assert world.choose().load == 0
+
+
+def test_uses_are_told_a_few_times_and_a_few_at_a_time() -> None:
+    caches = CacheMap(clock=lambda: 0.0)
+    for number in range(MOST_USES_TOLD + 10):
+        caches.note_part(endpoint=A, part=number)
+
+    reports = [caches.news() for _ in range(20)]
+
+    told = [use for report in reports for use in report]
+    assert max(len(report) for report in reports) == MOST_USES_TOLD
+    assert {told.count(use) for use in set(told)} == {TIMES_TOLD}
+    assert len(set(told)) == MOST_USES_TOLD + 10
+
+
+def test_part_counts_only_with_all_parts_before_it() -> None:
+    caches = CacheMap(clock=lambda: 0.0)
+    caches.note(endpoint=A, request=_request(("chat", 10_000)))
+
+    assert caches.missing(endpoint=A, request=LONG) == 10_500
+    caches.note(endpoint=A, request=_request(("system", 500)))
+    assert caches.missing(endpoint=A, request=LONG) == 0
+    assert caches.missing(endpoint=B, request=LONG) == 10_500
+
+
+def test_prompt_that_never_arrived_is_forgotten() -> None:
+    caches = CacheMap(clock=lambda: 0.0)
+    caches.note(endpoint=A, request=_request(("system", 500)))
+    noted = caches.note(endpoint=A, request=LONG)
+    caches.retract(endpoint=A, parts=noted)
+
+    assert caches.missing(endpoint=A, request=LONG) == 10_000
+    assert len(caches.news()) == 1
--- /dev/null
+++ b/dotterelpaddle/tests/forwarding/test_repeats.py
@@ -0,0 +1,115 @@
+"""The budget of repeats that routers share."""
+
+from __future__ import annotations
+
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
+
+from dotterelpaddle.forwarding.repeats import RepeatLimits, SharedRepeats
+from dotterelpaddle.ids import RouterId, ServiceName
+
+SERVICE = ServiceName("records")
+LIMITS = RepeatLimits(share=0.2, allowance=20.0, window=10.0)
+ROUTERS = 3
+
+
+def _repeats(*, routers: int = 1) -> SharedRepeats:
+    return SharedRepeats(limits=LIMITS, routers=lambda: routers, clock=lambda: 0.0)
+
+
+def test_allowance_is_there_without_requests() -> None:
+    repeats = _repeats()
+
+    taken = sum(repeats.take(service=SERVICE) for _ in range(100))
+
+    assert 10 <= taken <= LIMITS.allowance
+
+
+def test_requests_raise_the_budget() -> None:
+    repeats = _repeats()
+    for _ in range(200):
+        repeats.count_request(service=SERVICE)
+
+    taken = sum(repeats.take(service=SERVICE) for _ in range(100))
+
+    assert LIMITS.allowance < taken <= LIMITS.allowance + 0.2 * 200
+
+
+def test_routers_that_were_not_heard_may_have_spent_their_part() -> None:
+    alone, among_four = _repeats(), _repeats(routers=4)
+
+    taken_alone = sum(alone.take(service=SERVICE) for _ in range(100))
+    taken = sum(among_four.take(service=SERVICE) for _ in range(100))
+
+    assert 0 < taken <= taken_alone / 4
+
+
+class SharedBudgetMachine(RuleBasedStateMachine):
+    """Routers whose reports are lost, late and doubled, and which restart."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.now = 0.0
+        self.routers: list[SharedRepeats] = []
+        self.requests: list[float] = []
+        self.repeats: list[float] = []
+        self.pending: list[tuple[int, dict]] = []  # type: ignore[type-arg]
+
+    def _router(self) -> SharedRepeats:
+        return SharedRepeats(
+            limits=LIMITS, routers=lambda: ROUTERS, clock=lambda: self.now
+        )
+
+    @initialize()
+    def start(self) -> None:
+        self.routers = [self._router() for _ in range(ROUTERS)]
+
+    @rule(router=st.integers(0, ROUTERS - 1), count=st.integers(1, 20))
+    def send_requests(self, router: int, count: int) -> None:
+        for _ in range(count):
+            self.routers[router].count_request(service=SERVICE)
+            self.requests.append(self.now)
+
+    @rule(router=st.integers(0, ROUTERS - 1), count=st.integers(1, 10))
+    def repeat(self, router: int, count: int) -> None:
+        for _ in range(count):
+            if self.routers[router].take(service=SERVICE):
+                self.repeats.append(self.now)
+
+    @rule()
+    def report(self) -> None:
+        """Let every router hear every other one, as happens most of the time."""
+        for number, router in enumerate(self.routers):
+            counts = router.counts()
+            self.pending.append((number, counts))
+            for other in self.routers:
+                if other is not router:
+                    other.hear(router=RouterId(str(number)), counts=counts)
+
+    @rule(data=st.data())
+    def hear_an_old_report_again(self, data: st.DataObject) -> None:
+        if self.pending:
+            number, counts = data.draw(st.sampled_from(self.pending[-ROUTERS:]))
+            for other, router in enumerate(self.routers):
+                if other != number:
+                    router.hear(router=RouterId(str(number)), counts=counts)
+
+    @rule(seconds=st.floats(0.05, 3.0))
+    def pass_time(self, seconds: float) -> None:
+        self.now += seconds
+
+    @invariant()
+    def repeats_stay_within_the_budget(self) -> None:
+        """What routers that hear each other seldom overspend is bounded.
+
+        Between two reports each may spend its part of the room that is left, so
+        all together at most one and a half times of it for three routers.
+        """
+        oldest = self.now - LIMITS.window
+        requests = sum(at >= oldest - LIMITS.window for at in self.requests)
+        repeats = sum(at >= oldest for at in self.repeats)
+        budget = LIMITS.share * requests + LIMITS.allowance
+        assert repeats <= 2 * budget
+
+
+TestSharedBudget = SharedBudgetMachine.TestCase
--- /dev/null
+++ b/dotterelpaddle/tests/forwarding/test_view.py
@@ -0,0 +1,188 @@
+"""What a router acts on never goes back."""
+
+from __future__ import annotations
+
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
+
+from dotterelpaddle.address import Address
+from dotterelpaddle.forwarding.interface import EndpointsRead
+from dotterelpaddle.forwarding.model import (
+    CallerLimits,
+    EndpointEntry,
+    EndpointState,
+    FleetConfiguration,
+)
+from dotterelpaddle.forwarding.view import RETURN_TIME, FleetView
+from dotterelpaddle.ids import EndpointId, FailureDomain, Revision, ServiceName
+
+SERVICE = ServiceName("records")
+NAMES = [EndpointId(f"endpoint-{number}") for number in range(3)]
+LIMITS = CallerLimits(
+    header_bytes=1, body_bytes=1, header_timeout=1.0, idle_timeout=1.0
+)
+
+
+def _configuration(version: int) -> FleetConfiguration:
+    return FleetConfiguration(
+        version=version, routes=(), services={}, limits=LIMITS, key_holders=None
+    )
+
+
+def _entry(
+    name: EndpointId, revision: int, state: EndpointState = EndpointState.READY
+) -> EndpointEntry:
+    return EndpointEntry(
+        endpoint=name,
+        service=SERVICE,
+        address=Address(host="10.0.0.1", port=80),
+        failure_domain=FailureDomain("here"),
+        slots=4,
+        state=state,
+        revision=Revision(revision),
+    )
+
+
+class ViewMachine(RuleBasedStateMachine):
+    """News of one history that comes late, doubled and in any order.
+
+    The history is kept as whole lists and as single changes; the view must end
+    where the latest news that it heard stands.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.now = 0.0
+        self.view = FleetView(clock=lambda: self.now)
+        self.revision = 0
+        self.rows: dict[EndpointId, EndpointEntry] = {}
+        self.news: list[EndpointsRead] = []
+        self.heard: dict[EndpointId, tuple[int, EndpointEntry | None]] = {}
+        self.versions: list[int] = []
+        self.draining: set[EndpointId] = set()
+
+    @initialize()
+    def start(self) -> None:
+        self.versions = [0]
+
+    @rule(name=st.sampled_from(NAMES), state=st.sampled_from(EndpointState))
+    def write(self, name: EndpointId, state: EndpointState) -> None:
+        self.revision += 1
+        entry = _entry(name, self.revision, state)
+        self.rows[name] = entry
+        self.news.append(
+            EndpointsRead(revision=Revision(self.revision), entries=(entry,))
+        )
+
+    @rule(name=st.sampled_from(NAMES))
+    def remove(self, name: EndpointId) -> None:
+        if name not in self.rows:
+            return
+        self.revision += 1
+        del self.rows[name]
+        self.news.append(
+            EndpointsRead(
+                revision=Revision(self.revision),
+                entries=(),
+                removed={name: Revision(self.revision)},
+            )
+        )
+
+    @rule()
+    def list_all(self) -> None:
+        self.news.append(
+            EndpointsRead(
+                revision=Revision(self.revision),
+                entries=tuple(self.rows.values()),
+                whole=True,
+            )
+        )
+
+    @rule(data=st.data())
+    def hear(self, data: st.DataObject) -> None:
+        if not self.news:
+            return
+        read = data.draw(st.sampled_from(self.news))
+        self.view.take_endpoints(read=read)
+        for entry in read.entries:
+            self._note(entry.endpoint, entry.revision, entry)
+        for name, revision in read.removed.items():
+            self._note(name, revision, None)
+        if read.whole:
+            present = {entry.endpoint for entry in read.entries}
+            for name, (known, last) in tuple(self.heard.items()):
+                if name not in present and last and known <= read.revision:
+                    self._note(name, read.revision, None)
+
+    def _note(
+        self, name: EndpointId, revision: int, entry: EndpointEntry | None
+    ) -> None:
+        known = self.heard.get(name)
+        if known is None and entry is None:
+            return
+        if known is None or revision > known[0]:
+            self.heard[name] = (revision, entry)
+
+    @rule(version=st.integers(1, 50))
+    def configure(self, version: int) -> None:
+        self.view.take_configuration(configuration=_configuration(version))
+        self.versions.append(self.view.version)
+
+    @rule(seconds=st.floats(0.1, 30.0))
+    def pass_time(self, seconds: float) -> None:
+        self.now += seconds
+        self.view.expire()
+
+    @invariant()
+    def versions_only_grow(self) -> None:
+        assert self.versions == sorted(self.versions)
+
+    @invariant()
+    def latest_news_counts(self) -> None:
+        ready = {entry.endpoint for entry in self.view.ready(service=SERVICE)}
+        expected = {
+            name
+            for name, (_, entry) in self.heard.items()
+            if entry is not None and entry.state is EndpointState.READY
+        }
+        assert ready == expected
+
+
+TestView = ViewMachine.TestCase
+
+
+def test_entries_that_lapse_around_the_platforms_return_are_held() -> None:
+    now = 0.0
+    view = FleetView(clock=lambda: now)
+    entry = _entry(NAMES[0], 1)
+    view.take_endpoints(
+        read=EndpointsRead(revision=Revision(1), entries=(entry,), whole=True)
+    )
+    now = 10.0
+    view.note_return()
+    view.take_endpoints(
+        read=EndpointsRead(revision=Revision(2), entries=(), whole=True)
+    )
+
+    held = view.ready(service=SERVICE)
+    now += RETURN_TIME + 0.1
+    view.expire()
+
+    assert held == (entry,)
+    assert view.ready(service=SERVICE) == ()
+
+
+def test_leaving_endpoint_is_not_held() -> None:
+    now = 0.0
+    view = FleetView(clock=lambda: now)
+    entry = _entry(NAMES[0], 1, EndpointState.DRAINING)
+    view.take_endpoints(
+        read=EndpointsRead(revision=Revision(1), entries=(entry,), whole=True)
+    )
+    view.note_return()
+    view.take_endpoints(
+        read=EndpointsRead(revision=Revision(2), entries=(), whole=True)
+    )
+
+    assert view.ready(service=SERVICE) == ()
+    assert view.last_resort(service=SERVICE) == ()
