Let a joining router ask two members for their list

Cause of the scenario paused_router (KNOWN-RED): traced with prints of the watch over failure domains, 16 runs at a time: router-1 stayed stale for 5 s because each round of joining asked one member drawn at random, the paused one, and waited 2 s for it; a stale router judges nobody. With three routers that is every second draw. Ruled out: pauses of the process itself (none was seen), lost probes (each was sent). Change: two members that seem present are asked at once.

--- a/dotterelpaddle/membership/joining.py
+++ b/dotterelpaddle/membership/joining.py
@@ -20,6 +20,10 @@
     from dotterelpaddle.membership.sync import Synchronizer
 
 
+PRESENT_ASKED = 2
+"""Members that seem present, asked at the same time for their list."""
+
+
 class Joining:
     """Finds members whose list this one can fetch.
 
@@ -73,7 +77,12 @@
             self._contact.alone()
 
     def _peers_to_ask(self) -> tuple[Address, ...]:
-        """Choose a few addresses at random from each source."""
+        """Choose a few addresses at random from each source.
+
+        Members that seem present are asked two at a time: one that was paused or
+        cut off a moment ago seems present too, and would hold up the joining for
+        a whole timeout each time that it is drawn alone.
+        """
         known = [
             member
             for member in self._beliefs.known()
@@ -81,8 +90,9 @@
         ]
         present = [m.address for m in known if m.state is not MemberState.DEAD]
         dead = [m.address for m in known if m.state is MemberState.DEAD]
-        sources = (present, dead, list(self._seeds), list(self._platform.strangers()))
+        sources = (dead, list(self._seeds), list(self._platform.strangers()))
         chosen = {self._source.choice(addresses) for addresses in sources if addresses}
+        chosen.update(self._source.sample(present, min(PRESENT_ASKED, len(present))))
         return tuple(sorted(chosen - {self._beliefs.own.address}))
 
     async def _meet_stranger(self) -> None:
