Keep callers' connections as long as the configuration says, and bound heads

Cause: uvicorn closes idle connections after five seconds; callers reuse them for twelve, so requests crossed the close; heads had no bound in time or size. Change: a connection class with the limits of the configuration in force.

--- a/dotterelpaddle/forwarding/router.py
+++ b/dotterelpaddle/forwarding/router.py
@@ -11,6 +11,7 @@
 from anyio.abc import SocketAttribute
 
 from dotterelpaddle.address import Address
+from dotterelpaddle.forwarding.caller_protocol import caller_protocol
 from dotterelpaddle.forwarding.parts import build_parts
 from dotterelpaddle.forwarding.readiness import ReadinessApp
 from dotterelpaddle.http_server import serve
@@ -93,7 +94,12 @@
             serve(app=ReadinessApp(ready=lambda: app.ready), address=settings.readiness)
         )
         callers = await stack.enter_async_context(
-            serve(app=app, address=listener or settings.callers, grace=grace)
+            serve(
+                app=app,
+                address=listener or settings.callers,
+                grace=grace,
+                protocol=caller_protocol(limits=lambda: knowledge.view.limits),
+            )
         )
         log.info("router_started", router=settings.router)
         yield RunningForwarder(
--- a/dotterelpaddle/forwarding/view.py
+++ b/dotterelpaddle/forwarding/view.py
@@ -21,6 +21,7 @@
     from dotterelpaddle.clock import Clock
     from dotterelpaddle.forwarding.interface import EndpointsRead
     from dotterelpaddle.forwarding.model import (
+        CallerLimits,
         EndpointEntry,
         FleetConfiguration,
         ForwardRoute,
@@ -96,6 +97,11 @@
         """The configuration in force, None before the first one came."""
         return self._configuration
 
+    @property
+    def limits(self) -> CallerLimits | None:
+        """What callers may send, None before the first configuration."""
+        return self._configuration.limits if self._configuration else None
+
     @property
     def version(self) -> int:
         """Version of the configuration in force, 0 before the first one."""
--- /dev/null
+++ b/dotterelpaddle/tests/forwarding/test_callers.py
@@ -0,0 +1,64 @@
+"""Callers' connections and their limits."""
+
+from __future__ import annotations
+
+import anyio
+import pytest
+
+from dotterelpaddle.tests.forwarding.harness import Fleet, configuration, run_fleet
+
+pytestmark = pytest.mark.anyio
+
+LIMITS = {**configuration()["limits"], "headerTimeoutMs": 150, "maxHeaderBytes": 2000}
+
+
+async def _connect(fleet: Fleet) -> anyio.abc.SocketStream:
+    address = fleet.routers[0].callers
+    return await anyio.connect_tcp(address.host, address.port)
+
+
+def _request(fleet: Fleet) -> bytes:
+    lines = [name + b": " + value for name, value in fleet.headers().items()]
+    return b"GET /safe/ HTTP/1.1\r\n" + b"\r\n".join(lines) + b"\r\n\r\n"
+
+
+async def _closed(stream: anyio.abc.SocketStream) -> bytes:
+    """Read until the other end closes."""
+    content = b""
+    with anyio.fail_after(10):
+        try:
+            while True:
+                content += await stream.receive()
+        except (anyio.EndOfStream, anyio.BrokenResourceError):
+            return content
+
+
+async def test_connection_serves_many_requests() -> None:
+    async with run_fleet() as fleet, await _connect(fleet) as stream:
+        for _ in range(3):
+            await stream.send(_request(fleet))
+            assert b"200 OK" in await stream.receive()
+
+
+async def test_head_that_does_not_end_is_given_up() -> None:
+    async with run_fleet(limits=LIMITS) as fleet, await _connect(fleet) as stream:
+        await stream.send(b"GET /safe/ HTTP/1.1\r\nhost: a")
+
+        assert await _closed(stream) == b""
+
+
+async def test_head_over_the_limit_is_refused() -> None:
+    async with run_fleet(limits=LIMITS) as fleet, await _connect(fleet) as stream:
+        await stream.send(b"GET /safe/ HTTP/1.1\r\nx-long: " + b"x" * 3000)
+
+        assert (await _closed(stream)).startswith(b"HTTP/1.1 431 ")
+        assert not fleet.runners["runner-1"].received
+
+
+async def test_idle_connection_is_closed_at_its_limit() -> None:
+    limits = {**LIMITS, "idleTimeoutMs": 150}
+    async with run_fleet(limits=limits) as fleet, await _connect(fleet) as stream:
+        await stream.send(_request(fleet))
+        content = await _closed(stream)
+
+    assert b"200 OK" in content
