Let waits follow the latency objective of the route

Cause: the waits fitted the objectives of today's two sites; a route with another objective had the same. The estimate of gaps was never given an observation, so one silence doubled it for good.

--- a/dotterelpaddle/forwarding/attempts.py
+++ b/dotterelpaddle/forwarding/attempts.py
@@ -277,8 +277,8 @@
             case FailedAnswer():
                 self._health.failed_answer(entry=entry)
             case EndpointSilent():
-                begun = progress.first_byte is not None
-                self._waits.gave_up(route=route, begun=begun)
+                if progress.first_byte is None:
+                    self._waits.gave_up(route=route)
                 self._health.was_silent(entry=entry)
             case _:
                 self._health.failed_hard(entry=entry, cause=error.message)
--- a/dotterelpaddle/forwarding/model.py
+++ b/dotterelpaddle/forwarding/model.py
@@ -64,7 +64,6 @@
         max_attempts: Endpoints to which one request may be sent.
         rank: Priority, 0 is the highest.
         public: Whether callers need no key.
-        prefix_cached: Whether its requests name the parts of their prompts.
         resumable: Whether a stream may go on at another endpoint.
         pause_objective: Longest seconds between two events of a stream that
             callers expect, 0 where there is none.
@@ -80,7 +79,6 @@
     max_attempts: int
     rank: int = 5
     public: bool = False
-    prefix_cached: bool = False
     resumable: bool = False
     pause_objective: float = 0.0
 
--- a/dotterelpaddle/forwarding/waits.py
+++ b/dotterelpaddle/forwarding/waits.py
@@ -1,4 +1,8 @@
-"""How long an attempt waits for progress, learnt for each kind of request."""
+"""How long an attempt waits for progress before another one is tried.
+
+The scale is what callers expect of the route; within it the wait for an answer's
+begin is learnt from the answers that came.
+"""
 
 from __future__ import annotations
 
@@ -16,37 +20,40 @@
 """Seconds until a connection must stand: a lost first packet is sent again after
 a second, by which time another endpoint has long been asked."""
 
-WHOLE_FIRST = Bounds(floor=0.15, initial=0.4, cap=0.6)
-"""Wait for a whole answer that may be asked for again elsewhere, seconds.
+WHOLE_BEGIN = Bounds(floor=0.5, initial=1.3, cap=2.0)
+"""Wait for a whole answer that may be asked for again elsewhere, in times of the
+route's latency objective: half of it is twice what an answer takes on average, and
+leaves the other half for a second one."""
 
-The slowest of a hundred takes about five times the mean of 60 ms."""
+EVENT_BEGIN = Bounds(floor=0.875, initial=1.1, cap=2.5)
+"""Wait for a stream's first event, in times of the route's latency objective. With
+its prompt cached, one in a hundred waits three quarters of it behind the prompts of
+others; shorter waits moved those, and their prompts were read twice."""
 
-EVENT_FIRST = Bounds(floor=0.7, initial=0.9, cap=2.0)
-"""Wait for a stream's first event, seconds. Callers expect it within 0.8 s; one in
-a hundred that has its whole prompt cached waits 0.6 s behind others' prompts."""
+GAP_RATIO = 2.7
+"""Longest gap between two events in times of the route's objective for it: callers
+give up at eight."""
 
-READING_TIME = 1 / 40_000
-"""Seconds that are allowed for each prompt token that is not cached; an engine
-alone needs half of it."""
+LEAST_GAP = 0.45
+"""Seconds between two events that are always allowed: a preempted stream is read
+in again meanwhile."""
 
-EVENT_GAP = Bounds(floor=0.45, initial=1.0, cap=1.5)
-"""Wait between two events, seconds. A step takes some 10 ms; callers call a
-pause of 0.3 s late and give up after two seconds."""
+UNKNOWN_OBJECTIVE = 0.8
+"""Seconds that are assumed where a route states no latency objective."""
 
+UNKNOWN_GAP = 0.3
+"""Seconds between events that are assumed where a route states no objective."""
 
-class _Waits:
-    """What was learnt of one kind of request."""
-
-    def __init__(self, *, first: Bounds) -> None:
-        self.first = Estimate(bounds=first)
-        self.gap = Estimate(bounds=EVENT_GAP)
+READING_TIME = 1 / 40_000
+"""Seconds that are allowed for each prompt token that is not cached; an engine
+alone needs half of it."""
 
 
 class WaitBook:
-    """What was learnt of the progress of answers, by route."""
+    """What was learnt of the begin of answers, by route."""
 
     def __init__(self) -> None:
-        self._waits: dict[str, _Waits] = {}
+        self._begins: dict[tuple[str, str, float], Estimate] = {}
 
     def patience(
         self,
@@ -64,32 +71,39 @@
         connect = min(CONNECT_TIME, time_left)
         if not may_repeat:
             return Patience(connect=connect, first_byte=time_left, gap=time_left)
-        waits = self._of(route)
-        first = waits.first.limit() + READING_TIME * missing_tokens
+        begin = self._begin(route).limit() + READING_TIME * missing_tokens
         return Patience(
             connect=connect,
-            first_byte=min(first, time_left),
-            gap=min(waits.gap.limit(), time_left),
+            first_byte=min(begin, time_left),
+            gap=min(_longest_gap(route=route), time_left),
         )
 
     def begun(self, *, route: ForwardRoute, seconds: float) -> None:
         """Take in how long an answer took to begin."""
-        self._of(route).first.observe(seconds=seconds)
-
-    def continued(self, *, route: ForwardRoute, seconds: float) -> None:
-        """Take in the longest gap between two events of a stream."""
-        self._of(route).gap.observe(seconds=seconds)
-
-    def gave_up(self, *, route: ForwardRoute, begun: bool) -> None:
-        """Take in that an endpoint was given up on, before or after it began."""
-        waits = self._of(route)
-        (waits.gap if begun else waits.first).back_off()
-
-    def _of(self, route: ForwardRoute) -> _Waits:
-        key = f"{route.host}{route.prefix}"
-        waits = self._waits.get(key)
-        if waits is None:
-            streams = route.kind is RequestKind.STREAM
-            waits = _Waits(first=EVENT_FIRST if streams else WHOLE_FIRST)
-            self._waits[key] = waits
-        return waits
+        self._begin(route).observe(seconds=seconds)
+
+    def gave_up(self, *, route: ForwardRoute) -> None:
+        """Take in that an endpoint was given up on before its answer began."""
+        self._begin(route).back_off()
+
+    def _begin(self, route: ForwardRoute) -> Estimate:
+        key = (route.host, route.prefix, route.objective)
+        estimate = self._begins.get(key)
+        if estimate is None:
+            estimate = self._begins[key] = Estimate(bounds=_bounds(route=route))
+        return estimate
+
+
+def _bounds(*, route: ForwardRoute) -> Bounds:
+    """Return the range of the wait for an answer's begin, in seconds."""
+    objective = route.objective or UNKNOWN_OBJECTIVE
+    ratios = EVENT_BEGIN if route.kind is RequestKind.STREAM else WHOLE_BEGIN
+    return Bounds(
+        floor=ratios.floor * objective,
+        initial=ratios.initial * objective,
+        cap=ratios.cap * objective,
+    )
+
+
+def _longest_gap(*, route: ForwardRoute) -> float:
+    return max(LEAST_GAP, GAP_RATIO * (route.pause_objective or UNKNOWN_GAP))
--- a/dotterelpaddle/peers/exchange.py
+++ b/dotterelpaddle/peers/exchange.py
@@ -37,6 +37,10 @@
 """Seconds since the platform's last word within which a router calls what it
 knows fresh."""
 
+PEERS_EVERY = 8
+"""Reports of which one names the routers that its sender hears. With nine routers
+the names are a third of a report, and new routers are rare."""
+
 UNKNOWN = Revision(-1)
 """Revision of a router that knows no endpoints yet."""
 
@@ -126,9 +130,12 @@
             repeats=self._repeats.counts(),
             uses=tuple(self._caches.news()),
             parts=self._caches.parts if self._caches.known else 0,
-            peers=tuple(peer.address for peer in self._directory.alive),
+            peers=self._names() if self._sequence % PEERS_EVERY == 1 else (),
         )
 
+    def _names(self) -> tuple[Address, ...]:
+        return tuple(peer.address for peer in self._directory.alive)
+
     async def _receive(self, datagrams: UDPSocket, control: Address) -> None:
         async for datagram, (host, port) in datagrams:
             address = Address(host=host, port=port)
--- a/dotterelpaddle/platform/configuration.py
+++ b/dotterelpaddle/platform/configuration.py
@@ -69,7 +69,6 @@
         max_attempts=max(1, optional(row, "maxAttempts", int, path, 1)),
         rank=optional(row, "priority", int, path, 5),
         public=optional(row, "public", bool, path, False),
-        prefix_cached=optional(row, "sticky", bool, path, False),
         resumable=optional(row, "streamResume", bool, path, False),
         pause_objective=(
             seconds(row, "gapTargetMs", path) if "gapTargetMs" in row else 0.0
--- /dev/null
+++ b/dotterelpaddle/tests/daemon/test_process.py
@@ -0,0 +1,131 @@
+"""The daemon as a process of its own."""
+
+from __future__ import annotations
+
+import os
+import signal
+import subprocess
+import sys
+from contextlib import contextmanager
+from typing import TYPE_CHECKING
+
+import anyio
+import httpcore
+import orjson
+import pytest
+
+from dotterelpaddle.listening import address_of, bind
+from dotterelpaddle.platform.names import Table
+from dotterelpaddle.standins.runner import RunnerStandin, run_runner
+from dotterelpaddle.standins.store import StoreStandin, run_store
+from dotterelpaddle.tests.forwarding.harness import (
+    ANYWHERE,
+    HOST,
+    KEY,
+    SERVICE,
+    configuration,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+    from pathlib import Path
+
+    from dotterelpaddle.address import Address
+
+pytestmark = pytest.mark.anyio
+
+LIMIT = 30.0
+"""Seconds after which a wait fails; a start takes under one."""
+
+COMMAND = [sys.executable, "-m", "dotterelpaddle.daemon"]
+
+
+def _free_address() -> Address:
+    listener = bind(address=ANYWHERE)
+    address = address_of(listener=listener)
+    listener.close()
+    return address
+
+
+@contextmanager
+def _daemon(*, path: Path) -> Iterator[subprocess.Popen[bytes]]:
+    environment = {**os.environ, "DOTTERELPADDLE_SETTINGS": str(path)}
+    process = subprocess.Popen(
+        COMMAND,
+        env=environment,
+        stdout=subprocess.PIPE,
+        stderr=subprocess.PIPE,
+    )
+    try:
+        yield process
+    finally:
+        if process.poll() is None:
+            process.kill()
+        process.communicate()
+
+
+def test_daemon_without_settings_says_what_to_set() -> None:
+    environment = {**os.environ, "DOTTERELPADDLE_SETTINGS": ""}
+    ended = subprocess.run(COMMAND, env=environment, capture_output=True, check=False)
+
+    assert ended.returncode == 2
+    assert b"set DOTTERELPADDLE_SETTINGS" in ended.stderr
+
+
+async def test_daemon_serves_and_stops_when_told(tmp_path: Path) -> None:
+    store, runner = StoreStandin(), RunnerStandin(name="runner-1")
+    store.configure(configuration=configuration())
+    callers, readiness = _free_address(), _free_address()
+    async with run_store(store=store) as at, run_runner(runner=runner) as endpoint:
+        entry = runner.entry(address=endpoint, service=SERVICE)
+        store.put(table=Table.ENDPOINTS, key="runner-1", value=entry)
+        settings = {
+            "router": "router-1",
+            "failure_domain": "here",
+            "listen": {
+                "callers": str(callers),
+                "readiness": str(readiness),
+                "control": str(_free_address()),
+            },
+            "peers": {"address": str(_free_address())},
+            "store": str(at),
+            "shutdown_seconds": 4,
+            "repeats": {"share": 0.2, "allowance": 50, "window_seconds": 10},
+        }
+        path = tmp_path / "settings.yaml"
+        path.write_bytes(orjson.dumps(settings))
+        with _daemon(path=path) as process:
+            async with httpcore.AsyncConnectionPool() as http:
+                await _until_ready(http=http, address=readiness)
+                answer = await http.request(
+                    "GET",
+                    f"http://{callers}/safe/",
+                    headers={
+                        "host": HOST,
+                        "x-dotterelpaddle-attempt-id": "request-1",
+                        "x-api-key": KEY,
+                    },
+                )
+            process.send_signal(signal.SIGHUP)
+            process.send_signal(signal.SIGTERM)
+            with anyio.fail_after(LIMIT):
+                output, errors = await anyio.to_thread.run_sync(process.communicate)
+
+    events = [orjson.loads(line)["message_type"] for line in output.splitlines()]
+    assert answer.status == 200
+    assert process.returncode == 0
+    assert errors == b""
+    assert {"router_started", "placed", "request_ended", "router_stopped"} <= {*events}
+
+
+async def _until_ready(*, http: httpcore.AsyncConnectionPool, address: Address) -> None:
+    with anyio.fail_after(LIMIT):
+        while True:
+            try:
+                answer = await http.request("GET", f"http://{address}/-/ready")
+            except httpcore.ConnectError:
+                await anyio.sleep(0.02)
+                continue
+            if answer.status == 200:
+                return
+            await anyio.sleep(0.02)
--- /dev/null
+++ b/dotterelpaddle/tests/forwarding/test_waits.py
@@ -0,0 +1,79 @@
+"""How long attempts wait."""
+
+from __future__ import annotations
+
+import pytest
+
+from dotterelpaddle.forwarding.model import ForwardRoute, RequestKind
+from dotterelpaddle.forwarding.waits import READING_TIME, WaitBook
+
+
+def _route(kind: RequestKind, objective: float) -> ForwardRoute:
+    return ForwardRoute(
+        name="r",
+        host="a.example",
+        prefix="/a/",
+        kind=kind,
+        services=(),
+        timeout=10.0,
+        objective=objective,
+        max_attempts=2,
+        resumable=True,
+        pause_objective=0.3,
+    )
+
+
+STREAM = _route(RequestKind.STREAM, 0.8)
+WHOLE = _route(RequestKind.IDEMPOTENT, 0.3)
+
+
+def _first(book: WaitBook, route: ForwardRoute, missing: int = 0) -> float:
+    patience = book.patience(
+        route=route, time_left=5.0, may_repeat=True, missing_tokens=missing
+    )
+    return patience.first_byte
+
+
+@pytest.mark.parametrize("route", [STREAM, WHOLE])
+def test_wait_leaves_time_for_another_attempt(route: ForwardRoute) -> None:
+    book = WaitBook()
+    for _ in range(50):
+        book.begun(route=route, seconds=0.05)
+
+    assert 0.05 < _first(book, route) < route.objective
+
+
+def test_waits_follow_the_objective() -> None:
+    slow, quick = _route(RequestKind.STREAM, 2.0), _route(RequestKind.STREAM, 0.2)
+
+    assert _first(WaitBook(), slow) == pytest.approx(10 * _first(WaitBook(), quick))
+
+
+def test_wait_grows_with_what_is_to_be_read() -> None:
+    book = WaitBook()
+
+    longer = _first(book, STREAM, missing=20_000) - _first(book, STREAM)
+
+    assert longer == pytest.approx(20_000 * READING_TIME)
+
+
+def test_giving_up_makes_more_patient_until_an_answer_comes() -> None:
+    book = WaitBook()
+    book.begun(route=WHOLE, seconds=0.05)
+    before = _first(book, WHOLE)
+    book.gave_up(route=WHOLE)
+    after = _first(book, WHOLE)
+    book.begun(route=WHOLE, seconds=0.05)
+
+    assert after > before
+    assert _first(book, WHOLE) <= before
+
+
+def test_what_can_not_be_repeated_waits_to_its_deadline() -> None:
+    patience = WaitBook().patience(
+        route=STREAM, time_left=5.0, may_repeat=False, missing_tokens=0
+    )
+
+    assert patience.first_byte == 5.0
+    assert patience.gap == 5.0
+    assert patience.connect < 1.0
--- /dev/null
+++ b/dotterelpaddle/tests/peers/test_messages.py
@@ -0,0 +1,153 @@
+"""Reports between routers, and what is not one."""
+
+from __future__ import annotations
+
+import orjson
+import pytest
+from hypothesis import given, strategies as st
+
+from dotterelpaddle.address import Address
+from dotterelpaddle.exceptions import ControlError
+from dotterelpaddle.forwarding.repeats import RepeatCounts
+from dotterelpaddle.ids import EndpointId, Revision, RouterId, ServiceName
+from dotterelpaddle.peers.directory import (
+    ALIVE_TIME,
+    FORGET_TIME,
+    SEED_TIME,
+    PeerDirectory,
+)
+from dotterelpaddle.peers.messages import (
+    MOST_PEERS_TOLD,
+    PeerReport,
+    decode_report,
+    encode_report,
+)
+
+OWN = Address(host="10.0.0.1", port=1)
+OTHER = Address(host="10.0.0.2", port=1)
+THIRD = Address(host="10.0.0.3", port=1)
+
+
+def _report(sequence: int = 1, incarnation: int = 7, **fields: object) -> PeerReport:
+    return PeerReport(
+        **{  # type: ignore[arg-type]
+            "router": RouterId("other"),
+            "incarnation": incarnation,
+            "sequence": sequence,
+            "control": OTHER,
+            "version": 3,
+            "revision": Revision(9),
+            "fresh": True,
+            "loads": {EndpointId("a"): 2},
+            "repeats": {ServiceName("s"): RepeatCounts(requests=4, repeats=1)},
+            "uses": ((5, EndpointId("a")),),
+            "parts": 1,
+            "peers": (THIRD,),
+            **fields,
+        }
+    )
+
+
+class _World:
+    def __init__(self) -> None:
+        self.now = 0.0
+        self.directory = PeerDirectory(
+            own=OWN, seeds=(OWN, OTHER), clock=lambda: self.now
+        )
+
+
+def test_report_survives_the_wire() -> None:
+    assert decode_report(datagram=encode_report(report=_report())) == _report()
+
+
+def test_names_in_a_report_are_bounded() -> None:
+    many = tuple(Address(host="10.0.0.1", port=port) for port in range(1, 100))
+
+    decoded = decode_report(datagram=encode_report(report=_report(peers=many)))
+
+    assert len(decoded.peers) == MOST_PEERS_TOLD
+
+
+@given(st.binary(max_size=64))
+def test_noise_is_no_report(noise: bytes) -> None:
+    with pytest.raises(ControlError):
+        decode_report(datagram=noise)
+
+
+@given(
+    st.recursive(
+        st.none() | st.integers() | st.text(max_size=4),
+        lambda inner: (
+            st.lists(inner, max_size=13)
+            | st.dictionaries(st.text(max_size=3), inner, max_size=3)
+        ),
+    )
+)
+def test_other_documents_are_no_report(document: object) -> None:
+    try:
+        datagram = orjson.dumps(document)
+    except TypeError:
+        return
+    with pytest.raises(ControlError):
+        decode_report(datagram=datagram)
+
+
+def test_report_of_another_format_is_dropped() -> None:
+    fields = orjson.loads(encode_report(report=_report()))
+    fields[0] = 99
+
+    with pytest.raises(ControlError, match="format 99"):
+        decode_report(datagram=orjson.dumps(fields))
+
+
+def test_older_report_of_the_same_process_is_no_news() -> None:
+    world = _World()
+
+    assert world.directory.hear(report=_report(sequence=5), address=OTHER)
+    assert not world.directory.hear(report=_report(sequence=4), address=OTHER)
+    assert not world.directory.hear(report=_report(sequence=5), address=OTHER)
+    assert world.directory.hear(
+        report=_report(sequence=1, incarnation=8), address=OTHER
+    )
+
+
+def test_silent_router_is_lost_and_found_again() -> None:
+    world = _World()
+    world.directory.hear(report=_report(), address=OTHER)
+    world.now = ALIVE_TIME + 0.1
+    world.directory.targets()
+    lost = world.directory.alive
+    world.directory.hear(report=_report(sequence=2), address=OTHER)
+
+    assert lost == ()
+    assert len(world.directory.alive) == 1
+
+
+def test_addresses_that_do_not_answer_are_tried_once_a_second() -> None:
+    world = _World()
+
+    first = world.directory.targets()
+    at_once = world.directory.targets()
+    world.now = SEED_TIME
+    later = world.directory.targets()
+
+    assert first == [OTHER]
+    assert at_once == []
+    assert later == [OTHER]
+
+
+def test_routers_that_others_name_are_tried() -> None:
+    world = _World()
+    world.directory.hear(report=_report(), address=OTHER)
+
+    assert set(world.directory.targets()) == {OTHER, THIRD}
+
+
+def test_router_that_is_long_silent_is_forgotten() -> None:
+    world = _World()
+    world.directory.hear(report=_report(peers=()), address=THIRD)
+    world.now = FORGET_TIME + 1
+    world.directory.targets()
+
+    assert world.directory.count == 1
+    assert set(world.directory.targets()) <= {OTHER}
--- /dev/null
+++ b/dotterelpaddle/tests/platform/test_protocols.py
@@ -0,0 +1,221 @@
+"""Translation of the platform's wire, row by row and header by header."""
+
+from __future__ import annotations
+
+import orjson
+import pytest
+from hypothesis import given, strategies as st
+
+from dotterelpaddle.exceptions import MalformedRequest, RecordError
+from dotterelpaddle.forwarding.interface import Delivery, EndpointLoad, PromptPart
+from dotterelpaddle.forwarding.model import EndpointState, KeyHolder, RequestKind
+from dotterelpaddle.ids import AccountId, EndpointId, Revision
+from dotterelpaddle.platform.documents import PlatformDocuments
+from dotterelpaddle.platform.names import Header
+from dotterelpaddle.platform.protocols import PlatformProtocols
+from dotterelpaddle.tests.forwarding.harness import configuration, route
+
+PROTOCOLS, DOCUMENTS = PlatformProtocols(), PlatformDocuments()
+ENTRY = {
+    "service": "records",
+    "address": "10.0.0.1:80",
+    "zone": "here",
+    "slots": 4,
+    "state": "ready",
+    "models": [{"name": "m", "version": 1}],
+    "seq": 3,
+}
+
+
+def _scope(headers: dict[bytes, bytes], **fields: object) -> dict[str, object]:
+    return {
+        "method": "POST",
+        "path": "/a/b",
+        "raw_path": b"/a/b",
+        "query_string": b"",
+        "headers": [(Header.REQUEST_ID, b"r"), (b"host", b"A.example:80")]
+        + list(headers.items()),
+        **fields,
+    }
+
+
+def _decode(content: object) -> object:
+    return DOCUMENTS.configuration(document=orjson.dumps(content))
+
+
+def test_request_is_decoded_into_its_parts() -> None:
+    headers = {
+        Header.KEY: b"k",
+        Header.TIME_LEFT: b"1500",
+        Header.MODEL: b"m",
+        Header.PROMPT: b"5c1e:800, 91bd:410,e440:250",
+        Header.LAST_EVENT: b"12",
+    }
+
+    request = PROTOCOLS.read_request(scope=_scope(headers, query_string=b"c=d"))
+
+    assert request.host == "a.example"
+    assert request.target == b"/a/b?c=d"
+    assert request.key == "k"
+    assert request.time_left == 1.5
+    assert request.prompt[0] == PromptPart(part="5c1e", tokens=800)
+    assert [part.tokens for part in request.prompt] == [800, 410, 250]
+    assert request.last_event == "12"
+    assert (Header.PROMPT, headers[Header.PROMPT]) in request.headers
+    assert (Header.MODEL, b"m") in request.headers
+
+
+@given(st.binary(max_size=40))
+def test_any_prompt_header_is_read_or_left_out(text: bytes) -> None:
+    request = PROTOCOLS.read_request(scope=_scope({Header.PROMPT: text}))
+
+    assert all(part.tokens >= 0 for part in request.prompt)
+
+
+def test_request_without_id_is_refused() -> None:
+    scope = _scope({})
+    scope["headers"] = [(b"host", b"a.example")]
+
+    with pytest.raises(MalformedRequest, match="x-dotterelpaddle-attempt-id"):
+        PROTOCOLS.read_request(scope=scope)
+
+
+def test_endpoint_gets_what_it_has_to_know() -> None:
+    request = PROTOCOLS.read_request(scope=_scope({Header.PROMPT: b"aa:1,bb:2"}))
+    delivery = Delivery(
+        endpoint=EndpointId("runner-1"),
+        time_left=1.2345,
+        account=KeyHolder(name=AccountId("acme")),
+        rank=12,
+        last_event="3",
+    )
+
+    headers = dict(PROTOCOLS.endpoint_headers(request=request, delivery=delivery))
+
+    assert headers[Header.EXPECTED_ENDPOINT] == b"runner-1"
+    assert headers[Header.TIME_LEFT] == b"1234"
+    assert headers[Header.ACCOUNT] == b"acme"
+    assert headers[Header.RANK] == b"9"
+    assert headers[Header.LAST_EVENT] == b"3"
+    assert headers[Header.REQUEST_ID] == b"r"
+
+
+def test_answer_is_decoded() -> None:
+    headers = [
+        (b"X-Dotterelpaddle-Attempt-Id", b"r"),
+        (b"X-Dotterelpaddle-Runner-Seal", b"s"),
+        (b"X-Dotterelpaddle-Runner-Load", b"3,1,8"),
+        (b"Connection", b"close, x-hop"),
+        (b"X-Hop", b"1"),
+        (b"Content-Length", b"5"),
+        (b"X-Kept", b"1"),
+    ]
+
+    head = PROTOCOLS.read_answer(status=200, headers=headers)
+
+    assert head.request_id == "r"
+    assert head.sealed
+    assert not head.not_executed
+    assert head.load == EndpointLoad(running=3, waiting=1, slots=8)
+    names = {name for name, _ in head.headers}
+    assert b"x-kept" in names
+    assert not {b"connection", b"x-hop", b"content-length"} & names
+
+
+@pytest.mark.parametrize("load", [b"", b"1,2", b"a,b,c", b"1,2,3,4"])
+def test_load_that_can_not_be_read_is_unknown(load: bytes) -> None:
+    head = PROTOCOLS.read_answer(status=200, headers=[(Header.LOAD, load)])
+
+    assert head.load is None
+
+
+def test_configuration_is_decoded() -> None:
+    decoded = DOCUMENTS.configuration(
+        document=orjson.dumps(configuration(version=7, shapeOfThings=1))
+    )
+
+    again = next(each for each in decoded.routes if each.prefix == "/stream/again/")
+    assert decoded.version == 7
+    assert again.kind is RequestKind.STREAM
+    assert again.repeatable
+    assert again.timeout == 2.0
+    assert decoded.key_holders is not None
+    assert decoded.key_holders["key-1"].rank == 1
+
+
+def test_configuration_without_client_accounts_asks_for_no_keys() -> None:
+    content = configuration()
+    del content["tenants"]
+
+    decoded = DOCUMENTS.configuration(document=orjson.dumps(content))
+
+    assert decoded.key_holders is None
+
+
+@pytest.mark.parametrize(
+    ("change", "field"),
+    [
+        ({"version": "7"}, "version"),
+        ({"version": True}, "version"),
+        ({"routes": None}, "routes"),
+        ({"routes": [{"name": "x"}]}, "routes.0.kind"),
+        ({"routes": [route("x", "queue")]}, "routes.0.kind"),
+        ({"routes": [route("x", "stream", timeoutMs="1")]}, "routes.0.timeoutMs"),
+        ({"routes": [route("x", "stream", timeoutMs=-1)]}, "routes.0.timeoutMs"),
+        ({"routes": [route("x", "stream", service=None)]}, "routes.0.service"),
+        ({"services": [{}]}, "services.0.name"),
+        ({"limits": {}}, "limits.maxHeaderBytes"),
+        ({"tenants": [{"apiKeys": []}]}, "tenants.0.name"),
+        ({"tenants": [{"name": "a", "apiKeys": "k"}]}, "tenants.0.apiKeys"),
+    ],
+)
+def test_wrong_field_of_a_configuration_is_named(
+    change: dict[str, object], field: str
+) -> None:
+    with pytest.raises(RecordError) as caught:
+        _decode({**configuration(), **change})
+
+    assert caught.value.field == field
+    assert field in caught.value.message
+
+
+def test_entry_is_decoded() -> None:
+    entry = DOCUMENTS.endpoint(
+        name=EndpointId("i-1"), document=orjson.dumps(ENTRY), revision=Revision(4)
+    )
+
+    assert entry.state is EndpointState.READY
+    assert str(entry.address) == "10.0.0.1:80"
+    assert entry.models == {"m"}
+    assert entry.revision == 4
+
+
+def test_entry_in_an_unknown_state_takes_no_work() -> None:
+    document = orjson.dumps({**ENTRY, "state": "resting"})
+
+    entry = DOCUMENTS.endpoint(
+        name=EndpointId("i-1"), document=document, revision=Revision(1)
+    )
+
+    assert entry.state is EndpointState.DRAINING
+
+
+@pytest.mark.parametrize(
+    ("change", "field"),
+    [
+        ({"address": "nowhere"}, "address"),
+        ({"address": 5}, "address"),
+        ({"service": None}, "service"),
+        ({"state": None}, "state"),
+        ({"slots": "many"}, "slots"),
+    ],
+)
+def test_wrong_field_of_an_entry_is_named(
+    change: dict[str, object], field: str
+) -> None:
+    with pytest.raises(RecordError, match=f"i-1.{field}"):
+        DOCUMENTS.endpoint(
+            name=EndpointId("i-1"),
+            document=orjson.dumps({**ENTRY, **change}),
+            revision=Revision(1),
+        )
