--- a/dotterelpaddle/forwarding/interface.py
+++ b/dotterelpaddle/forwarding/interface.py
@@ -66,21 +66,6 @@
     last_event: str = ""
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class EndpointLoad:
-    """An endpoint's own word on its load.
-
-    Attributes:
-        running: Requests that it works on.
-        waiting: Requests in its queue.
-        slots: Requests that it can work on at a time.
-    """
-
-    running: int
-    waiting: int
-    slots: int
-
-
 @dataclass(frozen=True, kw_only=True, slots=True)
 class AnswerHead:
     """The head of an endpoint's answer.
@@ -93,7 +78,6 @@
         not_executed: Whether it promises that the request has not run.
         wrong_endpoint: Whether another endpoint than the one meant answered.
         encoded: Whether the body is not as callers asked for it.
-        load: The endpoint's load, None if it does not say.
     """
 
     status: int
@@ -103,7 +87,6 @@
     not_executed: bool
     wrong_endpoint: bool
     encoded: bool
-    load: EndpointLoad | None
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/dotterelpaddle/platform/configuration.py
+++ b/dotterelpaddle/platform/configuration.py
@@ -9,7 +9,6 @@
     CallerLimits,
     FleetConfiguration,
     ForwardRoute,
-    ForwardService,
     KeyHolder,
     RequestKind,
     WeightedService,
@@ -20,9 +19,6 @@
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
-DEFAULT_MAX_CONNECTIONS = 100
-"""Connections to an endpoint whose service states no bound."""
-
 
 def decode_configuration(*, document: bytes) -> FleetConfiguration:
     """Decode a whole configuration.
@@ -37,11 +33,6 @@
             _route(each, f"routes.{index}.")
             for index, each in enumerate(field(row, "routes", list, ""))
         ),
-        services={
-            service.name: service
-            for index, each in enumerate(field(row, "services", list, ""))
-            for service in (_service(each, f"services.{index}."),)
-        },
         limits=_limits(field(row, "limits", dict, ""), "limits."),
         key_holders=_key_holders(row),
         document=document,
@@ -93,14 +84,6 @@
     return (WeightedService(service=service, weight=1.0),)
 
 
-def _service(row: Mapping[str, Any], path: str) -> ForwardService:
-    return ForwardService(
-        name=ServiceName(field(row, "name", str, path)),
-        max_connections=optional(row, "maxConns", int, path, DEFAULT_MAX_CONNECTIONS),
-        engine=row.get("engine") is not None,
-    )
-
-
 def _limits(row: Mapping[str, Any], path: str) -> CallerLimits:
     return CallerLimits(
         header_bytes=field(row, "maxHeaderBytes", int, path),
--- a/dotterelpaddle/platform/names.py
+++ b/dotterelpaddle/platform/names.py
@@ -17,7 +17,6 @@
     # Proof that an endpoint made the answer; callers check it, we do not.
     SEAL = b"x-dotterelpaddle-runner-seal"
     NOT_EXECUTED = b"x-dotterelpaddle-not-executed"
-    LOAD = b"x-dotterelpaddle-runner-load"
     MODEL = b"x-dotterelpaddle-model"
     PROMPT = b"x-dotterelpaddle-prompt-prefix"
     RANK = b"x-dotterelpaddle-request-priority"
--- a/dotterelpaddle/platform/protocols.py
+++ b/dotterelpaddle/platform/protocols.py
@@ -9,7 +9,6 @@
 from dotterelpaddle.forwarding.interface import (
     AnswerHead,
     Delivery,
-    EndpointLoad,
     ForwardRequest,
     Headers,
     PromptPart,
@@ -95,7 +94,6 @@
             not_executed=Header.NOT_EXECUTED in by_name,
             wrong_endpoint=status == MISDIRECTED,
             encoded=b"content-encoding" in by_name,
-            load=_load(_text(by_name, Header.LOAD)),
         )
 
 
@@ -134,11 +132,3 @@
         if match is not None:
             parts.append(PromptPart(part=match[1], tokens=int(match[2])))
     return tuple(parts)
-
-
-def _load(text: str) -> EndpointLoad | None:
-    try:
-        running, waiting, slots = (int(part) for part in text.split(","))
-    except ValueError:
-        return None
-    return EndpointLoad(running=running, waiting=waiting, slots=slots)
