Drop methods that nobody calls

Change: forgetting of routers and endpoints in books that forget by time, handlers of changes, a question that filtering answers. Conclusion: tests of view, placement, flow and daemon pass.

--- a/dotterelpaddle/forwarding/caches.py
+++ b/dotterelpaddle/forwarding/caches.py
@@ -128,11 +128,6 @@
         for held, endpoint in uses:
             self._hold(held, endpoint, now)
 
-    def forget(self, *, endpoint: EndpointId) -> None:
-        """Note that an endpoint is gone, and its cache with it."""
-        for holders in self._holders.values():
-            holders.pop(endpoint, None)
-
     def news(self) -> list[Use]:
         """The next uses to tell the others; each is told a few times."""
         told = list(islice(self._news, MOST_USES_TOLD))
--- a/dotterelpaddle/forwarding/loads.py
+++ b/dotterelpaddle/forwarding/loads.py
@@ -61,10 +61,6 @@
         """Take in another router's counts."""
         self._told[router] = _Told(counts=counts, at=self._clock())
 
-    def forget(self, *, router: RouterId) -> None:
-        """Drop the counts of a router that is gone."""
-        self._told.pop(router, None)
-
     def loads(self) -> Counter[EndpointId]:
         """Requests in flight by endpoint, as far as this router knows."""
         oldest = self._clock() - FRESH_TIME
--- a/dotterelpaddle/forwarding/reachability.py
+++ b/dotterelpaddle/forwarding/reachability.py
@@ -60,10 +60,6 @@
         self._suspects: dict[EndpointId, EndpointEntry] = {}
         self._news = anyio.Event()
 
-    def unreachable(self, *, endpoint: EndpointId) -> bool:
-        """Tell whether an endpoint is passed over."""
-        return endpoint in self._suspects
-
     def reachable(self, *, entries: Iterable[EndpointEntry]) -> list[EndpointEntry]:
         """Return the endpoints that are not passed over."""
         return [entry for entry in entries if entry.endpoint not in self._suspects]
--- a/dotterelpaddle/forwarding/view.py
+++ b/dotterelpaddle/forwarding/view.py
@@ -16,7 +16,7 @@
 from dotterelpaddle.logs import get_logger
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable
+    from collections.abc import Iterable
 
     from dotterelpaddle.clock import Clock
     from dotterelpaddle.forwarding.interface import EndpointsRead
@@ -89,7 +89,6 @@
         self._ready: dict[ServiceName, tuple[EndpointEntry, ...]] = {}
         self._endpoints_revision: Revision | None = None
         self._returned_at = float("-inf")
-        self._handlers: list[Callable[[], None]] = []
         self._completed = anyio.Event()
 
     @property
@@ -127,10 +126,6 @@
         """All entries that are there."""
         return tuple(self._entries.values())
 
-    def on_change(self, *, handler: Callable[[], None]) -> None:
-        """Call a function after each change of the endpoints."""
-        self._handlers.append(handler)
-
     def route(self, *, host: str, path: str) -> ForwardRoute | None:
         """Find the route with the longest prefix that begins a path."""
         for route in self._routes.get(host, ()):
@@ -283,8 +278,6 @@
             service: tuple(sorted(entries, key=lambda entry: entry.endpoint))
             for service, entries in ready.items()
         }
-        for handler in self._handlers:
-            handler()
 
 
 def _routes_by_host(
