--- a/dotterelpaddle/catalog/survey.py
+++ b/dotterelpaddle/catalog/survey.py
@@ -36,11 +36,6 @@
 LEADER_SHARE = 0.6
 """Share of the time left that a member gets to ask its group."""
 
-PRESENCE_SHARE = 0.1
-"""Share of the time left in which a member must show that it lives before it is
-given its group. A dead one that was given it would use up `LEADER_SHARE`, and what
-is left for the next one is too short on a busy host."""
-
 HOP_TIME = 0.1
 """Seconds by which a router must answer sooner than the one that asked it."""
 
@@ -104,12 +99,6 @@
         while waiting:
             leader = waiting.pop(0)
             left = deadline - self._clock()
-            if waiting and not await self._lives(
-                peer=leader, revision=revision, timeout=left * PRESENCE_SHARE
-            ):
-                findings.unreachable.add(leader.router)
-                continue
-            left = deadline - self._clock()
             reply = await self._call(
                 peer=leader, others=waiting, revision=revision, timeout=left
             )
@@ -121,13 +110,6 @@
             self._add(reply=reply, group=waiting, findings=findings)
             return
 
-    async def _lives(self, *, peer: Member, revision: Revision, timeout: float) -> bool:
-        """Tell whether a member answers for itself."""
-        reply = await self._call(
-            peer=peer, others=(), revision=revision, timeout=timeout
-        )
-        return reply is not None
-
     async def _call(
         self,
         *,
