--- a/dotterelpaddle/platform/names.py
+++ b/dotterelpaddle/platform/names.py
@@ -83,6 +83,3 @@
     WATCH = "/-/rows-feed"
     CACHE_LIST = "/-/kv-list"
 
-
-READY_PATH = "/-/ready"
-"""What the balancer asks at the address for it."""
