--- a/dotterelpaddle/platform/names.py
+++ b/dotterelpaddle/platform/names.py
@@ -82,4 +82,3 @@
     READ = "/-/rows-get"
     WATCH = "/-/rows-feed"
     CACHE_LIST = "/-/kv-list"
-
