Let one router read the store where the others vouch for what they know

Reports carried a flag that nobody read.

Ruled out: an election of readers. Who wins must be right for all at the same moment; a reader that the store turns away would make the others late.

Change: a report says how long ago its sender heard from the store itself, its version and a digest of its endpoints, heartbeats left out. Who knows the same relies on that word for 1.4 s (endpoints) and 3 s (configuration, by a call that waits for 20 s and is ended when nobody vouches any more); other endpoints of another router lead to a call at once. The router with the lowest digest of its name calls all the time. Whether the store was away goes by what anyone heard of it, so one that is turned away alone holds on to nothing.

--- a/dotterelpaddle/forwarding/follower.py
+++ b/dotterelpaddle/forwarding/follower.py
@@ -14,7 +14,11 @@
     from collections.abc import Awaitable, Callable
 
     from dotterelpaddle.clock import Clock
-    from dotterelpaddle.forwarding.interface import Source
+    from dotterelpaddle.forwarding.interface import (
+        ConfigurationRead,
+        Source,
+        Vouching,
+    )
     from dotterelpaddle.forwarding.view import FleetView
     from dotterelpaddle.ids import Revision
 
@@ -28,23 +32,40 @@
 force plus the three that count as undisturbed before.
 """
 
-ENDPOINTS_WAIT = 0.8
-"""Seconds that one call waits for changes of endpoints, as above.
+VOUCHED_WAIT = 20.0
+"""The same while another router vouches for the version: an answer still comes at
+once, and one that went silent shows by what the other routers say."""
 
-Heartbeats alone change some entry a few times a second, so that calls seldom
-wait as long.
-"""
+CONFIGURATION_TRUST = 3.0
+"""Seconds since the word of the platform for which a version is relied on: one call
+and its time to answer, and a report on its way."""
+
+ENDPOINTS_WAIT = 0.4
+"""Seconds that one call waits for changes of endpoints; a change ends it at once."""
 
-ENDPOINTS_PAUSE = 0.8
-"""Seconds between calls for endpoints.
+ENDPOINTS_PAUSE = 0.6
+"""Seconds between calls for endpoints by the one that reads for all.
 
-Without it each heartbeat of each endpoint would end a call, and every router
-would make one for each; leaving must be known within two seconds.
+Without it each heartbeat of each endpoint would end a call. Leaving must be known
+within two seconds; a report and a call of each router's own come after this.
 """
 
+LEAST_PAUSE = 0.2
+"""Seconds between calls for endpoints by a router that others are ahead of."""
+
+ENDPOINTS_TRUST = 1.4
+"""Seconds since the word of the platform for which endpoints are relied on: a pause,
+a call and a report, which leaves time for a call of one's own within the two."""
+
+LOOK_PAUSE = 0.1
+"""Seconds between looks at what other routers vouch for."""
+
 AWAY_AFTER = 1.0
-"""Seconds without a usable answer after which, if calls failed, the platform
-counts as away: no entry lapses in less."""
+"""Seconds in which nobody heard from the source, and calls failed, after which it
+was away: no entry lapses in less."""
+
+AWAY_SURELY_AFTER = CONFIGURATION_TRUST
+"""The same where no call has failed yet: a call that goes silent takes as long."""
 
 RETRY_PAUSE = 0.1
 """Seconds before a failed call is tried again; doubles up to the next one."""
@@ -62,6 +83,7 @@
     Args:
         source: Where configuration and endpoints are kept.
         view: What this router acts on.
+        word: What other routers vouch for.
         clock: Monotonic clock.
         generator: Source of jitter, so that routers do not call in step.
     """
@@ -71,29 +93,43 @@
         *,
         source: Source,
         view: FleetView,
+        word: Vouching,
         clock: Clock,
         generator: random.Random,
     ) -> None:
         self._source = source
         self._view = view
+        self._word = word
         self._clock = clock
         self._generator = generator
-        self._answered_at: float | None = None
+        self._configuration_at = float("-inf")
+        self._endpoints_at = float("-inf")
+        self._heard_at = float("-inf")
         self._failing = False
+        self._failed_since_heard = False
+        self._long_call: anyio.CancelScope | None = None
 
     @property
     def age(self) -> float:
         """Seconds since the source last answered; infinite if it never did."""
-        if self._answered_at is None:
-            return float("inf")
-        return self._clock() - self._answered_at
+        return min(self.configuration_age, self.endpoints_age)
+
+    @property
+    def configuration_age(self) -> float:
+        """Seconds since it last told the configuration."""
+        return self._clock() - self._configuration_at
+
+    @property
+    def endpoints_age(self) -> float:
+        """Seconds since it last told the endpoints."""
+        return self._clock() - self._endpoints_at
 
     async def run(self) -> None:
         """Follow both kinds of news."""
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._follow, self._read_configuration, "configuration")
             tasks.start_soon(self._follow, self._read_endpoints, "endpoints")
-            tasks.start_soon(self._expire)
+            tasks.start_soon(self._keep_looking)
 
     async def _follow(
         self,
@@ -118,11 +154,16 @@
     async def _read_configuration(self, after: Revision | None) -> Revision:
         if after is None:
             read = await self._source.configuration()
-        else:
+        elif self._word.reads_first or not self._vouched:
             read = await self._source.configuration_after(
                 after=after, wait=CONFIGURATION_WAIT
             )
-        self._note_answer()
+        else:
+            answer = await self._wait_long(after=after)
+            if answer is None:
+                return after
+            read = answer
+        self._configuration_at = self._note_answer()
         if read.configuration is not None:
             self._view.take_configuration(configuration=read.configuration)
         if after is None and read.configuration is None:
@@ -130,29 +171,76 @@
             await anyio.sleep(RETRY_PAUSE)
         return read.revision
 
+    @property
+    def _vouched(self) -> bool:
+        age = min(self.configuration_age, self._word.configuration_age)
+        return age < CONFIGURATION_TRUST
+
+    async def _wait_long(self, *, after: Revision) -> ConfigurationRead | None:
+        """Wait for a change; None if nobody vouches for the version any more."""
+        with anyio.CancelScope() as scope:
+            self._long_call = scope
+            try:
+                return await self._source.configuration_after(
+                    after=after, wait=VOUCHED_WAIT
+                )
+            finally:
+                self._long_call = None
+        return None
+
     async def _read_endpoints(self, after: Revision | None) -> Revision:
         if after is None:
             read = await self._source.endpoints()
         else:
-            await anyio.sleep(ENDPOINTS_PAUSE * self._generator.uniform(0.8, 1.2))
+            await self._until_due()
             read = await self._source.endpoints_after(after=after, wait=ENDPOINTS_WAIT)
-        self._note_answer()
+        self._endpoints_at = self._note_answer()
         self._view.take_endpoints(read=read)
         return read.revision
 
-    async def _expire(self) -> None:
+    async def _until_due(self) -> None:
+        """Wait until this router has to ask for endpoints itself."""
+        jitter = self._generator.uniform(0.8, 1.2)
+        due_at = self._clock() + ENDPOINTS_PAUSE * jitter
+        await anyio.sleep(LEAST_PAUSE * jitter)
+        while not self._word.endpoints_behind:
+            age = min(self.endpoints_age, self._word.endpoints_age)
+            due = self._word.reads_first or age >= ENDPOINTS_TRUST
+            if due and self._clock() >= due_at:
+                return
+            await anyio.sleep(LOOK_PAUSE)
+
+    async def _keep_looking(self) -> None:
         while True:
-            await anyio.sleep(RETRY_PAUSE)
+            await anyio.sleep(LOOK_PAUSE)
             self._view.expire()
-
-    def _note_answer(self) -> None:
-        if self._failing and AWAY_AFTER < self.age < float("inf"):
-            log.info("platform_regained", silent_for=round(self.age, 3))
-            self._view.note_return()
+            others = min(self._word.configuration_age, self._word.endpoints_age)
+            self._note_heard(at=self._clock() - others)
+            alone = self._word.reads_first or not self._vouched
+            if alone and self._long_call is not None:
+                self._long_call.cancel()
+
+    def _note_answer(self) -> float:
+        """Note that the source answered, and return when."""
+        now = self._clock()
+        self._note_heard(at=now)
         self._failing = False
-        self._answered_at = self._clock()
+        return now
+
+    def _note_heard(self, *, at: float) -> None:
+        """Note when anyone last heard from the source, and whether it was away."""
+        if at <= self._heard_at:
+            return
+        silent_for = at - self._heard_at
+        away = AWAY_AFTER if self._failed_since_heard else AWAY_SURELY_AFTER
+        if away < silent_for < float("inf"):
+            log.info("platform_regained", silent_for=round(silent_for, 3))
+            self._view.note_return()
+        self._heard_at = at
+        self._failed_since_heard = False
 
     def _note_failure(self, *, what: str, error: PlatformError) -> None:
+        self._failed_since_heard = True
         if not self._failing:
             log.warning(
                 "platform_failing", what=what, cause=error.message, peer=error.peer
--- a/dotterelpaddle/forwarding/interface.py
+++ b/dotterelpaddle/forwarding/interface.py
@@ -193,6 +193,26 @@
         """
 
 
+class Vouching(Protocol):
+    """What other routers say of the source."""
+
+    @property
+    def reads_first(self) -> bool:
+        """Whether this router reads from the source for those that it hears."""
+
+    @property
+    def configuration_age(self) -> float:
+        """Seconds since one that has the same version heard from the source."""
+
+    @property
+    def endpoints_age(self) -> float:
+        """Seconds since one that knows the same endpoints heard from the source."""
+
+    @property
+    def endpoints_behind(self) -> bool:
+        """Whether another router knows other endpoints, and later ones."""
+
+
 class Source(Protocol):
     """Where configuration and endpoints' entries are kept.
 
--- a/dotterelpaddle/forwarding/parts.py
+++ b/dotterelpaddle/forwarding/parts.py
@@ -23,6 +23,7 @@
 from dotterelpaddle.peers.directory import PeerDirectory
 from dotterelpaddle.peers.exchange import PeerExchange
 from dotterelpaddle.peers.fetching import Fetcher
+from dotterelpaddle.peers.word import PeersWord
 from dotterelpaddle.pipeline import compose
 
 if TYPE_CHECKING:
@@ -116,9 +117,16 @@
     client = ForwardClient(
         protocols=surroundings.protocols, backend=backend, clock=clock
     )
+    word = PeersWord(
+        router=settings.router,
+        view=knowledge.view,
+        directory=knowledge.directory,
+        clock=clock,
+    )
     follower = Follower(
         source=surroundings.source,
         view=knowledge.view,
+        word=word,
         clock=clock,
         generator=generator,
     )
@@ -170,7 +178,7 @@
             repeats=knowledge.repeats,
             caches=knowledge.caches,
             directory=knowledge.directory,
-            platform_age=lambda: follower.age,
+            follower=follower,
             links=surroundings.links,
             generator=generator,
         ),
@@ -178,6 +186,7 @@
             view=knowledge.view,
             caches=knowledge.caches,
             directory=knowledge.directory,
+            word=word,
             documents=surroundings.documents,
             caches_reader=surroundings.caches_reader,
             platform_age=lambda: follower.age,
--- a/dotterelpaddle/forwarding/view.py
+++ b/dotterelpaddle/forwarding/view.py
@@ -14,6 +14,7 @@
 
 from dotterelpaddle.forwarding.model import EndpointState
 from dotterelpaddle.logs import get_logger
+from dotterelpaddle.placement.rendezvous import tag
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -88,6 +89,7 @@
         self._removed: dict[EndpointId, _Removed] = {}
         self._ready: dict[ServiceName, tuple[EndpointEntry, ...]] = {}
         self._endpoints_revision: Revision | None = None
+        self._endpoints_tag = 0
         self._returned_at = float("-inf")
         self._completed = anyio.Event()
 
@@ -111,6 +113,14 @@
         """Revision up to which endpoints are known, None before the first list."""
         return self._endpoints_revision
 
+    @property
+    def endpoints_tag(self) -> int:
+        """32 bits of a digest of the entries, their revisions left out.
+
+        Routers with the same one act alike, though heartbeats change revisions.
+        """
+        return self._endpoints_tag
+
     @property
     def complete(self) -> bool:
         """Whether there is enough to serve requests."""
@@ -274,6 +284,7 @@
         for removed in self._removed.values():
             if removed.held:
                 ready.setdefault(removed.entry.service, []).append(removed.entry)
+        self._endpoints_tag = _tag(entries=self._entries.values())
         self._ready = {
             service: tuple(sorted(entries, key=lambda entry: entry.endpoint))
             for service, entries in ready.items()
@@ -294,10 +305,15 @@
 
 
 def _same_but_revision(one: EndpointEntry, other: EndpointEntry) -> bool:
-    return (
-        one.state is other.state
-        and one.address == other.address
-        and one.service == other.service
-        and one.slots == other.slots
-        and one.models == other.models
-    )
+    return _content(one) == _content(other)
+
+
+def _content(entry: EndpointEntry) -> tuple[object, ...]:
+    """What of an entry matters; the rest changes with each heartbeat."""
+    models = sorted(entry.models)
+    return entry.service, str(entry.address), entry.state.value, entry.slots, models
+
+
+def _tag(*, entries: Iterable[EndpointEntry]) -> int:
+    contents = sorted((entry.endpoint, _content(entry)) for entry in entries)
+    return tag(text=repr(contents))
--- a/dotterelpaddle/peers/exchange.py
+++ b/dotterelpaddle/peers/exchange.py
@@ -15,11 +15,11 @@
 
 if TYPE_CHECKING:
     import random
-    from collections.abc import Callable
 
     from anyio.abc import UDPSocket
 
     from dotterelpaddle.forwarding.caches import CacheMap
+    from dotterelpaddle.forwarding.follower import Follower
     from dotterelpaddle.forwarding.loads import LoadBook
     from dotterelpaddle.forwarding.repeats import SharedRepeats
     from dotterelpaddle.forwarding.view import FleetView
@@ -33,10 +33,6 @@
 """Seconds between reports: at a few requests a second for each router, loads
 are off by a handful of requests over all endpoints."""
 
-FRESH_TIME = 0.8
-"""Seconds since the platform's last word within which a router calls what it
-knows fresh."""
-
 PEERS_EVERY = 8
 """Reports of which one names the routers that its sender hears. With nine routers
 the names are a third of a report, and new routers are rare."""
@@ -55,7 +51,7 @@
         repeats: What repeats cost.
         caches: Where parts of prompts are.
         directory: The other routers.
-        platform_age: Tells the seconds since the platform's last word.
+        follower: Knows how long ago the platform was heard from.
         links: The process's links.
         generator: Source of jitter.
     """
@@ -69,7 +65,7 @@
         repeats: SharedRepeats,
         caches: CacheMap,
         directory: PeerDirectory,
-        platform_age: Callable[[], float],
+        follower: Follower,
         links: Links,
         generator: random.Random,
     ) -> None:
@@ -79,7 +75,7 @@
         self._repeats = repeats
         self._caches = caches
         self._directory = directory
-        self._platform_age = platform_age
+        self._follower = follower
         self._links = links
         self._generator = generator
         self._incarnation = secrets.randbits(53)
@@ -125,7 +121,9 @@
             control=control,
             version=self._view.version,
             revision=UNKNOWN if revision is None else revision,
-            fresh=self._platform_age() < FRESH_TIME,
+            configuration_age=self._follower.configuration_age,
+            endpoints_age=self._follower.endpoints_age,
+            endpoints_tag=self._view.endpoints_tag,
             loads=self._loads.own,
             repeats=self._repeats.counts(),
             uses=tuple(self._caches.news()),
--- a/dotterelpaddle/peers/fetching.py
+++ b/dotterelpaddle/peers/fetching.py
@@ -23,6 +23,7 @@
     from dotterelpaddle.forwarding.view import FleetView
     from dotterelpaddle.network import LinkedBackend
     from dotterelpaddle.peers.directory import Peer, PeerDirectory
+    from dotterelpaddle.peers.word import PeersWord
 
 log = get_logger(name=__name__)
 
@@ -32,9 +33,9 @@
 FETCH_PAUSE = 0.25
 """Seconds between looks at whether another router knows more."""
 
-STALE_AFTER = 0.8
-"""Seconds without word of the platform after which endpoints are fetched from
-other routers, because leaving must be known within two."""
+LOOKS_BEHIND = 2
+"""Looks in a row at which another router must know later endpoints before they are
+fetched from it: a call to the platform, which comes first, takes 4 ms."""
 
 ALONE_AFTER = 0.1
 """Seconds after the start from which a router that knows no places of parts, and
@@ -53,6 +54,7 @@
         view: What this router acts on.
         caches: Where parts of prompts are.
         directory: The other routers.
+        word: What they vouch for.
         documents: Decodes what others hand out.
         caches_reader: Asks endpoints for what they have cached.
         platform_age: Tells the seconds since the platform's last word.
@@ -67,6 +69,7 @@
         view: FleetView,
         caches: CacheMap,
         directory: PeerDirectory,
+        word: PeersWord,
         documents: Documents,
         caches_reader: CachesReader,
         platform_age: Callable[[], float],
@@ -77,6 +80,8 @@
         self._view = view
         self._caches = caches
         self._directory = directory
+        self._word = word
+        self._looks_behind = 0
         self._documents = documents
         self._caches_reader = caches_reader
         self._platform_age = platform_age
@@ -120,12 +125,10 @@
         most = max(alive, key=lambda peer: peer.report.parts)
         if most.report.parts and not self._caches.known:
             return most
-        newest = max(alive, key=lambda peer: peer.report.revision)
-        revision = self._view.endpoints_revision
-        behind = revision is None or newest.report.revision > revision
-        if behind and self._platform_age() > STALE_AFTER:
-            return newest
-        return None
+        newest = self._word.better_informed
+        self._looks_behind = 0 if newest is None else self._looks_behind + 1
+        unknown = self._view.endpoints_revision is None
+        return newest if unknown or self._looks_behind >= LOOKS_BEHIND else None
 
     async def _fetch(self, *, peer: Peer) -> None:
         """Fetch what another router knows.
--- a/dotterelpaddle/peers/messages.py
+++ b/dotterelpaddle/peers/messages.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -17,7 +18,7 @@
 
     from dotterelpaddle.forwarding.caches import Use
 
-FORMAT = 1
+FORMAT = 2
 """Version of the format; reports of another one are dropped and counted."""
 
 MOST_PEERS_TOLD = 16
@@ -35,7 +36,10 @@
         control: Where it hands out what it knows.
         version: Version of its configuration.
         revision: Revision up to which it knows the endpoints, -1 for none.
-        fresh: Whether it hears of the platform at present.
+        configuration_age: Seconds since it heard of the configuration from the
+            platform itself, infinite if it never did.
+        endpoints_age: The same of the endpoints.
+        endpoints_tag: Digest of the endpoints that it knows.
         loads: Its requests in flight, by endpoint.
         repeats: What it sent of late, by service.
         uses: Where it sent parts of prompts of late.
@@ -50,7 +54,9 @@
     control: Address
     version: int
     revision: Revision
-    fresh: bool
+    configuration_age: float
+    endpoints_age: float
+    endpoints_tag: int
     loads: Mapping[EndpointId, int]
     repeats: Mapping[ServiceName, RepeatCounts]
     uses: tuple[Use, ...] = ()
@@ -69,7 +75,9 @@
             str(report.control),
             report.version,
             report.revision,
-            report.fresh,
+            _milliseconds(report.configuration_age),
+            _milliseconds(report.endpoints_age),
+            report.endpoints_tag,
             report.loads,
             {
                 service: [counts.requests, counts.repeats]
@@ -99,17 +107,19 @@
             control=Address.parse(text=fields[4]),
             version=int(fields[5]),
             revision=Revision(int(fields[6])),
-            fresh=bool(fields[7]),
-            loads={EndpointId(name): int(load) for name, load in fields[8].items()},
+            configuration_age=_seconds(fields[7]),
+            endpoints_age=_seconds(fields[8]),
+            endpoints_tag=int(fields[9]),
+            loads={EndpointId(name): int(load) for name, load in fields[10].items()},
             repeats={
                 ServiceName(name): RepeatCounts(
                     requests=int(counts[0]), repeats=int(counts[1])
                 )
-                for name, counts in fields[9].items()
+                for name, counts in fields[11].items()
             },
-            uses=tuple((int(part), EndpointId(name)) for part, name in fields[10]),
-            parts=int(fields[11]),
-            peers=tuple(Address.parse(text=peer) for peer in fields[12]),
+            uses=tuple((int(part), EndpointId(name)) for part, name in fields[12]),
+            parts=int(fields[13]),
+            peers=tuple(Address.parse(text=peer) for peer in fields[14]),
         )
     except (
         orjson.JSONDecodeError,
@@ -120,3 +130,11 @@
         ValueError,
     ) as error:
         raise ControlError(f"a datagram that is no report: {error!r}") from error
+
+
+def _milliseconds(age: float) -> int | None:
+    return round(1000 * age) if math.isfinite(age) else None
+
+
+def _seconds(milliseconds: int | None) -> float:
+    return float("inf") if milliseconds is None else max(0, milliseconds) / 1000
--- /dev/null
+++ b/dotterelpaddle/peers/word.py
@@ -0,0 +1,96 @@
+"""What other routers vouch for, which spares calls to the platform.
+
+Each report says how long ago its sender heard from the platform itself, and what
+it knows since. Where that is what this router knows too, it is as good as a call
+of its own; where it is not, a call of its own is due at once.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from dotterelpaddle.placement.rendezvous import digest
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from dotterelpaddle.clock import Clock
+    from dotterelpaddle.forwarding.view import FleetView
+    from dotterelpaddle.ids import RouterId
+    from dotterelpaddle.peers.directory import Peer, PeerDirectory
+
+
+class PeersWord:
+    """Implements `dotterelpaddle.forwarding.interface.Vouching`.
+
+    Args:
+        router: This router's name.
+        view: What it acts on.
+        directory: The other routers.
+        clock: Monotonic clock.
+    """
+
+    def __init__(
+        self,
+        *,
+        router: RouterId,
+        view: FleetView,
+        directory: PeerDirectory,
+        clock: Clock,
+    ) -> None:
+        self._router = router
+        self._view = view
+        self._directory = directory
+        self._clock = clock
+
+    @property
+    def reads_first(self) -> bool:
+        """Whether this router reads from the platform for those that it hears.
+
+        Where two take that part for a moment, or none, only calls are lost: each
+        goes by the age of what the others vouch for.
+        """
+        own = _rank(self._router)
+        return all(_rank(peer.report.router) > own for peer in self._directory.alive)
+
+    @property
+    def configuration_age(self) -> float:
+        """Seconds since one that has the same version heard from the platform."""
+        return self._youngest(
+            peer.report.configuration_age + self._clock() - peer.heard_at
+            for peer in self._directory.alive
+            if peer.report.version == self._view.version
+        )
+
+    @property
+    def endpoints_age(self) -> float:
+        """Seconds since one that knows the same endpoints heard from the platform."""
+        return self._youngest(
+            peer.report.endpoints_age + self._clock() - peer.heard_at
+            for peer in self._directory.alive
+            if peer.report.endpoints_tag == self._view.endpoints_tag
+        )
+
+    @property
+    def better_informed(self) -> Peer | None:
+        """The router with the latest endpoints, if they differ from what is known."""
+        revision = self._view.endpoints_revision
+        ahead = [
+            peer
+            for peer in self._directory.alive
+            if peer.report.endpoints_tag != self._view.endpoints_tag
+            and (revision is None or peer.report.revision > revision)
+        ]
+        return max(ahead, key=lambda peer: peer.report.revision, default=None)
+
+    @property
+    def endpoints_behind(self) -> bool:
+        """Whether another router knows other endpoints, and later ones."""
+        return self.better_informed is not None
+
+    def _youngest(self, ages: Iterable[float]) -> float:
+        return min(ages, default=float("inf"))
+
+
+def _rank(router: RouterId) -> tuple[int, RouterId]:
+    return digest(text=router), router
--- /dev/null
+++ b/dotterelpaddle/tests/forwarding/test_follower.py
@@ -0,0 +1,195 @@
+"""When a router calls the platform, and when it takes others' word."""
+
+from __future__ import annotations
+
+import random
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+import anyio
+import pytest
+
+from dotterelpaddle.clock import monotonic
+from dotterelpaddle.exceptions import PlatformUnavailable
+from dotterelpaddle.forwarding import follower as following
+from dotterelpaddle.forwarding.follower import Follower
+from dotterelpaddle.forwarding.interface import ConfigurationRead, EndpointsRead
+from dotterelpaddle.forwarding.view import FleetView
+from dotterelpaddle.ids import Revision
+from dotterelpaddle.tests.forwarding.harness import until
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+pytestmark = pytest.mark.anyio
+
+LOOKS = 20
+"""Looks at others' word after which a call that was due would have been made."""
+
+
+@dataclass(kw_only=True)
+class ScriptedWord:
+    """What others vouch for, as the test says; counts how often it is asked."""
+
+    reads_first: bool = False
+    configuration_age: float = 0.0
+    behind: bool = False
+    age: float = 0.0
+    looks: int = 0
+
+    @property
+    def endpoints_behind(self) -> bool:
+        self.looks += 1
+        return self.behind
+
+    @property
+    def endpoints_age(self) -> float:
+        return self.age
+
+
+@dataclass(kw_only=True)
+class ScriptedSource:
+    """Answers lists at once; configurations are waited for until cancelled."""
+
+    waits: list[float] = field(default_factory=list)
+    endpoint_calls: int = 0
+    failing: bool = False
+
+    async def configuration(self) -> ConfigurationRead:
+        return ConfigurationRead(revision=Revision(1), configuration=None)
+
+    async def configuration_after(
+        self, *, after: Revision, wait: float
+    ) -> ConfigurationRead:
+        self.waits.append(wait)
+        await anyio.sleep_forever()
+        raise AssertionError(after)
+
+    async def endpoints(self) -> EndpointsRead:
+        return EndpointsRead(revision=Revision(1), entries=(), whole=True)
+
+    async def endpoints_after(self, *, after: Revision, wait: float) -> EndpointsRead:
+        self.endpoint_calls += 1
+        if self.failing:
+            raise PlatformUnavailable(f"nothing after {after} within {wait}")
+        return EndpointsRead(revision=after, entries=())
+
+
+class RecordingView(FleetView):
+    """Notes when the platform counts as back."""
+
+    returns = 0
+
+    def note_return(self) -> None:
+        self.returns += 1
+
+
+@asynccontextmanager
+async def _follow(
+    word: ScriptedWord, source: ScriptedSource, view: FleetView | None = None
+) -> AsyncIterator[Follower]:
+    follower = Follower(
+        source=source,
+        view=view or FleetView(clock=monotonic),
+        word=word,
+        clock=monotonic,
+        generator=random.Random(1),
+    )
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(follower.run)
+        yield follower
+        tasks.cancel_scope.cancel()
+
+
+@pytest.fixture(autouse=True)
+def short_pauses(monkeypatch: pytest.MonkeyPatch) -> None:
+    for name in ("ENDPOINTS_PAUSE", "LEAST_PAUSE", "LOOK_PAUSE", "RETRY_PAUSE"):
+        monkeypatch.setattr(following, name, 0.002)
+
+
+async def test_what_others_vouch_for_is_not_read_again() -> None:
+    word, source = ScriptedWord(), ScriptedSource()
+    async with _follow(word, source):
+        await until(lambda: word.looks > LOOKS)
+
+    assert source.endpoint_calls == 0
+
+
+async def test_news_that_another_has_is_read_at_once() -> None:
+    word, source = ScriptedWord(), ScriptedSource()
+    async with _follow(word, source):
+        await until(lambda: word.looks > 0)
+        word.behind = True
+        await until(lambda: source.endpoint_calls > 0)
+
+
+async def test_word_that_is_too_old_is_not_relied_on(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(following, "ENDPOINTS_TRUST", 0.01)
+    word, source = ScriptedWord(), ScriptedSource()
+    async with _follow(word, source):
+        word.age = float("inf")
+        await until(lambda: source.endpoint_calls > 2)
+
+
+async def test_router_that_reads_first_does_not_wait_for_others() -> None:
+    word, source = ScriptedWord(reads_first=True), ScriptedSource()
+    async with _follow(word, source):
+        await until(lambda: source.endpoint_calls > 2)
+        await until(lambda: source.waits)
+
+    assert source.waits[0] == following.CONFIGURATION_WAIT
+
+
+async def test_configuration_that_others_vouch_for_is_waited_for_long() -> None:
+    word, source = ScriptedWord(), ScriptedSource()
+    async with _follow(word, source):
+        await until(lambda: source.waits)
+
+    assert source.waits == [following.VOUCHED_WAIT]
+
+
+async def test_long_call_ends_when_nobody_vouches_any_more(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(following, "CONFIGURATION_TRUST", 0.2)
+    word, source = ScriptedWord(), ScriptedSource()
+    async with _follow(word, source):
+        await until(lambda: source.waits)
+        word.configuration_age = float("inf")
+        await until(lambda: len(source.waits) > 1)
+
+    assert source.waits == [following.VOUCHED_WAIT, following.CONFIGURATION_WAIT]
+
+
+async def test_platform_that_others_hear_was_not_away(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(following, "AWAY_AFTER", 0.05)
+    word = ScriptedWord(behind=True)
+    source, view = ScriptedSource(failing=True), RecordingView(clock=monotonic)
+    async with _follow(word, source, view):
+        began_at = monotonic()
+        await until(lambda: monotonic() - began_at > 2 * following.AWAY_AFTER)
+        await until(lambda: source.endpoint_calls > 2)
+        source.failing = False
+        calls = source.endpoint_calls
+        await until(lambda: source.endpoint_calls > calls + 1)
+
+    assert view.returns == 0
+
+
+async def test_platform_that_nobody_heard_was_away(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(following, "AWAY_AFTER", 0.05)
+    word = ScriptedWord(behind=True)
+    source, view = ScriptedSource(failing=True), RecordingView(clock=monotonic)
+    async with _follow(word, source, view) as follower:
+        word.configuration_age = word.age = float("inf")
+        await until(lambda: source.endpoint_calls > 0 and follower.age > 0.1)
+        # Another one is the first to hear of its return.
+        word.age = 0.0
+        await until(lambda: view.returns > 0)
--- /dev/null
+++ b/dotterelpaddle/tests/peers/test_word.py
@@ -0,0 +1,143 @@
+"""What a router may rely on because others say so."""
+
+from __future__ import annotations
+
+import pytest
+
+from dotterelpaddle.address import Address
+from dotterelpaddle.forwarding.interface import EndpointsRead
+from dotterelpaddle.forwarding.model import EndpointEntry, EndpointState
+from dotterelpaddle.forwarding.view import FleetView
+from dotterelpaddle.ids import (
+    EndpointId,
+    FailureDomain,
+    Revision,
+    RouterId,
+    ServiceName,
+)
+from dotterelpaddle.peers.directory import ALIVE_TIME, PeerDirectory
+from dotterelpaddle.peers.messages import PeerReport
+from dotterelpaddle.peers.word import PeersWord
+
+OWN = Address(host="10.0.0.1", port=1)
+NEVER = float("inf")
+
+
+def _entry(name: str, *, revision: int, state: EndpointState) -> EndpointEntry:
+    return EndpointEntry(
+        endpoint=EndpointId(name),
+        service=ServiceName("engines"),
+        address=Address(host="10.0.1.1", port=8000),
+        failure_domain=FailureDomain("here"),
+        state=state,
+        revision=Revision(revision),
+        slots=8,
+        models=frozenset(),
+        document=b"{}",
+    )
+
+
+def _view(*, revision: int, state: EndpointState = EndpointState.READY) -> FleetView:
+    view = FleetView(clock=lambda: 0.0)
+    entries = (_entry("a", revision=revision, state=state),)
+    view.take_endpoints(
+        read=EndpointsRead(revision=Revision(revision), entries=entries, whole=True)
+    )
+    return view
+
+
+class World:
+    """One router and what it hears, with a clock that tests turn."""
+
+    def __init__(self, *, view: FleetView) -> None:
+        self.now = 0.0
+        self.view = view
+        self.directory = PeerDirectory(own=OWN, seeds=(), clock=lambda: self.now)
+        self.word = PeersWord(
+            router=RouterId("own"),
+            view=view,
+            directory=self.directory,
+            clock=lambda: self.now,
+        )
+        self._sequence = 0
+
+    def hear(self, router: str, *, view: FleetView, age: float = 0.0) -> None:
+        self._sequence += 1
+        report = PeerReport(
+            router=RouterId(router),
+            incarnation=1,
+            sequence=self._sequence,
+            control=OWN,
+            version=view.version,
+            revision=view.endpoints_revision or Revision(-1),
+            configuration_age=age,
+            endpoints_age=age,
+            endpoints_tag=view.endpoints_tag,
+            loads={},
+            repeats={},
+        )
+        self.directory.hear(report=report, address=Address(host=router, port=1))
+
+
+def test_lone_router_reads_for_itself() -> None:
+    world = World(view=_view(revision=1))
+
+    assert world.word.reads_first
+    assert world.word.endpoints_age == NEVER
+    assert world.word.configuration_age == NEVER
+    assert not world.word.endpoints_behind
+
+
+def test_one_of_those_that_hear_each_other_reads_first() -> None:
+    names = [f"router-{number}" for number in range(9)]
+    first = []
+    for name in names:
+        world = World(view=_view(revision=1))
+        word = PeersWord(
+            router=RouterId(name),
+            view=world.view,
+            directory=world.directory,
+            clock=lambda: 0.0,
+        )
+        for other in names:
+            if other != name:
+                world.hear(other, view=world.view)
+        first.append(word.reads_first)
+
+    assert first.count(True) == 1
+
+
+def test_word_of_one_that_knows_the_same_grows_old() -> None:
+    world = World(view=_view(revision=3))
+    world.hear("other", view=_view(revision=8), age=0.25)
+    world.now = 0.5
+
+    assert world.word.endpoints_age == pytest.approx(0.75)
+    assert world.word.configuration_age == pytest.approx(0.75)
+    assert not world.word.endpoints_behind
+
+
+def test_word_of_one_that_knows_other_endpoints_counts_for_nothing() -> None:
+    world = World(view=_view(revision=3))
+    world.hear("other", view=_view(revision=8, state=EndpointState.DRAINING))
+
+    assert world.word.endpoints_age == NEVER
+    assert world.word.endpoints_behind
+
+
+def test_earlier_endpoints_of_others_are_no_news() -> None:
+    world = World(view=_view(revision=8, state=EndpointState.DRAINING))
+    world.hear("other", view=_view(revision=3))
+
+    assert not world.word.endpoints_behind
+    assert world.word.endpoints_age == NEVER
+
+
+def test_router_that_fell_silent_vouches_for_nothing() -> None:
+    world = World(view=_view(revision=3))
+    world.hear("other", view=_view(revision=3))
+    world.now = 2 * ALIVE_TIME
+    world.directory.targets()
+
+    assert world.word.endpoints_age == NEVER
+    assert world.word.reads_first
