Load no command line of libraries; fetch from endpoints just gone

Ruled out: compiling without debug ranges (21.29 instead of 21.36 MB after imports).

Change: the daemon imports uvicorn's server without its package's own code: 19.55 instead of 21.36 MB after imports. An endpoint whose entry has just gone is a source of fetches unless requests to it broke off. A fetch that is due anyway goes to a failure domain without the prompt if that costs no more than one request of load. Missing tokens are counted once for a request.

--- a/dotterelpaddle/forwarding/health.py
+++ b/dotterelpaddle/forwarding/health.py
@@ -134,6 +134,11 @@
         record = self._records.get(endpoint)
         return record is not None and record.gone
 
+    def is_sound(self, *, endpoint: EndpointId) -> bool:
+        """Tell whether nothing but whole answers came from an endpoint of late."""
+        record = self._records.get(endpoint)
+        return record is None or not (record.gone or record.hard_failures)
+
     def usable(self, *, entries: Iterable[EndpointEntry]) -> list[EndpointEntry]:
         """Return the endpoints that are not passed over."""
         now = self._clock()
--- a/dotterelpaddle/forwarding/placement.py
+++ b/dotterelpaddle/forwarding/placement.py
@@ -13,7 +13,7 @@
 if TYPE_CHECKING:
     import random
     from collections import Counter
-    from collections.abc import Sequence
+    from collections.abc import Mapping, Sequence
 
     from dotterelpaddle.forwarding.caches import CacheMap, PartTag
     from dotterelpaddle.forwarding.health import HealthBook
@@ -50,6 +50,10 @@
 """Shared prompt tokens below which a fetch, which takes 5 ms to set up, does not
 beat reading them."""
 
+SPREAD_TOKENS = 100
+"""Prompt tokens, one request of load, that a fetch into a failure domain without the
+prompt may cost more than one into another: the loss of a domain then costs less."""
+
 HOME_TOKENS = 150
 """Prompt tokens by which the home of a part that nobody has is favoured, so that
 routers that see it at the same moment send it to the same endpoint."""
@@ -104,6 +108,25 @@
     noted: tuple[PartTag, ...] = ()
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class _Cached:
+    """Where how much of one prompt is cached.
+
+    Attributes:
+        missing: Shared tokens that an endpoint lacks.
+        holder: The endpoint that lacks the least, None if none can be reached.
+        least: The tokens that it lacks.
+        unknown: Whether nobody has any of them.
+        domains: Failure domains of the candidates that lack no more than it.
+    """
+
+    missing: Mapping[EndpointId, int]
+    holder: EndpointEntry | None
+    least: int
+    unknown: bool
+    domains: frozenset[FailureDomain]
+
+
 class ForwardPlacer:
     """Chooses endpoints.
 
@@ -223,27 +246,29 @@
                 candidates=candidates, loads=loads, mean=mean, risk=risk
             )
         home = _home(request=request, candidates=candidates)
-        missing = {
-            entry.endpoint: self._caches.missing(
-                endpoint=entry.endpoint, request=request
-            )
-            for entry in within
-        }
-        holder, lacking = self._best_holder(request=request, candidates=candidates)
-        unknown = lacking == sum(part.tokens for part in shared_parts(request=request))
+        cached = self._cached(request=request, candidates=candidates)
 
         def _cost(entry: EndpointEntry) -> float:
-            lacks = missing[entry.endpoint]
-            read = min(lacks, lacking)
+            lacks = cached.missing[entry.endpoint]
+            read = min(lacks, cached.least)
             return (
                 read
                 + FETCH_SHARE * (lacks - read)
                 + LOAD_TOKENS * (loads[entry.endpoint] + risk * self._share(entry))
-                - HOME_TOKENS * (unknown and entry is home)
+                - HOME_TOKENS * (cached.unknown and entry is home)
             )
 
         entry = min(within, key=_cost)
-        lacks = missing[entry.endpoint]
+        if cached.missing[entry.endpoint] > cached.least:
+            bar = _cost(entry) + SPREAD_TOKENS
+            spreading = [
+                each
+                for each in within
+                if each.failure_domain not in cached.domains and _cost(each) <= bar
+            ]
+            entry = min(spreading, key=_cost, default=entry)
+        lacks = cached.missing[entry.endpoint]
+        fetch = lacks - cached.least >= LEAST_FETCH
         return Choice(
             entry=entry,
             reason=ChoiceReason.LEAST_COST if lacks else ChoiceReason.CACHED,
@@ -252,29 +277,45 @@
             candidates=len(candidates),
             part=part_tag(model=request.model, part=shared_parts(request=request)[-1]),
             missing=lacks,
-            fetch_from=holder if lacks - lacking >= LEAST_FETCH else None,
+            fetch_from=cached.holder if fetch else None,
         )
 
-    def _best_holder(
+    def _cached(
         self, *, request: ForwardRequest, candidates: Sequence[EndpointEntry]
-    ) -> tuple[EndpointEntry | None, int]:
-        """Find who has the most of a prompt, and how many tokens it lacks.
+    ) -> _Cached:
+        """Find out where how much of a prompt is cached.
 
-        Endpoints that are leaving count too: they hand out what they have.
+        Endpoints that are leaving count too, also those whose entries have just
+        gone: they hand out what they have.
         """
         service = candidates[0].service
         holders = [entry for entry in self._view.entries if entry.service == service]
+        holders += [
+            entry
+            for entry in self._view.last_resort(service=service)
+            if self._health.is_sound(endpoint=entry.endpoint)
+        ]
         holders = self._reachability.reachable(entries=holders)
-        if not holders:
-            return None, sum(part.tokens for part in shared_parts(request=request))
-        lacking = {
+        missing = {
             entry.endpoint: self._caches.missing(
                 endpoint=entry.endpoint, request=request
             )
-            for entry in holders
+            for entry in (*holders, *candidates)
         }
-        best = min(holders, key=lambda entry: lacking[entry.endpoint])
-        return best, lacking[best.endpoint]
+        total = sum(part.tokens for part in shared_parts(request=request))
+        holder = min(holders, key=lambda entry: missing[entry.endpoint], default=None)
+        least = total if holder is None else missing[holder.endpoint]
+        return _Cached(
+            missing=missing,
+            holder=holder,
+            least=least,
+            unknown=least == total,
+            domains=frozenset(
+                entry.failure_domain
+                for entry in candidates
+                if missing[entry.endpoint] <= least
+            ),
+        )
 
     def _least_loaded(
         self,
--- a/dotterelpaddle/tests/daemon/test_process.py
+++ b/dotterelpaddle/tests/daemon/test_process.py
@@ -72,6 +72,22 @@
     assert b"set DOTTERELPADDLE_SETTINGS" in ended.stderr
 
 
+def test_daemon_loads_no_command_line_of_its_libraries() -> None:
+    listing = (
+        "import sys, dotterelpaddle.daemon.lean as lean;"
+        "lean.skip_server_command_line();"
+        "import dotterelpaddle.daemon.process;"
+        "print(*sys.modules)"
+    )
+    command = [sys.executable, "-S", "-c", listing]
+    environment = {**os.environ, "PYTHONPATH": os.pathsep.join(sys.path)}
+    ended = subprocess.run(command, env=environment, capture_output=True, check=True)
+    loaded = set(ended.stdout.decode().split())
+
+    assert "uvicorn.server" in loaded
+    assert not loaded & {"click", "uvicorn.main", "multiprocessing", "cyclopts"}
+
+
 async def test_daemon_serves_and_stops_when_told(tmp_path: Path) -> None:
     store, runner = StoreStandin(), RunnerStandin(name="runner-1")
     store.configure(configuration=configuration())
--- a/dotterelpaddle/tests/forwarding/test_placement.py
+++ b/dotterelpaddle/tests/forwarding/test_placement.py
@@ -46,7 +46,7 @@
 
 SERVICE = ServiceName("engines")
 HERE, THERE = FailureDomain("here"), FailureDomain("there")
-A, B, C = EndpointId("a"), EndpointId("b"), EndpointId("c")
+A, B, C, D = (EndpointId(name) for name in "abcd")
 
 
 def _request(*parts: tuple[str, int]) -> ForwardRequest:
@@ -232,6 +232,39 @@
     assert again.fetch_from.endpoint == first.entry.endpoint
 
 
+def test_endpoint_whose_entry_has_just_gone_hands_out_its_cache() -> None:
+    world = World()
+    first = world.choose(LONG)
+    gone = {first.entry.endpoint: Revision(2)}
+    read = EndpointsRead(revision=Revision(2), entries=(), removed=gone)
+    world.parts.view.take_endpoints(read=read)
+
+    assert world.choose(LONG).fetch_from is first.entry
+
+
+def test_endpoint_that_broke_off_before_it_went_is_not_asked_for_its_cache() -> None:
+    world = World()
+    first = world.choose(LONG)
+    world.parts.health.failed_hard(entry=first.entry, cause="broke off")
+    gone = {first.entry.endpoint: Revision(2)}
+    read = EndpointsRead(revision=Revision(2), entries=(), removed=gone)
+    world.parts.view.take_endpoints(read=read)
+
+    assert world.choose(LONG).fetch_from is None
+
+
+def test_fetch_goes_to_a_failure_domain_without_the_prompt() -> None:
+    world = World(endpoints=(A, B, C, D))
+    assert world.entry(A).failure_domain == world.entry(B).failure_domain
+    world.parts.caches.note(endpoint=A, request=LONG)
+    world.load(a=20, b=3, c=4, d=9)
+
+    choice = world.choose(LONG)
+
+    assert choice.entry.endpoint == C
+    assert choice.fetch_from is not None
+
+
 def test_no_endpoint_is_given_more_than_the_bound() -> None:
     world = World()
     placed: list[EndpointId] = []
