Send callers of the smaller side of a cut network to the larger one

Cause: while a failure domain is cut off, callers still reach it.

Change: reports name their sender's failure domain. A domain none of whose routers is heard and none of whose endpoints connect is lost; endpoints of a domain whose routers fall silent are checked at once. A router answers that it is not ready, and closes callers' connections after answers, while more domains, and more slots, are lost than on its side. It serves on whoever comes.

--- a/dotterelpaddle/forwarding/app.py
+++ b/dotterelpaddle/forwarding/app.py
@@ -25,6 +25,7 @@
     from dotterelpaddle.clock import Clock
     from dotterelpaddle.forwarding.filters import Next
     from dotterelpaddle.forwarding.interface import Headers, Protocols
+    from dotterelpaddle.forwarding.isolation import Isolation
     from dotterelpaddle.forwarding.reply import Send
     from dotterelpaddle.forwarding.view import FleetView
 
@@ -54,15 +55,23 @@
         pipeline: The filters.
         protocols: Decodes requests.
         view: The configuration in force.
+        isolation: Whether other routers serve callers better.
         clock: Monotonic clock.
     """
 
     def __init__(
-        self, *, pipeline: Next, protocols: Protocols, view: FleetView, clock: Clock
+        self,
+        *,
+        pipeline: Next,
+        protocols: Protocols,
+        view: FleetView,
+        isolation: Isolation,
+        clock: Clock,
     ) -> None:
         self._pipeline = pipeline
         self._protocols = protocols
         self._view = view
+        self._isolation = isolation
         self._clock = clock
         self._in_flight = 0
         self._leaving = False
@@ -75,7 +84,11 @@
     @property
     def ready(self) -> bool:
         """Whether the balancer should send callers here."""
-        return self._view.complete and not self._leaving
+        return self._view.complete and not self._sends_away
+
+    @property
+    def _sends_away(self) -> bool:
+        return self._leaving or self._isolation.isolated
 
     def announce_leaving(self) -> None:
         """Report not ready and close connections after answers; still serve."""
@@ -86,7 +99,7 @@
     ) -> None:
         """Serve one request as ASGI asks."""
         received_at = self._clock()
-        reply = ForwardReply(send=send, closing=lambda: self._leaving)
+        reply = ForwardReply(send=send, closing=lambda: self._sends_away)
         try:
             request = self._protocols.read_request(scope=scope)
         except RequestError as error:
--- /dev/null
+++ b/dotterelpaddle/forwarding/isolation.py
@@ -0,0 +1,111 @@
+"""Tells whether this router is on the smaller side of a cut network.
+
+Callers still reach a failure domain that is cut off from the others, but its
+routers reach few endpoints, and few of the prompts that are cached. Routers on the
+larger side serve such callers better, so one on the smaller side asks the balancer
+for no more of them.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import anyio
+
+from dotterelpaddle.logs import get_logger
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Mapping
+
+    from dotterelpaddle.forwarding.reachability import Reachability
+    from dotterelpaddle.forwarding.view import FleetView
+    from dotterelpaddle.ids import FailureDomain
+
+log = get_logger(name=__name__)
+
+LOOK_PAUSE = 0.1
+"""Seconds between looks; the balancer asks once a second."""
+
+
+class Isolation:
+    """Weighs the failure domains on either side.
+
+    A domain is on the other side if none of its routers is heard and none of its
+    endpoints can be reached: routers alone may be restarting, endpoints alone may
+    be dead. A side leaves if the other one has more domains, which all routers
+    count alike, so that never both leave, and more slots, so that they aren't
+    overloaded by those who come.
+
+    Args:
+        view: The endpoints in force.
+        reachability: Where no connection can be made.
+        failure_domain: Where this router is.
+        routers: Tells by failure domain whether any of its routers is heard.
+    """
+
+    def __init__(
+        self,
+        *,
+        view: FleetView,
+        reachability: Reachability,
+        failure_domain: FailureDomain,
+        routers: Callable[[], Mapping[FailureDomain, bool]],
+    ) -> None:
+        self._view = view
+        self._reachability = reachability
+        self._failure_domain = failure_domain
+        self._routers = routers
+        self._silent: frozenset[FailureDomain] = frozenset()
+        self._lost: frozenset[FailureDomain] = frozenset()
+        self._isolated = False
+
+    @property
+    def isolated(self) -> bool:
+        """Whether the other side has more failure domains, and more slots."""
+        return self._isolated
+
+    async def run(self) -> None:
+        """Look at the other failure domains until cancelled."""
+        while True:
+            self.look()
+            await anyio.sleep(LOOK_PAUSE)
+
+    def look(self) -> None:
+        """Judge by what is heard and reached now."""
+        heard = self._routers()
+        silent = frozenset(domain for domain, any_ in heard.items() if not any_)
+        for domain in silent - self._silent:
+            # Requests find out too, but may not go there for a while.
+            self._reachability.check(failure_domain=domain)
+        self._silent = silent
+        unreachable = self._unreachable()
+        # Routers are forgotten after a while; their domain stays lost without them.
+        self._lost = (silent | self._lost) & unreachable
+        others = heard.keys() | {entry.failure_domain for entry in self._view.entries}
+        here = (others | {self._failure_domain}) - self._lost
+        self._judge(isolated=len(self._lost) > len(here) and self._more_slots_lost())
+
+    def _more_slots_lost(self) -> bool:
+        lost = here = 0
+        for entry in self._view.entries:
+            if entry.failure_domain in self._lost:
+                lost += entry.slots
+            else:
+                here += entry.slots
+        return lost > here
+
+    def _unreachable(self) -> frozenset[FailureDomain]:
+        """Failure domains with endpoints none of which can be reached."""
+        entries = self._view.entries
+        reached = self._reachability.reachable(entries=entries)
+        return frozenset(entry.failure_domain for entry in entries) - {
+            entry.failure_domain for entry in reached
+        }
+
+    def _judge(self, *, isolated: bool) -> None:
+        if isolated is self._isolated:
+            return
+        self._isolated = isolated
+        log.warning(
+            "isolation_changed", isolated=isolated, lost_domains=sorted(self._lost)
+        )
--- a/dotterelpaddle/forwarding/parts.py
+++ b/dotterelpaddle/forwarding/parts.py
@@ -13,6 +13,7 @@
 from dotterelpaddle.forwarding.filters import FindRoute, Forward, KeepDeadline
 from dotterelpaddle.forwarding.follower import Follower
 from dotterelpaddle.forwarding.health import HealthBook
+from dotterelpaddle.forwarding.isolation import Isolation
 from dotterelpaddle.forwarding.loads import LoadBook
 from dotterelpaddle.forwarding.placement import ForwardPlacer
 from dotterelpaddle.forwarding.reachability import Reachability
@@ -90,6 +91,7 @@
         client: Client of endpoints.
         follower: Reads from the source.
         reachability: Tries connections to endpoints that could not be reached.
+        isolation: Tells whether other routers serve callers better.
         exchange: Exchanges reports with other routers.
         fetcher: Fetches from other routers what is lacking.
     """
@@ -99,6 +101,7 @@
     client: ForwardClient
     follower: Follower
     reachability: Reachability
+    isolation: Isolation
     exchange: PeerExchange
     fetcher: Fetcher
 
@@ -113,6 +116,7 @@
     clock = surroundings.clock
     generator = random.Random(settings.router)
     knowledge = _knowledge(settings=settings, clock=clock)
+    directory = knowledge.directory
     backend = LinkedBackend(links=surroundings.links)
     client = ForwardClient(
         protocols=surroundings.protocols, backend=backend, clock=clock
@@ -136,6 +140,12 @@
         failure_domain=settings.failure_domain,
         clock=clock,
     )
+    isolation = Isolation(
+        view=knowledge.view,
+        reachability=reachability,
+        failure_domain=settings.failure_domain,
+        routers=directory.heard_domains,
+    )
     placer = ForwardPlacer(
         view=knowledge.view,
         loads=knowledge.loads,
@@ -166,13 +176,16 @@
             pipeline=compose(filters=filters),
             protocols=surroundings.protocols,
             view=knowledge.view,
+            isolation=isolation,
             clock=clock,
         ),
         client=client,
         follower=follower,
         reachability=reachability,
+        isolation=isolation,
         exchange=PeerExchange(
             router=settings.router,
+            failure_domain=settings.failure_domain,
             view=knowledge.view,
             loads=knowledge.loads,
             repeats=knowledge.repeats,
--- a/dotterelpaddle/forwarding/reachability.py
+++ b/dotterelpaddle/forwarding/reachability.py
@@ -78,17 +78,19 @@
                 for each in self._view.entries
                 if each.failure_domain == entry.failure_domain
             ]
-        for each in suspects:
-            if each.endpoint not in self._suspects:
-                self._suspects[each.endpoint] = each
-                log.warning(
-                    "endpoint_suspected",
-                    endpoint=each.endpoint,
-                    failure_domain=each.failure_domain,
-                    because_of=entry.endpoint,
-                    silent=silent,
-                )
-        self._news.set()
+        self._add(suspects=suspects, because_of=entry.endpoint, silent=silent)
+
+    def check(self, *, failure_domain: FailureDomain) -> None:
+        """Pass over the endpoints of a failure domain until a connection stands."""
+        self._add(
+            suspects=[
+                entry
+                for entry in self._view.entries
+                if entry.failure_domain == failure_domain
+            ],
+            because_of="its routers",
+            silent=True,
+        )
 
     async def run(self) -> None:
         """Try connections to suspects until cancelled."""
@@ -101,6 +103,21 @@
                     probed.add(endpoint)
                     tasks.start_soon(self._probe, endpoint, probed)
 
+    def _add(
+        self, *, suspects: Iterable[EndpointEntry], because_of: str, silent: bool
+    ) -> None:
+        for entry in suspects:
+            if entry.endpoint not in self._suspects:
+                self._suspects[entry.endpoint] = entry
+                log.warning(
+                    "endpoint_suspected",
+                    endpoint=entry.endpoint,
+                    failure_domain=entry.failure_domain,
+                    because_of=because_of,
+                    silent=silent,
+                )
+        self._news.set()
+
     async def _probe(self, endpoint: EndpointId, probed: set[EndpointId]) -> None:
         began_at = self._clock()
         entry = self._suspects[endpoint]
--- a/dotterelpaddle/peers/directory.py
+++ b/dotterelpaddle/peers/directory.py
@@ -12,7 +12,7 @@
 
     from dotterelpaddle.address import Address
     from dotterelpaddle.clock import Clock
-    from dotterelpaddle.ids import RouterId
+    from dotterelpaddle.ids import FailureDomain, RouterId
     from dotterelpaddle.peers.messages import PeerReport
 
 log = get_logger(name=__name__)
@@ -20,6 +20,9 @@
 ALIVE_TIME = 1.2
 """Seconds without a report after which a router counts as silent."""
 
+HEARD_TIME = 0.7
+"""Seconds without a report, three of them, after which a router may be cut off."""
+
 FORGET_TIME = 30.0
 """Seconds without a report after which an address is not tried any more."""
 
@@ -71,6 +74,16 @@
         """Routers known of within the last half minute, this one included."""
         return 1 + len(self._peers)
 
+    def heard_domains(self) -> dict[FailureDomain, bool]:
+        """Tell by failure domain whether a report from any router has just come."""
+        now = self._clock()
+        heard: dict[FailureDomain, bool] = {}
+        for peer in self._peers.values():
+            domain = peer.report.failure_domain
+            just = now - peer.heard_at < HEARD_TIME
+            heard[domain] = heard.get(domain, False) or just
+        return heard
+
     def hear(self, *, report: PeerReport, address: Address) -> bool:
         """Take in a report.
 
--- a/dotterelpaddle/peers/exchange.py
+++ b/dotterelpaddle/peers/exchange.py
@@ -23,7 +23,7 @@
     from dotterelpaddle.forwarding.loads import LoadBook
     from dotterelpaddle.forwarding.repeats import SharedRepeats
     from dotterelpaddle.forwarding.view import FleetView
-    from dotterelpaddle.ids import RouterId
+    from dotterelpaddle.ids import FailureDomain, RouterId
     from dotterelpaddle.links import Links
     from dotterelpaddle.peers.directory import PeerDirectory
 
@@ -46,6 +46,7 @@
 
     Args:
         router: This router's name.
+        failure_domain: Where it is.
         view: What it acts on.
         loads: Requests in flight.
         repeats: What repeats cost.
@@ -60,6 +61,7 @@
         self,
         *,
         router: RouterId,
+        failure_domain: FailureDomain,
         view: FleetView,
         loads: LoadBook,
         repeats: SharedRepeats,
@@ -70,6 +72,7 @@
         generator: random.Random,
     ) -> None:
         self._router = router
+        self._failure_domain = failure_domain
         self._view = view
         self._loads = loads
         self._repeats = repeats
@@ -116,6 +119,7 @@
         revision = self._view.endpoints_revision
         return PeerReport(
             router=self._router,
+            failure_domain=self._failure_domain,
             incarnation=self._incarnation,
             sequence=self._sequence,
             control=control,
--- a/dotterelpaddle/peers/messages.py
+++ b/dotterelpaddle/peers/messages.py
@@ -11,7 +11,13 @@
 from dotterelpaddle.address import Address
 from dotterelpaddle.exceptions import ControlError
 from dotterelpaddle.forwarding.repeats import RepeatCounts
-from dotterelpaddle.ids import EndpointId, Revision, RouterId, ServiceName
+from dotterelpaddle.ids import (
+    EndpointId,
+    FailureDomain,
+    Revision,
+    RouterId,
+    ServiceName,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -31,6 +37,7 @@
 
     Attributes:
         router: Its name.
+        failure_domain: Where it is.
         incarnation: Number of its process; another one is another process.
         sequence: Grows with each report of the process.
         control: Where it hands out what it knows.
@@ -49,6 +56,7 @@
     """
 
     router: RouterId
+    failure_domain: FailureDomain
     incarnation: int
     sequence: int
     control: Address
@@ -70,6 +78,7 @@
         [
             FORMAT,
             report.router,
+            report.failure_domain,
             report.incarnation,
             report.sequence,
             str(report.control),
@@ -102,24 +111,25 @@
             raise ControlError(f"a report of format {fields[0]!r}, not {FORMAT}")
         return PeerReport(
             router=RouterId(str(fields[1])),
-            incarnation=int(fields[2]),
-            sequence=int(fields[3]),
-            control=Address.parse(text=fields[4]),
-            version=int(fields[5]),
-            revision=Revision(int(fields[6])),
-            configuration_age=_seconds(fields[7]),
-            endpoints_age=_seconds(fields[8]),
-            endpoints_tag=int(fields[9]),
-            loads={EndpointId(name): int(load) for name, load in fields[10].items()},
+            failure_domain=FailureDomain(str(fields[2])),
+            incarnation=int(fields[3]),
+            sequence=int(fields[4]),
+            control=Address.parse(text=fields[5]),
+            version=int(fields[6]),
+            revision=Revision(int(fields[7])),
+            configuration_age=_seconds(fields[8]),
+            endpoints_age=_seconds(fields[9]),
+            endpoints_tag=int(fields[10]),
+            loads={EndpointId(name): int(load) for name, load in fields[11].items()},
             repeats={
                 ServiceName(name): RepeatCounts(
                     requests=int(counts[0]), repeats=int(counts[1])
                 )
-                for name, counts in fields[11].items()
+                for name, counts in fields[12].items()
             },
-            uses=tuple((int(part), EndpointId(name)) for part, name in fields[12]),
-            parts=int(fields[13]),
-            peers=tuple(Address.parse(text=peer) for peer in fields[14]),
+            uses=tuple((int(part), EndpointId(name)) for part, name in fields[13]),
+            parts=int(fields[14]),
+            peers=tuple(Address.parse(text=peer) for peer in fields[15]),
         )
     except (
         orjson.JSONDecodeError,
--- a/dotterelpaddle/tests/peers/test_messages.py
+++ b/dotterelpaddle/tests/peers/test_messages.py
@@ -9,7 +9,13 @@
 from dotterelpaddle.address import Address
 from dotterelpaddle.exceptions import ControlError
 from dotterelpaddle.forwarding.repeats import RepeatCounts
-from dotterelpaddle.ids import EndpointId, Revision, RouterId, ServiceName
+from dotterelpaddle.ids import (
+    EndpointId,
+    FailureDomain,
+    Revision,
+    RouterId,
+    ServiceName,
+)
 from dotterelpaddle.peers.directory import (
     ALIVE_TIME,
     FORGET_TIME,
@@ -32,6 +38,7 @@
     return PeerReport(
         **{  # type: ignore[arg-type]
             "router": RouterId("other"),
+            "failure_domain": FailureDomain("here"),
             "incarnation": incarnation,
             "sequence": sequence,
             "control": OTHER,
--- a/dotterelpaddle/tests/peers/test_word.py
+++ b/dotterelpaddle/tests/peers/test_word.py
@@ -65,6 +65,7 @@
         self._sequence += 1
         report = PeerReport(
             router=RouterId(router),
+            failure_domain=FailureDomain("here"),
             incarnation=1,
             sequence=self._sequence,
             control=OWN,
