Keep callers where the only endpoints of a service are

Ruled out: the lapse of entries while the store was away (the others dropped the entry 2.3 s after its return, as they should; it could not be reached anyway).

Change: a side leaves only if the other one has at least as many slots of each service.

--- a/dotterelpaddle/forwarding/isolation.py
+++ b/dotterelpaddle/forwarding/isolation.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from typing import TYPE_CHECKING
 
 import anyio
@@ -19,7 +20,7 @@
 
     from dotterelpaddle.forwarding.reachability import Reachability
     from dotterelpaddle.forwarding.view import FleetView
-    from dotterelpaddle.ids import FailureDomain
+    from dotterelpaddle.ids import FailureDomain, ServiceName
 
 log = get_logger(name=__name__)
 
@@ -33,8 +34,8 @@
     A domain is on the other side if none of its routers is heard and none of its
     endpoints can be reached: routers alone may be restarting, endpoints alone may
     be dead. A side leaves if the other one has more domains, which all routers
-    count alike, so that never both leave, and more slots, so that they aren't
-    overloaded by those who come.
+    count alike, so that never both leave, and at least as many slots of each
+    service, so that callers find what they lack here and overload nobody.
 
     Args:
         view: The endpoints in force.
@@ -61,7 +62,7 @@
 
     @property
     def isolated(self) -> bool:
-        """Whether the other side has more failure domains, and more slots."""
+        """Whether the other side has more failure domains, and can serve more."""
         return self._isolated
 
     async def run(self) -> None:
@@ -83,16 +84,16 @@
         self._lost = (silent | self._lost) & unreachable
         others = heard.keys() | {entry.failure_domain for entry in self._view.entries}
         here = (others | {self._failure_domain}) - self._lost
-        self._judge(isolated=len(self._lost) > len(here) and self._more_slots_lost())
+        isolated = len(self._lost) > len(here) and self._serves_more_there()
+        self._judge(isolated=isolated)
 
-    def _more_slots_lost(self) -> bool:
-        lost = here = 0
+    def _serves_more_there(self) -> bool:
+        """Tell whether no service has more slots on this side than on the other."""
+        more_here: Counter[ServiceName] = Counter()
         for entry in self._view.entries:
-            if entry.failure_domain in self._lost:
-                lost += entry.slots
-            else:
-                here += entry.slots
-        return lost > here
+            lost = entry.failure_domain in self._lost
+            more_here[entry.service] += -entry.slots if lost else entry.slots
+        return all(slots <= 0 for slots in more_here.values())
 
     def _unreachable(self) -> frozenset[FailureDomain]:
         """Failure domains with endpoints none of which can be reached."""
--- a/dotterelpaddle/tests/forwarding/test_isolation.py
+++ b/dotterelpaddle/tests/forwarding/test_isolation.py
@@ -47,6 +47,7 @@
         view.take_endpoints(
             read=EndpointsRead(revision=Revision(1), entries=entries, whole=True)
         )
+        self.view = view
         self.reachability = ScriptedReachability()
         self.heard = dict.fromkeys(slots, True)
         self.isolation = Isolation(
@@ -70,10 +71,12 @@
     return scripted  # type: ignore[return-value]
 
 
-def _entry(domain: FailureDomain, *, slots: int) -> EndpointEntry:
+def _entry(
+    domain: FailureDomain, *, slots: int, service: str = "engines"
+) -> EndpointEntry:
     return EndpointEntry(
-        endpoint=EndpointId(f"in-{domain}"),
-        service=ServiceName("engines"),
+        endpoint=EndpointId(f"{service}-in-{domain}"),
+        service=ServiceName(service),
         address=Address(host="10.0.0.1", port=1),
         failure_domain=domain,
         slots=slots,
@@ -121,6 +124,15 @@
     assert not world.isolated()
 
 
+def test_side_with_the_only_endpoint_of_a_service_stays() -> None:
+    world = _even()
+    only = _entry(HERE, slots=1, service="records")
+    world.view.take_endpoints(read=EndpointsRead(revision=Revision(2), entries=(only,)))
+    world.cut(NEAR, FAR)
+
+    assert not world.isolated()
+
+
 def test_dead_endpoints_alone_are_no_cut() -> None:
     world = _even()
     world.reachability.unreachable = {NEAR, FAR}
