--- a/dotterelpaddle/tests/forwarding/test_placement.py
+++ b/dotterelpaddle/tests/forwarding/test_placement.py
@@ -345,6 +345,13 @@
     assert {world.choose().entry.endpoint for _ in range(5)} == {B}
 
 
+async def test_endpoints_of_a_failure_domain_that_is_checked_are_passed_over() -> None:
+    world = World()
+    world.parts.reachability.check(failure_domain=HERE)
+
+    assert {world.choose().entry.endpoint for _ in range(5)} == {C}
+
+
 async def test_where_all_are_in_doubt_one_is_tried() -> None:
     world = World(endpoints=(A,))
     world.parts.reachability.suspect(entry=world.entry(A), silent=False)
--- a/dotterelpaddle/tests/peers/test_messages.py
+++ b/dotterelpaddle/tests/peers/test_messages.py
@@ -19,6 +19,7 @@
 from dotterelpaddle.peers.directory import (
     ALIVE_TIME,
     FORGET_TIME,
+    HEARD_TIME,
     SEED_TIME,
     PeerDirectory,
 )
@@ -132,6 +133,18 @@
     assert len(world.directory.alive) == 1
 
 
+def test_failure_domain_is_heard_while_any_of_its_routers_is() -> None:
+    world = _World()
+    for name, domain in (("one", "near"), ("two", "near"), ("three", "far")):
+        report = _report(router=RouterId(name), failure_domain=FailureDomain(domain))
+        world.directory.hear(report=report, address=Address(host=name, port=1))
+    world.now = HEARD_TIME + 0.1
+    later = _report(sequence=2, router=RouterId("two"), failure_domain="near")
+    world.directory.hear(report=later, address=Address(host="two", port=1))
+
+    assert world.directory.heard_domains() == {"near": True, "far": False}
+
+
 def test_addresses_that_do_not_answer_are_tried_once_a_second() -> None:
     world = _World()
 
