Say once what the change said twice

Read once more as a whole. Behaviour and assertions stay as they are.

- Reachability listed the endpoints of a failure domain in two places.
- Whether a router must ask for the configuration itself was put together in two places of the follower.
- The ages that other routers vouch for were worked out in two properties.
- Four tests built endpoints' entries each in its own way; make_entry serves them.

--- a/dotterelpaddle/forwarding/follower.py
+++ b/dotterelpaddle/forwarding/follower.py
@@ -154,7 +154,7 @@
     async def _read_configuration(self, after: Revision | None) -> Revision:
         if after is None:
             read = await self._source.configuration()
-        elif self._word.reads_first or not self._vouched:
+        elif self._must_look_itself:
             read = await self._source.configuration_after(
                 after=after, wait=CONFIGURATION_WAIT
             )
@@ -172,9 +172,10 @@
         return read.revision
 
     @property
-    def _vouched(self) -> bool:
+    def _must_look_itself(self) -> bool:
+        """Whether no one else's word on the configuration is to be relied on."""
         age = min(self.configuration_age, self._word.configuration_age)
-        return age < CONFIGURATION_TRUST
+        return self._word.reads_first or age >= CONFIGURATION_TRUST
 
     async def _wait_long(self, *, after: Revision) -> ConfigurationRead | None:
         """Wait for a change; None if nobody vouches for the version any more."""
@@ -216,8 +217,7 @@
             self._view.expire()
             others = min(self._word.configuration_age, self._word.endpoints_age)
             self._note_heard(at=self._clock() - others)
-            alone = self._word.reads_first or not self._vouched
-            if alone and self._long_call is not None:
+            if self._must_look_itself and self._long_call is not None:
                 self._long_call.cancel()
 
     def _note_answer(self) -> float:
--- a/dotterelpaddle/forwarding/reachability.py
+++ b/dotterelpaddle/forwarding/reachability.py
@@ -73,21 +73,13 @@
         """
         suspects = [entry]
         if silent and entry.failure_domain != self._failure_domain:
-            suspects += [
-                each
-                for each in self._view.entries
-                if each.failure_domain == entry.failure_domain
-            ]
+            suspects += self._entries_in(failure_domain=entry.failure_domain)
         self._add(suspects=suspects, because_of=entry.endpoint, silent=silent)
 
     def check(self, *, failure_domain: FailureDomain) -> None:
         """Pass over the endpoints of a failure domain until a connection stands."""
         self._add(
-            suspects=[
-                entry
-                for entry in self._view.entries
-                if entry.failure_domain == failure_domain
-            ],
+            suspects=self._entries_in(failure_domain=failure_domain),
             because_of="its routers",
             silent=True,
         )
@@ -103,6 +95,10 @@
                     probed.add(endpoint)
                     tasks.start_soon(self._probe, endpoint, probed)
 
+    def _entries_in(self, *, failure_domain: FailureDomain) -> list[EndpointEntry]:
+        entries = self._view.entries
+        return [entry for entry in entries if entry.failure_domain == failure_domain]
+
     def _add(
         self, *, suspects: Iterable[EndpointEntry], because_of: str, silent: bool
     ) -> None:
--- a/dotterelpaddle/peers/word.py
+++ b/dotterelpaddle/peers/word.py
@@ -57,7 +57,7 @@
     def configuration_age(self) -> float:
         """Seconds since one that has the same version heard from the platform."""
         return self._youngest(
-            peer.report.configuration_age + self._clock() - peer.heard_at
+            (peer, peer.report.configuration_age)
             for peer in self._directory.alive
             if peer.report.version == self._view.version
         )
@@ -66,7 +66,7 @@
     def endpoints_age(self) -> float:
         """Seconds since one that knows the same endpoints heard from the platform."""
         return self._youngest(
-            peer.report.endpoints_age + self._clock() - peer.heard_at
+            (peer, peer.report.endpoints_age)
             for peer in self._directory.alive
             if peer.report.endpoints_tag == self._view.endpoints_tag
         )
@@ -88,7 +88,10 @@
         """Whether another router knows other endpoints, and later ones."""
         return self.better_informed is not None
 
-    def _youngest(self, ages: Iterable[float]) -> float:
+    def _youngest(self, told: Iterable[tuple[Peer, float]]) -> float:
+        """Return the least of ages that were told some time ago."""
+        now = self._clock()
+        ages = (age + now - peer.heard_at for peer, age in told)
         return min(ages, default=float("inf"))
 
 
--- a/dotterelpaddle/tests/forwarding/test_isolation.py
+++ b/dotterelpaddle/tests/forwarding/test_isolation.py
@@ -6,17 +6,17 @@
 
 import pytest
 
-from dotterelpaddle.address import Address
 from dotterelpaddle.forwarding.interface import EndpointsRead
 from dotterelpaddle.forwarding.isolation import Isolation
-from dotterelpaddle.forwarding.model import EndpointEntry, EndpointState
 from dotterelpaddle.forwarding.view import FleetView
-from dotterelpaddle.ids import EndpointId, FailureDomain, Revision, ServiceName
+from dotterelpaddle.ids import FailureDomain, Revision, ServiceName
+from dotterelpaddle.tests.forwarding.entries import make_entry
 from dotterelpaddle.tests.forwarding.harness import run_fleet
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
+    from dotterelpaddle.forwarding.model import EndpointEntry
     from dotterelpaddle.forwarding.reachability import Reachability
 
 HERE, NEAR, FAR = (FailureDomain(name) for name in ("here", "near", "far"))
@@ -74,15 +74,11 @@
 def _entry(
     domain: FailureDomain, *, slots: int, service: str = "engines"
 ) -> EndpointEntry:
-    return EndpointEntry(
-        endpoint=EndpointId(f"{service}-in-{domain}"),
+    return make_entry(
+        f"{service}-in-{domain}",
         service=ServiceName(service),
-        address=Address(host="10.0.0.1", port=1),
         failure_domain=domain,
         slots=slots,
-        state=EndpointState.READY,
-        revision=Revision(1),
-        models=frozenset(),
     )
 
 
--- a/dotterelpaddle/tests/forwarding/test_placement.py
+++ b/dotterelpaddle/tests/forwarding/test_placement.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import random
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from types import SimpleNamespace
 from typing import Any
 
@@ -41,6 +41,7 @@
     RouterId,
     ServiceName,
 )
+from dotterelpaddle.tests.forwarding.entries import make_entry
 
 pytestmark = pytest.mark.anyio
 
@@ -114,14 +115,11 @@
 
     def entry(self, name: EndpointId) -> EndpointEntry:
         leaving = name in self.draining
-        return EndpointEntry(
-            endpoint=name,
-            service=SERVICE,
+        return make_entry(
+            name,
             address=Address(host="10.0.0.1", port=ord(name[0])),
             failure_domain=THERE if name == C else HERE,
-            slots=8,
             state=EndpointState.DRAINING if leaving else EndpointState.READY,
-            revision=Revision(1),
             models=frozenset({ModelId("m")}),
         )
 
@@ -213,15 +211,7 @@
     world = World()
     first = world.choose(LONG)
     world.draining = frozenset({first.entry.endpoint})
-    leaving = EndpointEntry(
-        **{
-            name: getattr(first.entry, name)
-            for name in first.entry.__slots__
-            if name not in ("state", "revision")
-        },
-        state=EndpointState.DRAINING,
-        revision=Revision(2),
-    )
+    leaving = replace(first.entry, state=EndpointState.DRAINING, revision=Revision(2))
     read = EndpointsRead(revision=Revision(2), entries=(leaving,))
     world.parts.view.take_endpoints(read=read)
 
--- a/dotterelpaddle/tests/forwarding/test_view.py
+++ b/dotterelpaddle/tests/forwarding/test_view.py
@@ -5,7 +5,6 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
-from dotterelpaddle.address import Address
 from dotterelpaddle.forwarding.interface import EndpointsRead
 from dotterelpaddle.forwarding.model import (
     CallerLimits,
@@ -14,7 +13,8 @@
     FleetConfiguration,
 )
 from dotterelpaddle.forwarding.view import RETURN_TIME, FleetView
-from dotterelpaddle.ids import EndpointId, FailureDomain, Revision, ServiceName
+from dotterelpaddle.ids import EndpointId, Revision, ServiceName
+from dotterelpaddle.tests.forwarding.entries import make_entry
 
 SERVICE = ServiceName("records")
 NAMES = [EndpointId(f"endpoint-{number}") for number in range(3)]
@@ -32,15 +32,7 @@
 def _entry(
     name: EndpointId, revision: int, state: EndpointState = EndpointState.READY
 ) -> EndpointEntry:
-    return EndpointEntry(
-        endpoint=name,
-        service=SERVICE,
-        address=Address(host="10.0.0.1", port=80),
-        failure_domain=FailureDomain("here"),
-        slots=4,
-        state=state,
-        revision=Revision(revision),
-    )
+    return make_entry(name, service=SERVICE, state=state, revision=Revision(revision))
 
 
 class ViewMachine(RuleBasedStateMachine):
--- a/dotterelpaddle/tests/peers/test_word.py
+++ b/dotterelpaddle/tests/peers/test_word.py
@@ -6,40 +6,21 @@
 
 from dotterelpaddle.address import Address
 from dotterelpaddle.forwarding.interface import EndpointsRead
-from dotterelpaddle.forwarding.model import EndpointEntry, EndpointState
+from dotterelpaddle.forwarding.model import EndpointState
 from dotterelpaddle.forwarding.view import FleetView
-from dotterelpaddle.ids import (
-    EndpointId,
-    FailureDomain,
-    Revision,
-    RouterId,
-    ServiceName,
-)
+from dotterelpaddle.ids import FailureDomain, Revision, RouterId
 from dotterelpaddle.peers.directory import ALIVE_TIME, PeerDirectory
 from dotterelpaddle.peers.messages import PeerReport
 from dotterelpaddle.peers.word import PeersWord
+from dotterelpaddle.tests.forwarding.entries import make_entry
 
 OWN = Address(host="10.0.0.1", port=1)
 NEVER = float("inf")
 
 
-def _entry(name: str, *, revision: int, state: EndpointState) -> EndpointEntry:
-    return EndpointEntry(
-        endpoint=EndpointId(name),
-        service=ServiceName("engines"),
-        address=Address(host="10.0.1.1", port=8000),
-        failure_domain=FailureDomain("here"),
-        state=state,
-        revision=Revision(revision),
-        slots=8,
-        models=frozenset(),
-        document=b"{}",
-    )
-
-
 def _view(*, revision: int, state: EndpointState = EndpointState.READY) -> FleetView:
     view = FleetView(clock=lambda: 0.0)
-    entries = (_entry("a", revision=revision, state=state),)
+    entries = (make_entry("a", revision=Revision(revision), state=state),)
     view.take_endpoints(
         read=EndpointsRead(revision=Revision(revision), entries=entries, whole=True)
     )
