Tell apart two starts of a router within one second

Cause: a router's first incarnation was the wall clock in whole seconds. Two processes of one router that start in the same second, each at a port of its own, said the same of themselves.

Ruled out: the replay guard (sessions count milliseconds); statements of death ahead of the new process (it refutes what it is told of itself, and it is told with each ping and answer); lost datagrams alone (pings repeat for ever).

Change: incarnations count milliseconds.

--- a/dotterelpaddle/membership/service.py
+++ b/dotterelpaddle/membership/service.py
@@ -42,6 +42,14 @@
 FAREWELL_TIME = 0.02
 """Seconds that the channel gets to send a member's last word."""
 
+INCARNATIONS_PER_SECOND = 1000
+"""First incarnations that a second of the wall clock has room for.
+
+Two processes of one router with the same incarnation could not be told apart:
+others would go on asking the first one's address for ever. Milliseconds are
+apart for any two starts, and still fit twice into a report's version.
+"""
+
 
 class Membership:
     """The members that this router knows of.
@@ -171,6 +179,7 @@
     settings: MembershipSettings | None = None,
     metrics: Metrics,
     clock: Clock,
+    wall_clock: Clock = time.time,
 ) -> AsyncIterator[Membership]:
     """Take part in the membership until the context ends.
 
@@ -182,6 +191,8 @@
         settings: Intervals; the defaults fit all sizes.
         metrics: Where members are counted.
         clock: Monotonic clock.
+        wall_clock: Time of day, read once. One that was set back is made up for as
+            soon as others tell of the later incarnation.
 
     Yields:
         The membership. Its last word to others is sent only if `leave` was
@@ -189,7 +200,8 @@
     """
     settings = settings or MembershipSettings()
     source = random.Random(secrets.randbits(64))
-    own = replace(own, incarnation=max(own.incarnation, int(time.time())))
+    started = int(wall_clock() * INCARNATIONS_PER_SECOND)
+    own = replace(own, incarnation=max(own.incarnation, started))
     for message_type in MESSAGE_TYPES:
         channel.register(message_type=message_type)
     beliefs = Beliefs(own=own, settings=settings, now=clock())
--- a/dotterelpaddle/tests/membership/test_service.py
+++ b/dotterelpaddle/tests/membership/test_service.py
@@ -1,5 +1,6 @@
 from __future__ import annotations
 
+import time
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
@@ -92,6 +93,7 @@
     domain: str,
     seeds: tuple[Address, ...],
     hosts: FakeHosts,
+    wall_clock=time.time,
     *,
     task_status,
 ) -> None:
@@ -121,6 +123,7 @@
                 settings=FAST,
                 metrics=Metrics(),
                 clock=lambda: monotonic() + offset[0],
+                wall_clock=wall_clock,
             ) as membership,
         ):
             task_status.started(Node(membership, links, stop, scope, offset))
@@ -295,3 +298,20 @@
             )
             await until(lambda: all_see([*nodes, late], 3))
             late.stop.set()
+
+
+async def test_member_that_starts_twice_within_a_second_is_found_again():
+    async with fleet("a", "b") as nodes, anyio.create_task_group() as tasks:
+        seeds = (nodes[0].address,)
+        for moment in (5_000_000_000.000, 5_000_000_000.400):
+            again = await tasks.start(
+                run_node, 2, "c", seeds, FakeHosts(), lambda at=moment: at
+            )
+            await until(
+                lambda again=again: all(
+                    (found := node.membership.find(router=RouterId("router-2")))
+                    and found.address == again.address
+                    for node in nodes
+                )
+            )
+            again.crash()
