--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -15,7 +15,8 @@
 
 def known_benches() -> tuple[str, ...]:
     """List the measurements of this package by name."""
-    names = (module.name for module in pkgutil.iter_modules(bench.__path__))
+    modules = pkgutil.iter_modules(bench.__path__)
+    names = (module.name for module in modules if not module.ispkg)
     return tuple(sorted(name for name in names if not name.startswith("_")))
 
 
--- a/dotterelpaddle/__main__.py
+++ b/dotterelpaddle/__main__.py
@@ -17,6 +17,7 @@
 from dotterelpaddle.commands.scenario import scenario_app
 from dotterelpaddle.commands.standin import standin_app
 from dotterelpaddle.commands.status import status_command
+from dotterelpaddle.commands.trace import trace_command
 
 app = App(
     name="dotterelpaddle",
@@ -30,6 +31,7 @@
 app.command(record_app)
 app.command(status_command, name="status")
 app.command(explain_command, name="explain")
+app.command(trace_command, name="trace")
 app.command(config_app)
 app.command(demo_command, name="demo")
 app.command(load_command, name="load")
--- a/dotterelpaddle/daemon/__main__.py
+++ b/dotterelpaddle/daemon/__main__.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import gc
 import os
 import sys
 from pathlib import Path
@@ -25,6 +26,10 @@
 SETTINGS_VARIABLE = "DOTTERELPADDLE_SETTINGS"
 BAD_SETTINGS = 2
 
+GARBAGE_THRESHOLDS = (5_000, 20, 20)
+"""Objects and rounds between collections: requests leave few cycles behind, and the
+usual 700 objects are a dozen requests."""
+
 
 def main() -> int:
     """Run a router until a signal stops it.
@@ -32,6 +37,9 @@
     Returns:
         The exit code.
     """
+    # What is loaded stays: looking through it for garbage costs a start 30 ms, and
+    # each later look as much again.
+    gc.disable()
     path = os.environ.get(SETTINGS_VARIABLE, "")
     try:
         if not path:
@@ -47,6 +55,9 @@
     skip_server_command_line()
     from dotterelpaddle.daemon.process import run_process
 
+    gc.freeze()
+    gc.set_threshold(*GARBAGE_THRESHOLDS)
+    gc.enable()
     run_process(settings=settings, listener=listener)
     return 0
 
--- a/dotterelpaddle/forwarding/app.py
+++ b/dotterelpaddle/forwarding/app.py
@@ -145,6 +145,7 @@
                 while (await receive())["type"] != "http.disconnect":
                     pass
                 if not exchange.reply.finished:
+                    exchange.caller_gone = True
                     tasks.cancel_scope.cancel()
 
             tasks.start_soon(_watch)
@@ -208,6 +209,7 @@
             version=exchange.version,
             status=status,
             finished=exchange.reply.finished,
+            caller_gone=exchange.caller_gone,
             attempts=exchange.attempts.count,
             endpoint=exchange.last_endpoint,
             outcome=exchange.attempts.outcome.value,
--- a/dotterelpaddle/forwarding/exchange.py
+++ b/dotterelpaddle/forwarding/exchange.py
@@ -30,6 +30,7 @@
         service: The service that serves it, once chosen.
         account: Its client account, None on public routes.
         last_endpoint: The endpoint that was tried last, for the log.
+        caller_gone: Whether the caller closed its connection before the end.
         error: What the caller was told in place of an answer.
     """
 
@@ -44,6 +45,7 @@
     service: ServiceName | None = None
     account: KeyHolder | None = None
     last_endpoint: str = ""
+    caller_gone: bool = False
     error: RequestError | None = None
 
 
--- a/dotterelpaddle/forwarding/follower.py
+++ b/dotterelpaddle/forwarding/follower.py
@@ -61,6 +61,9 @@
 LOOK_PAUSE = 0.1
 """Seconds between looks at what other routers vouch for."""
 
+PASSED_ON_PAUSE = 0.3
+"""The same where others pass all news on, which come in by themselves."""
+
 AWAY_AFTER = 1.0
 """Seconds in which nobody heard from the source, and calls failed, after which it
 was away: no entry lapses in less."""
@@ -192,7 +195,7 @@
     async def _until_on_its_own(self) -> None:
         """Wait while others pass on each new configuration, and vouch for it."""
         while self._word.passed_on and not self._must_look_itself:
-            await anyio.sleep(LOOK_PAUSE)
+            await anyio.sleep(PASSED_ON_PAUSE)
 
     async def _wait_long(self, *, after: Revision) -> ConfigurationRead | None:
         """Wait for a change; None if nobody vouches for the version any more."""
@@ -228,11 +231,15 @@
             due = self._word.reads_first or age >= ENDPOINTS_TRUST
             if due and self._clock() >= due_at:
                 return
-            await anyio.sleep(LOOK_PAUSE)
+            await anyio.sleep(self._look_pause)
+
+    @property
+    def _look_pause(self) -> float:
+        return PASSED_ON_PAUSE if self._word.passed_on else LOOK_PAUSE
 
     async def _keep_looking(self) -> None:
         while True:
-            await anyio.sleep(LOOK_PAUSE)
+            await anyio.sleep(self._look_pause)
             self._view.expire()
             others = min(self._word.configuration_age, self._word.endpoints_age)
             self._note_heard(at=self._clock() - others)
--- a/dotterelpaddle/forwarding/isolation.py
+++ b/dotterelpaddle/forwarding/isolation.py
@@ -24,8 +24,8 @@
 
 log = get_logger(name=__name__)
 
-LOOK_PAUSE = 0.1
-"""Seconds between looks; the balancer asks once a second."""
+LOOK_PAUSE = 0.2
+"""Seconds between looks, like that between reports; the balancer asks once a second."""
 
 
 class Isolation:
--- a/dotterelpaddle/forwarding/placement.py
+++ b/dotterelpaddle/forwarding/placement.py
@@ -239,8 +239,11 @@
         risk: float,
     ) -> Choice:
         """Choose where the least has to be read, among those within the bound."""
-        bound = LOAD_MULTIPLE * mean + LOAD_ALLOWANCE
-        within = [entry for entry in candidates if loads[entry.endpoint] + 1 <= bound]
+        within = [
+            entry
+            for entry in candidates
+            if loads[entry.endpoint] + 1 <= _bound(entry=entry, mean=mean)
+        ]
         if not within:
             return self._least_loaded(
                 candidates=candidates, loads=loads, mean=mean, risk=risk
@@ -341,6 +344,16 @@
         )
 
 
+def _bound(*, entry: EndpointEntry, mean: float) -> float:
+    """Requests up to which an endpoint is given more for its cache.
+
+    A request that waits for a slot gains nothing from a cache.
+    """
+    by_mean = LOAD_MULTIPLE * mean + LOAD_ALLOWANCE
+    by_slots = max(entry.slots, mean + LOAD_ALLOWANCE)
+    return min(by_mean, by_slots)
+
+
 def _home(
     *, request: ForwardRequest, candidates: Sequence[EndpointEntry]
 ) -> EndpointEntry:
--- a/dotterelpaddle/http_server.py
+++ b/dotterelpaddle/http_server.py
@@ -38,7 +38,23 @@
 
 
 class _Server(uvicorn.Server):
-    """A server that leaves signals to the command line."""
+    """A server that leaves signals to the command line, and sleeps until it stops.
+
+    uvicorn looks ten times a second whether it should stop. A router runs three
+    servers, so that this is a third of what it does while it has nothing to do.
+    """
+
+    def __init__(self, config: uvicorn.Config) -> None:
+        super().__init__(config)
+        self._stopping = anyio.Event()
+
+    def stop(self) -> None:
+        """Let it shut down."""
+        self.should_exit = True
+        self._stopping.set()
+
+    async def main_loop(self) -> None:
+        await self._stopping.wait()
 
     @contextmanager
     def capture_signals(self) -> Iterator[None]:
@@ -90,7 +106,7 @@
             try:
                 yield address_of(listener=listener)
             finally:
-                server.should_exit = True
+                server.stop()
             # The task group waits here until the server has shut down.
     finally:
         _close(server=server)
--- a/dotterelpaddle/peers/fetching.py
+++ b/dotterelpaddle/peers/fetching.py
@@ -45,6 +45,17 @@
 """Seconds after the start from which a router that knows no places of parts, and
 hears of none, asks endpoints; a router that lives answers its first report."""
 
+MOST_READ_BY_EACH = 16
+"""Engines that every router asks for itself, as it takes 0.1 s; of more one router
+asks all, since each question takes an engine some of its time."""
+
+FIRST_AFTER = 0.4
+"""Seconds after the start until the router that asks for all is known to be that:
+two rounds of reports."""
+
+GIVEN_UP_AFTER = 3.0
+"""Seconds after the start after which the others do without its answer."""
+
 START_PAUSE = 0.03
 """Seconds between looks while the places of parts are not known."""
 
@@ -193,16 +204,24 @@
     async def _read_caches(self) -> None:
         """Ask endpoints what they have cached, if no router can tell.
 
-        That is so after all routers have stopped at once. Each asks for itself:
-        to wait for another one's word would cost more than the question.
+        That is so after all routers have stopped at once. Where there are few
+        engines each asks for itself: to wait for another one's word would cost more
+        than the question.
         """
         waited = self._clock() - self._started_at
         if self._caches.known or not self._view.complete or waited < ALONE_AFTER:
             return
+        engines = [entry for entry in self._view.entries if entry.models]
+        if len(engines) > MOST_READ_BY_EACH:
+            if waited < FIRST_AFTER:
+                return
+            if not self._word.reads_first:
+                if waited >= GIVEN_UP_AFTER:
+                    self._caches.mark_known()
+                return
         async with anyio.create_task_group() as tasks:
-            for entry in self._view.entries:
-                if entry.models:
-                    tasks.start_soon(self._read_cache, entry)
+            for entry in engines:
+                tasks.start_soon(self._read_cache, entry)
         self._caches.mark_known()
 
     async def _read_cache(self, entry: EndpointEntry) -> None:
--- a/dotterelpaddle/tests/forwarding/entries.py
+++ b/dotterelpaddle/tests/forwarding/entries.py
@@ -1,12 +1,20 @@
-"""Endpoints' entries for tests."""
+"""Endpoints' entries and requests for tests."""
 
 from __future__ import annotations
 
 from typing import Any
 
 from dotterelpaddle.address import Address
+from dotterelpaddle.forwarding.interface import ForwardRequest, PromptPart
 from dotterelpaddle.forwarding.model import EndpointEntry, EndpointState
-from dotterelpaddle.ids import EndpointId, FailureDomain, Revision, ServiceName
+from dotterelpaddle.ids import (
+    EndpointId,
+    FailureDomain,
+    ModelId,
+    RequestId,
+    Revision,
+    ServiceName,
+)
 
 
 def make_entry(name: str, **fields: Any) -> EndpointEntry:
@@ -23,3 +31,19 @@
             **fields,
         }
     )
+
+
+def make_request(*parts: tuple[str, int]) -> ForwardRequest:
+    """Return a request whose prompt has some shared parts and one of its own."""
+    own = PromptPart(part="own", tokens=100)
+    shared = [PromptPart(part=part, tokens=tokens) for part, tokens in parts]
+    return ForwardRequest(
+        request_id=RequestId("request"),
+        method="POST",
+        host="a.example",
+        path="/",
+        target=b"/",
+        headers=[],
+        model=ModelId("m"),
+        prompt=(*shared, own) if shared else (),
+    )
--- /dev/null
+++ b/dotterelpaddle/tests/forwarding/test_caches.py
@@ -0,0 +1,69 @@
+"""Where parts of prompts are known to be, and who is told."""
+
+from __future__ import annotations
+
+from dotterelpaddle.forwarding.caches import RETELL_TIME, CacheMap, Origin
+from dotterelpaddle.forwarding.uses import MOST_USES_TOLD, TIMES_TOLD
+from dotterelpaddle.ids import EndpointId
+from dotterelpaddle.tests.forwarding.entries import make_request
+
+A, B = EndpointId("a"), EndpointId("b")
+LONG = make_request(("system", 500), ("chat", 10_000))
+
+
+def test_uses_are_told_a_few_times_and_a_few_at_a_time() -> None:
+    caches = CacheMap(clock=lambda: 0.0)
+    for number in range(MOST_USES_TOLD + 10):
+        caches.note_part(endpoint=A, part=number)
+
+    reports = [caches.news() for _ in range(20)]
+
+    told = [use for report in reports for use in report]
+    assert max(len(report) for report in reports) == MOST_USES_TOLD
+    assert {told.count(use) for use in set(told)} == {TIMES_TOLD}
+    assert len(set(told)) == MOST_USES_TOLD + 10
+
+
+def test_part_counts_only_with_all_parts_before_it() -> None:
+    caches = CacheMap(clock=lambda: 0.0)
+    caches.note(endpoint=A, request=make_request(("chat", 10_000)))
+
+    assert caches.missing(endpoint=A, request=LONG) == 10_500
+    caches.note(endpoint=A, request=make_request(("system", 500)))
+    assert caches.missing(endpoint=A, request=LONG) == 0
+    assert caches.missing(endpoint=B, request=LONG) == 10_500
+
+
+def test_prompt_that_never_arrived_is_forgotten() -> None:
+    caches = CacheMap(clock=lambda: 0.0)
+    caches.note(endpoint=A, request=make_request(("system", 500)))
+    noted = caches.note(endpoint=A, request=LONG)
+    caches.retract(endpoint=A, parts=noted)
+
+    assert caches.missing(endpoint=A, request=LONG) == 10_000
+    assert len(caches.news()) == 1
+
+
+def test_use_that_all_know_is_told_again_now_and_then() -> None:
+    now = 0.0
+    caches = CacheMap(clock=lambda: now)
+    caches.hear(uses=[(1, A)])
+
+    caches.note_part(endpoint=A, part=1)
+    at_once = caches.news()
+    now = RETELL_TIME
+    caches.note_part(endpoint=A, part=1)
+
+    assert at_once == []
+    assert caches.news() == [(1, A)]
+
+
+def test_use_is_passed_on_as_news_of_its_origin() -> None:
+    caches = CacheMap(clock=lambda: 0.0)
+
+    caches.hear(uses=[(1, A)], pass_on=Origin.NEAR)
+    caches.hear(uses=[(2, A)])
+
+    assert caches.news(origin=Origin.NEAR) == [(1, A)]
+    assert caches.news(origin=Origin.FAR) == []
+    assert caches.news() == []
--- a/dotterelpaddle/tests/forwarding/test_placement.py
+++ b/dotterelpaddle/tests/forwarding/test_placement.py
@@ -20,7 +20,6 @@
 from dotterelpaddle.forwarding.interface import (
     EndpointsRead,
     ForwardRequest,
-    PromptPart,
 )
 from dotterelpaddle.forwarding.loads import LoadBook
 from dotterelpaddle.forwarding.model import EndpointEntry, EndpointState
@@ -32,7 +31,6 @@
 )
 from dotterelpaddle.forwarding.reachability import Reachability
 from dotterelpaddle.forwarding.shares import FRESH_TIME, Share, ShareBook
-from dotterelpaddle.forwarding.uses import MOST_USES_TOLD, TIMES_TOLD
 from dotterelpaddle.forwarding.view import FleetView
 from dotterelpaddle.ids import (
     EndpointId,
@@ -43,7 +41,7 @@
     RouterId,
     ServiceName,
 )
-from dotterelpaddle.tests.forwarding.entries import make_entry
+from dotterelpaddle.tests.forwarding.entries import make_entry, make_request
 
 pytestmark = pytest.mark.anyio
 
@@ -52,23 +50,8 @@
 A, B, C, D = (EndpointId(name) for name in "abcd")
 
 
-def _request(*parts: tuple[str, int]) -> ForwardRequest:
-    own = PromptPart(part="own", tokens=100)
-    shared = [PromptPart(part=part, tokens=tokens) for part, tokens in parts]
-    return ForwardRequest(
-        request_id=RequestId("request"),
-        method="POST",
-        host="a.example",
-        path="/",
-        target=b"/",
-        headers=[],
-        model=ModelId("m"),
-        prompt=(*shared, own) if shared else (),
-    )
-
-
-PLAIN = _request()
-LONG = _request(("system", 500), ("chat", 10_000))
+PLAIN = make_request()
+LONG = make_request(("system", 500), ("chat", 10_000))
 
 
 @dataclass(kw_only=True)
@@ -194,9 +177,19 @@
     assert again.reason is ChoiceReason.CACHED
 
 
+def test_no_cache_is_worth_the_wait_for_a_slot() -> None:
+    world = World()
+    first = world.choose(LONG)
+    others = {A, B, C} - {first.entry.endpoint}
+    slots = first.entry.slots
+    world.load(**{first.entry.endpoint: slots, **dict.fromkeys(others, slots - 2)})
+
+    assert world.choose(LONG).entry.endpoint in others
+
+
 def test_part_stays_when_an_endpoint_joins() -> None:
     world = World(endpoints=(A, B))
-    requests = [_request(("system", 500), (f"chat-{n}", 10_000)) for n in range(30)]
+    requests = [make_request(("system", 500), (f"chat-{n}", 10_000)) for n in range(30)]
     before = [world.choose(request).entry.endpoint for request in requests]
     joined = EndpointsRead(revision=Revision(2), entries=(world.entry(C),))
     world.parts.view.take_endpoints(read=joined)
@@ -363,36 +356,3 @@
     world.now = FRESH_TIME + 0.1
 
     assert world.choose().load == 0
-
-
-def test_uses_are_told_a_few_times_and_a_few_at_a_time() -> None:
-    caches = CacheMap(clock=lambda: 0.0)
-    for number in range(MOST_USES_TOLD + 10):
-        caches.note_part(endpoint=A, part=number)
-
-    reports = [caches.news() for _ in range(20)]
-
-    told = [use for report in reports for use in report]
-    assert max(len(report) for report in reports) == MOST_USES_TOLD
-    assert {told.count(use) for use in set(told)} == {TIMES_TOLD}
-    assert len(set(told)) == MOST_USES_TOLD + 10
-
-
-def test_part_counts_only_with_all_parts_before_it() -> None:
-    caches = CacheMap(clock=lambda: 0.0)
-    caches.note(endpoint=A, request=_request(("chat", 10_000)))
-
-    assert caches.missing(endpoint=A, request=LONG) == 10_500
-    caches.note(endpoint=A, request=_request(("system", 500)))
-    assert caches.missing(endpoint=A, request=LONG) == 0
-    assert caches.missing(endpoint=B, request=LONG) == 10_500
-
-
-def test_prompt_that_never_arrived_is_forgotten() -> None:
-    caches = CacheMap(clock=lambda: 0.0)
-    caches.note(endpoint=A, request=_request(("system", 500)))
-    noted = caches.note(endpoint=A, request=LONG)
-    caches.retract(endpoint=A, parts=noted)
-
-    assert caches.missing(endpoint=A, request=LONG) == 10_000
-    assert len(caches.news()) == 1
--- /dev/null
+++ b/dotterelpaddle/tests/peers/test_reading.py
@@ -0,0 +1,99 @@
+"""Who asks engines what they have cached, after all routers stopped at once."""
+
+from __future__ import annotations
+
+import random
+from types import SimpleNamespace
+from typing import TYPE_CHECKING
+
+import pytest
+
+from dotterelpaddle.forwarding.caches import CacheMap
+from dotterelpaddle.forwarding.interface import EndpointsRead
+from dotterelpaddle.forwarding.view import FleetView
+from dotterelpaddle.ids import ModelId, Revision
+from dotterelpaddle.peers.fetching import (
+    ALONE_AFTER,
+    FIRST_AFTER,
+    GIVEN_UP_AFTER,
+    MOST_READ_BY_EACH,
+    Fetcher,
+)
+from dotterelpaddle.tests.forwarding.entries import make_entry
+
+if TYPE_CHECKING:
+    from dotterelpaddle.forwarding.model import EndpointEntry
+
+pytestmark = pytest.mark.anyio
+
+PART = 7
+
+
+class World:
+    """One router that has just started, and its engines."""
+
+    def __init__(self, *, engines: int, first: bool) -> None:
+        self.now = 0.0
+        self.asked: set[str] = set()
+        self.view = FleetView(clock=lambda: self.now)
+        entries = tuple(
+            make_entry(f"engine-{number}", models=frozenset({ModelId("m")}))
+            for number in range(engines)
+        )
+        read = EndpointsRead(revision=Revision(1), entries=entries, whole=True)
+        self.view.take_endpoints(read=read)
+        self.view._configuration = SimpleNamespace(version=1)  # type: ignore[assignment]
+        self.caches = CacheMap(clock=lambda: self.now)
+        self.fetcher = Fetcher(
+            view=self.view,
+            caches=self.caches,
+            directory=None,  # type: ignore[arg-type]
+            word=SimpleNamespace(reads_first=first),  # type: ignore[arg-type]
+            documents=None,  # type: ignore[arg-type]
+            caches_reader=SimpleNamespace(cached_parts=self._cached),  # type: ignore[arg-type]
+            platform_age=lambda: 0.0,
+            backend=None,  # type: ignore[arg-type]
+            clock=lambda: self.now,
+            generator=random.Random(1),
+        )
+
+    async def _cached(self, *, entry: EndpointEntry) -> list[int]:
+        self.asked.add(entry.endpoint)
+        return [PART]
+
+    async def look(self, at: float) -> None:
+        self.now = at
+        await self.fetcher._read_caches()
+
+
+async def test_each_router_asks_a_few_engines() -> None:
+    world = World(engines=MOST_READ_BY_EACH, first=False)
+
+    await world.look(ALONE_AFTER)
+
+    assert len(world.asked) == MOST_READ_BY_EACH
+    assert world.caches.known
+
+
+async def test_one_router_asks_many_engines() -> None:
+    world = World(engines=MOST_READ_BY_EACH + 1, first=True)
+
+    await world.look(ALONE_AFTER)
+    early = len(world.asked)
+    await world.look(FIRST_AFTER)
+
+    assert early == 0
+    assert len(world.asked) == MOST_READ_BY_EACH + 1
+    assert world.caches.parts == 1
+
+
+async def test_the_others_wait_for_it_and_not_for_ever() -> None:
+    world = World(engines=MOST_READ_BY_EACH + 1, first=False)
+
+    await world.look(FIRST_AFTER)
+    waiting = world.caches.known
+    await world.look(GIVEN_UP_AFTER)
+
+    assert not waiting
+    assert world.caches.known
+    assert not world.asked
