Spread what many routers send at once; let endpoints' changes be passed on

Summing routers called the store for each change of an endpoint.

Ruled out: news that comes sooner (more reports cost what summing saved); a lower bound for all (sends prompts away from their caches while there is room).

Change: each of many routers draws how near to the bound of a load it goes, compares a sample of the endpoints without the prompt, and two for plain requests; an unread prompt stays with its home up to ten requests more. 160 passed-on uses go into a report. In a large fleet all routers but the one that reads fetch endpoints' changes from others. How long endpoints are relied on follows from the deployment's own bound.

Fleets of up to 16 routers choose as before.

--- a/dotterelpaddle/forwarding/caches.py
+++ b/dotterelpaddle/forwarding/caches.py
@@ -14,7 +14,7 @@
 
 import anyio
 
-from dotterelpaddle.forwarding.uses import UseQueue
+from dotterelpaddle.forwarding.uses import MOST_USES_PASSED_ON, UseQueue
 from dotterelpaddle.placement.rendezvous import tag
 
 if TYPE_CHECKING:
@@ -58,7 +58,11 @@
     def __init__(self, *, clock: Clock) -> None:
         self._clock = clock
         self._holders: OrderedDict[PartTag, dict[EndpointId, float]] = OrderedDict()
-        self._news = {origin: UseQueue() for origin in Origin}
+        self._news = {
+            Origin.OWN: UseQueue(),
+            Origin.NEAR: UseQueue(most=MOST_USES_PASSED_ON),
+            Origin.FAR: UseQueue(most=MOST_USES_PASSED_ON),
+        }
         self._told: dict[Use, float] = {}
         self._known = anyio.Event()
 
--- a/dotterelpaddle/forwarding/follower.py
+++ b/dotterelpaddle/forwarding/follower.py
@@ -54,9 +54,10 @@
 LEAST_PAUSE = 0.2
 """Seconds between calls for endpoints by a router that others are ahead of."""
 
-ENDPOINTS_TRUST = 1.4
-"""Seconds since the word of the platform for which endpoints are relied on: a pause,
-a call and a report, which leaves time for a call of one's own within the two."""
+ENDPOINTS_TRUST = 0.7
+"""Share of the time in which a leaving endpoint must be known for which the word of
+the platform is relied on: of two seconds a pause, a call and a report, which leaves
+time for a call of one's own."""
 
 LOOK_PAUSE = 0.1
 """Seconds between looks at what other routers vouch for."""
@@ -89,6 +90,7 @@
         view: What this router acts on.
         word: What other routers vouch for.
         metrics: Counts calls.
+        leaving_time: Seconds in which a leaving endpoint must be known.
         clock: Monotonic clock.
         generator: Source of jitter, so that routers do not call in step.
     """
@@ -100,6 +102,7 @@
         view: FleetView,
         word: Vouching,
         metrics: ForwardMetrics,
+        leaving_time: float,
         clock: Clock,
         generator: random.Random,
     ) -> None:
@@ -107,6 +110,7 @@
         self._view = view
         self._word = word
         self._metrics = metrics
+        self._endpoints_trust = ENDPOINTS_TRUST * leaving_time
         self._clock = clock
         self._generator = generator
         self._configuration_at = float("-inf")
@@ -226,9 +230,9 @@
         jitter = self._generator.uniform(0.8, 1.2)
         due_at = self._clock() + ENDPOINTS_PAUSE * jitter
         await anyio.sleep(LEAST_PAUSE * jitter)
-        while self._word.passed_on or not self._word.endpoints_behind:
+        while self._word.endpoints_passed_on or not self._word.endpoints_behind:
             age = min(self.endpoints_age, self._word.endpoints_age)
-            due = self._word.reads_first or age >= ENDPOINTS_TRUST
+            due = self._word.reads_first or age >= self._endpoints_trust
             if due and self._clock() >= due_at:
                 return
             await anyio.sleep(self._look_pause)
--- a/dotterelpaddle/forwarding/interface.py
+++ b/dotterelpaddle/forwarding/interface.py
@@ -202,7 +202,11 @@
 
     @property
     def passed_on(self) -> bool:
-        """Whether others pass all news on to this router, so that it need not ask."""
+        """Whether others pass configurations on, so that this router need not ask."""
+
+    @property
+    def endpoints_passed_on(self) -> bool:
+        """The same of endpoints."""
 
     @property
     def configuration_age(self) -> float:
--- a/dotterelpaddle/forwarding/loads.py
+++ b/dotterelpaddle/forwarding/loads.py
@@ -29,6 +29,11 @@
         """This router's requests in flight, by endpoint."""
         return self._own
 
+    @property
+    def routers(self) -> int:
+        """Routers whose requests are counted, this one included."""
+        return self._shares.routers
+
     @contextmanager
     def hold(self, *, endpoint: EndpointId) -> Iterator[None]:
         """Count a request at an endpoint while the context lasts."""
--- a/dotterelpaddle/forwarding/parts.py
+++ b/dotterelpaddle/forwarding/parts.py
@@ -141,6 +141,7 @@
         view=knowledge.view,
         word=word,
         metrics=metrics,
+        leaving_time=settings.leaving_time,
         clock=clock,
         generator=generator,
     )
--- a/dotterelpaddle/forwarding/placement.py
+++ b/dotterelpaddle/forwarding/placement.py
@@ -8,6 +8,13 @@
 
 from dotterelpaddle.exceptions import NoEndpoint
 from dotterelpaddle.forwarding.caches import part_tag, shared_parts, shared_tokens
+from dotterelpaddle.forwarding.herding import (
+    LEAST_NEARNESS,
+    MANY_ROUTERS,
+    SAMPLED,
+    SAMPLED_PLAIN,
+    load_bound,
+)
 from dotterelpaddle.placement.rendezvous import digest
 
 if TYPE_CHECKING:
@@ -24,16 +31,6 @@
     from dotterelpaddle.forwarding.view import FleetView
     from dotterelpaddle.ids import EndpointId, FailureDomain, ServiceName
 
-LOAD_MULTIPLE = 1.7
-"""Times the mean load up to which an endpoint is given requests for its cache.
-
-Endpoints may hold twice the mean and three requests more; news of the load is
-a few tenths of a second old, which the difference is left for.
-"""
-
-LOAD_ALLOWANCE = 2.0
-"""Requests over the multiple that are allowed, which matters near no load."""
-
 LOAD_TOKENS = 100
 """Prompt tokens that are read again rather than add one request to a load.
 
@@ -58,6 +55,10 @@
 """Prompt tokens by which the home of a part that nobody has is favoured, so that
 routers that see it at the same moment send it to the same endpoint."""
 
+MANY_HOME_TOKENS = 1000
+"""Instead of HOME_TOKENS with many routers, which hear of a prompt that was read
+half a second later than few do."""
+
 UNREPEATABLE_RISK = 10.0
 """Requests of load that weigh as much as certain failure, for a request that can't
 be repeated: a share of failures of a fifth weighs two requests."""
@@ -239,10 +240,13 @@
         risk: float,
     ) -> Choice:
         """Choose where the least has to be read, among those within the bound."""
+        many = self._loads.routers > MANY_ROUTERS
+        nearness = self._generator.uniform(LEAST_NEARNESS, 1.0) if many else 1.0
         within = [
             entry
             for entry in candidates
-            if loads[entry.endpoint] + 1 <= _bound(entry=entry, mean=mean)
+            if loads[entry.endpoint] + 1
+            <= load_bound(entry=entry, mean=mean, nearness=nearness)
         ]
         if not within:
             return self._least_loaded(
@@ -250,6 +254,9 @@
             )
         home = _home(request=request, candidates=candidates)
         cached = self._cached(request=request, candidates=candidates)
+        if many:
+            within = self._sampled(entries=within, cached=cached, home=home)
+        home_tokens = MANY_HOME_TOKENS if many else HOME_TOKENS
 
         def _cost(entry: EndpointEntry) -> float:
             lacks = cached.missing[entry.endpoint]
@@ -258,7 +265,7 @@
                 read
                 + FETCH_SHARE * (lacks - read)
                 + LOAD_TOKENS * (loads[entry.endpoint] + risk * self._share(entry))
-                - HOME_TOKENS * (cached.unknown and entry is home)
+                - home_tokens * (cached.unknown and entry is home)
             )
 
         entry = min(within, key=_cost)
@@ -283,6 +290,22 @@
             fetch_from=cached.holder if fetch else None,
         )
 
+    def _sampled(
+        self, *, entries: list[EndpointEntry], cached: _Cached, home: EndpointEntry
+    ) -> list[EndpointEntry]:
+        """Choose the endpoints to compare: those with a cache, and some others."""
+        holding = [
+            entry
+            for entry in entries
+            if (
+                entry is home
+                if cached.unknown
+                else cached.missing[entry.endpoint] <= cached.least
+            )
+        ]
+        others = self._generator.sample(entries, min(SAMPLED, len(entries)))
+        return holding + [entry for entry in others if entry not in holding]
+
     def _cached(
         self, *, request: ForwardRequest, candidates: Sequence[EndpointEntry]
     ) -> _Cached:
@@ -327,8 +350,12 @@
         mean: float,
         risk: float,
     ) -> Choice:
+        compared = candidates
+        if self._loads.routers > MANY_ROUTERS:
+            count = min(SAMPLED_PLAIN, len(candidates))
+            compared = self._generator.sample(candidates, count)
         entry = min(
-            candidates,
+            compared,
             key=lambda entry: (
                 round(loads[entry.endpoint] + risk * self._share(entry)),
                 entry.failure_domain != self._failure_domain,
@@ -344,16 +371,6 @@
         )
 
 
-def _bound(*, entry: EndpointEntry, mean: float) -> float:
-    """Requests up to which an endpoint is given more for its cache.
-
-    A request that waits for a slot gains nothing from a cache.
-    """
-    by_mean = LOAD_MULTIPLE * mean + LOAD_ALLOWANCE
-    by_slots = max(entry.slots, mean + LOAD_ALLOWANCE)
-    return min(by_mean, by_slots)
-
-
 def _home(
     *, request: ForwardRequest, candidates: Sequence[EndpointEntry]
 ) -> EndpointEntry:
--- a/dotterelpaddle/forwarding/settings.py
+++ b/dotterelpaddle/forwarding/settings.py
@@ -15,6 +15,9 @@
     from pathlib import Path
 
 
+MILLISECONDS = 1000.0
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class ForwardSettings:
     """Settings of one router.
@@ -33,6 +36,7 @@
         store: Where the platform's store listens.
         shutdown: Seconds from the signal to stop until the process is killed.
         repeats: What repeats over all routers may cost.
+        leaving_time: Seconds in which a leaving endpoint must be known.
         first: Whether the whole fleet starts for the first time.
         leave_time: Seconds that a stopping router still takes requests, until the
             balancer has noticed; it asks once a second and needs two misses.
@@ -49,6 +53,7 @@
     shutdown: float
     repeats: RepeatLimits
     link: int = 0
+    leaving_time: float = 2.0
     metrics: Address | None = None
     first: bool = False
     leave_time: float = 2.6
@@ -90,6 +95,8 @@
         store=top.address("store"),
         shutdown=top.number("shutdown_seconds", minimum=1.0),
         repeats=_repeats(top.section("repeats")),
+        leaving_time=top.number("leaving_ms", minimum=100.0, default=2000.0)
+        / MILLISECONDS,
         link=round(peers.number("link_mbps", default=0.0)),
         metrics=listen.address("metrics") if listen.has("metrics") else None,
         first=top.flag("first_start", default=False),
--- a/dotterelpaddle/forwarding/shares.py
+++ b/dotterelpaddle/forwarding/shares.py
@@ -97,6 +97,7 @@
         self._others: _Told | None = None
         self._asked: dict[RouterId, float] = {}
         self._sums_up = True
+        self._summed = False
 
     @property
     def sums_up(self) -> bool:
@@ -110,6 +111,20 @@
     def sums_up(self, sums_up: bool) -> None:
         self._sums_up = sums_up
 
+    @property
+    def summed(self) -> bool:
+        """Whether the fleet is so large that a few routers sum up for the others."""
+        return self._summed
+
+    @summed.setter
+    def summed(self, summed: bool) -> None:
+        self._summed = summed
+
+    @property
+    def routers(self) -> int:
+        """Routers whose requests are counted, this one included."""
+        return 1 + sum(share.routers for share in self.in_force())
+
     @property
     def asking(self) -> frozenset[RouterId]:
         """Routers that ask this one to sum up for them."""
--- a/dotterelpaddle/forwarding/view.py
+++ b/dotterelpaddle/forwarding/view.py
@@ -91,7 +91,7 @@
         self._removed: dict[EndpointId, _Removed] = {}
         self._ready: dict[ServiceName, tuple[EndpointEntry, ...]] = {}
         self._endpoints_revision: Revision | None = None
-        self._endpoints_tag = 0
+        self._endpoints_tag = _tag(entries=())
         self._changes_from = Revision(0)
         self._returned_at = float("-inf")
         self._completed = anyio.Event()
--- a/dotterelpaddle/peers/plan.py
+++ b/dotterelpaddle/peers/plan.py
@@ -56,8 +56,7 @@
     @property
     def routers(self) -> int:
         """Routers that this one knows of, itself included."""
-        told = sum(share.routers for share in self._shares.in_force())
-        return max(self._directory.count, 1 + told)
+        return max(self._directory.count, self._shares.routers)
 
     @property
     def in_mesh(self) -> bool:
@@ -68,6 +67,7 @@
     def recipients(self) -> list[Recipient]:
         """Tell who is due for a report now."""
         if self.in_mesh:
+            self._shares.summed = False
             self._shares.sums_up = True
             self._directory.look()
             heard = [Recipient(address=each.address) for each in self._directory.alive]
@@ -79,6 +79,7 @@
         directory.look()
         own = directory.own
         summing = directory.summing(failure_domain=own.failure_domain)
+        self._shares.summed = True
         self._shares.sums_up = own in summing or bool(self._shares.asking)
         asked = [
             Recipient(address=name.address, router=name.router, ask=Ask.SUMS)
--- a/dotterelpaddle/peers/word.py
+++ b/dotterelpaddle/peers/word.py
@@ -56,8 +56,17 @@
 
     @property
     def passed_on(self) -> bool:
-        """Whether others pass all news on to this router, so that it need not ask."""
-        return not self._shares.sums_up and bool(self._directory.alive)
+        """Whether others pass configurations on to this router in good time.
+
+        Those that sum up wait for them at the platform, each for itself.
+        """
+        relying = self._shares.summed and not self._shares.sums_up
+        return relying and bool(self._directory.alive)
+
+    @property
+    def endpoints_passed_on(self) -> bool:
+        """Whether others pass endpoints on to this router in good time."""
+        return self._shares.summed and not self.reads_first
 
     @property
     def configuration_age(self) -> float:
--- a/dotterelpaddle/tests/forwarding/test_follower.py
+++ b/dotterelpaddle/tests/forwarding/test_follower.py
@@ -37,6 +37,7 @@
 
     reads_first: bool = False
     passed_on: bool = False
+    endpoints_passed_on: bool = False
     configuration_age: float = 0.0
     behind: bool = False
     age: float = 0.0
@@ -103,6 +104,7 @@
         view=view or FleetView(clock=monotonic),
         word=word,
         metrics=ForwardMetrics(),
+        leaving_time=2.0,
         clock=clock,
         generator=random.Random(1),
     )
@@ -114,7 +116,8 @@
 
 @pytest.fixture(autouse=True)
 def short_pauses(monkeypatch: pytest.MonkeyPatch) -> None:
-    for name in ("ENDPOINTS_PAUSE", "LEAST_PAUSE", "LOOK_PAUSE", "RETRY_PAUSE"):
+    pauses = ("ENDPOINTS_PAUSE", "LEAST_PAUSE", "LOOK_PAUSE", "RETRY_PAUSE")
+    for name in (*pauses, "PASSED_ON_PAUSE"):
         monkeypatch.setattr(following, name, 0.002)
 
 
@@ -204,3 +207,22 @@
         # Another one is the first to hear of its return.
         word.age = 0.0
         await until(lambda: view.returns > 0)
+
+
+async def test_router_that_is_told_all_news_makes_no_calls() -> None:
+    word = ScriptedWord(passed_on=True, endpoints_passed_on=True, behind=True)
+    source = ScriptedSource()
+    async with _follow(word, source):
+        await until(lambda: word.ages_told > LOOKS)
+
+    assert source.endpoint_calls == 0
+    assert source.waits == []
+
+
+async def test_router_whose_others_know_nothing_new_calls_itself() -> None:
+    word = ScriptedWord(passed_on=True, endpoints_passed_on=True)
+    source = ScriptedSource()
+    async with _follow(word, source):
+        await until(lambda: word.ages_told > LOOKS)
+        word.configuration_age = word.age = float("inf")
+        await until(lambda: source.endpoint_calls > 1)
--- /dev/null
+++ b/dotterelpaddle/tests/forwarding/test_herding.py
@@ -0,0 +1,154 @@
+"""Many routers that know the same old loads do not all choose the same endpoint."""
+
+from __future__ import annotations
+
+import random
+from collections import Counter
+from typing import TYPE_CHECKING
+
+import pytest
+from hypothesis import given, strategies as st
+
+from dotterelpaddle.forwarding.caches import CacheMap
+from dotterelpaddle.forwarding.health import HealthBook
+from dotterelpaddle.forwarding.herding import (
+    LEAST_NEARNESS,
+    LOAD_MULTIPLE,
+    MANY_ROUTERS,
+    load_bound,
+)
+from dotterelpaddle.forwarding.interface import EndpointsRead
+from dotterelpaddle.forwarding.loads import LoadBook
+from dotterelpaddle.forwarding.placement import ForwardPlacer
+from dotterelpaddle.forwarding.reachability import Reachability
+from dotterelpaddle.forwarding.shares import Scope, Share, ShareBook
+from dotterelpaddle.forwarding.view import FleetView
+from dotterelpaddle.ids import (
+    EndpointId,
+    FailureDomain,
+    Revision,
+    RouterId,
+    ServiceName,
+)
+from dotterelpaddle.tests.forwarding.entries import make_entry, make_request
+
+if TYPE_CHECKING:
+    from dotterelpaddle.forwarding.interface import ForwardRequest
+
+HERE = FailureDomain("here")
+ENDPOINTS = tuple(EndpointId(f"engine-{number}") for number in range(20))
+HOLDER = ENDPOINTS[0]
+HOT = make_request(("system", 500), ("hot", 10_000))
+MEAN = 6
+
+
+def _placer(*, routers: int, loads: dict[EndpointId, int], seed: int) -> ForwardPlacer:
+    """One router that was told of the requests of all others."""
+    view = FleetView(clock=lambda: 0.0)
+    entries = tuple(make_entry(name, slots=64) for name in ENDPOINTS)
+    view.take_endpoints(
+        read=EndpointsRead(revision=Revision(1), entries=entries, whole=True)
+    )
+    shares = ShareBook(failure_domain=HERE, clock=lambda: 0.0)
+    shares.sums_up = False
+    shares.hear(
+        router=RouterId("other"),
+        failure_domain=HERE,
+        share=Share(scope=Scope.OTHERS, routers=routers - 1, loads=loads),
+    )
+    caches = CacheMap(clock=lambda: 0.0)
+    caches.note(endpoint=HOLDER, request=HOT)
+    return ForwardPlacer(
+        view=view,
+        loads=LoadBook(shares=shares),
+        health=HealthBook(clock=lambda: 0.0),
+        reachability=Reachability(
+            view=view,
+            backend=None,  # type: ignore[arg-type]
+            failure_domain=HERE,
+            clock=lambda: 0.0,
+        ),
+        caches=caches,
+        failure_domain=HERE,
+        generator=random.Random(seed),
+    )
+
+
+def _chosen(
+    request: ForwardRequest, *, routers: int, loads: dict[EndpointId, int]
+) -> Counter[EndpointId]:
+    """Let each of some routers place one request at the same moment."""
+    chosen: Counter[EndpointId] = Counter()
+    for seed in range(routers):
+        choice = _placer(routers=routers, loads=loads, seed=seed).choose(
+            service=ServiceName("engines"),
+            request=request,
+            repeatable=True,
+            excluded=frozenset(),
+        )
+        chosen[choice.entry.endpoint] += 1
+    return chosen
+
+
+def _loads(*, holder: int) -> dict[EndpointId, int]:
+    return {**dict.fromkeys(ENDPOINTS, MEAN), HOLDER: holder}
+
+
+def test_prompt_stays_with_its_holder_while_that_has_room() -> None:
+    chosen = _chosen(HOT, routers=MANY_ROUTERS * 3, loads=_loads(holder=MEAN))
+
+    assert chosen == {HOLDER: MANY_ROUTERS * 3}
+
+
+def test_few_routers_fill_the_holder_up_to_the_bound() -> None:
+    near = round(LOAD_MULTIPLE * MEAN)
+
+    chosen = _chosen(HOT, routers=MANY_ROUTERS, loads=_loads(holder=near))
+
+    assert chosen == {HOLDER: MANY_ROUTERS}
+
+
+def test_many_routers_send_less_the_nearer_the_holder_is_to_the_bound() -> None:
+    routers = MANY_ROUTERS * 4
+    sent = [
+        _chosen(HOT, routers=routers, loads=_loads(holder=load))[HOLDER]
+        for load in (MEAN, MEAN + 3, MEAN + 4, round(LOAD_MULTIPLE * MEAN) + 1)
+    ]
+
+    assert sent == sorted(sent, reverse=True)
+    assert sent[0] == routers
+    assert sent[-1] < routers / 4
+
+
+def test_many_routers_send_the_rest_to_several_endpoints() -> None:
+    routers = MANY_ROUTERS * 4
+    full = 3 * MEAN
+
+    chosen = _chosen(HOT, routers=routers, loads=_loads(holder=full))
+
+    assert not chosen[HOLDER]
+    assert max(chosen.values()) < routers / 4
+
+
+@pytest.mark.parametrize("count", [3, 20])
+def test_plain_requests_of_many_routers_go_to_several_endpoints(count: int) -> None:
+    routers = MANY_ROUTERS * 4
+    loads = {**dict.fromkeys(ENDPOINTS, 100), ENDPOINTS[1]: 2, ENDPOINTS[2]: 3}
+    if count == len(ENDPOINTS):
+        loads = {name: 5 - (name == ENDPOINTS[1]) for name in ENDPOINTS}
+
+    chosen = _chosen(make_request(), routers=routers, loads=loads)
+
+    assert max(chosen.values()) < routers / 2
+
+
+@given(mean=st.floats(0, 100), nearness=st.floats(LEAST_NEARNESS, 1.0))
+def test_bound_is_between_the_mean_and_the_whole_bound(
+    mean: float, nearness: float
+) -> None:
+    entry = make_entry("a", slots=64)
+
+    bound = load_bound(entry=entry, mean=mean, nearness=nearness)
+
+    whole = load_bound(entry=entry, mean=mean)
+    assert min(mean + 1, whole) - 1e-9 <= bound <= max(mean + 1, whole) + 1e-9
--- a/dotterelpaddle/tests/forwarding/test_placement.py
+++ b/dotterelpaddle/tests/forwarding/test_placement.py
@@ -17,6 +17,7 @@
     MIN_RESULTS,
     HealthBook,
 )
+from dotterelpaddle.forwarding.herding import LOAD_ALLOWANCE
 from dotterelpaddle.forwarding.interface import (
     EndpointsRead,
     ForwardRequest,
@@ -24,7 +25,6 @@
 from dotterelpaddle.forwarding.loads import LoadBook
 from dotterelpaddle.forwarding.model import EndpointEntry, EndpointState
 from dotterelpaddle.forwarding.placement import (
-    LOAD_ALLOWANCE,
     Choice,
     ChoiceReason,
     ForwardPlacer,
--- a/dotterelpaddle/tests/forwarding/test_settings.py
+++ b/dotterelpaddle/tests/forwarding/test_settings.py
@@ -21,9 +21,15 @@
         "callers": "10.0.0.1:80",
         "readiness": "10.0.0.1:81",
         "control": "10.0.0.1:82",
+        "metrics": "10.0.0.1:84",
+    },
+    "peers": {
+        "address": "10.0.0.1:83",
+        "seeds": ["10.0.0.2:82"],
+        "link_mbps": 100.0,
     },
-    "peers": {"address": "10.0.0.1:83", "seeds": ["10.0.0.2:82"]},
     "store": "10.0.0.9:90",
+    "leaving_ms": 3000,
     "shutdown_seconds": 8,
     "repeats": {"share": 0.2, "allowance": 52, "window_seconds": 10},
 }
@@ -53,6 +59,9 @@
     assert settings.first
     assert str(settings.seeds[0]) == "10.0.0.2:83"
     assert settings.repeats.allowance == 52
+    assert settings.link == 100
+    assert settings.leaving_time == 3.0
+    assert str(settings.metrics) == "10.0.0.1:84"
 
 
 def test_settings_in_plain_yaml(tmp_path: Path) -> None:
--- /dev/null
+++ b/dotterelpaddle/tests/forwarding/test_summing.py
@@ -0,0 +1,82 @@
+"""A router that relies on others for sums learns all news from them."""
+
+from __future__ import annotations
+
+import pytest
+
+from dotterelpaddle.address import Address
+from dotterelpaddle.ids import EndpointId, ServiceName
+from dotterelpaddle.peers import plan
+from dotterelpaddle.tests.forwarding.harness import (
+    SERVICE,
+    Fleet,
+    configuration,
+    run_fleet,
+    until,
+)
+
+pytestmark = pytest.mark.anyio
+
+NO_STORE = Address(host="127.0.0.1", port=1)
+
+
+@pytest.fixture(autouse=True)
+def small_mesh(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Let two routers sum up for a third one."""
+    monkeypatch.setattr(plan, "MOST_IN_MESH", 2)
+
+
+async def _add_member(fleet: Fleet) -> int:
+    """Add two routers with good links, and one that relies on them.
+
+    The last one has no way to the store: what it knows it has from the others.
+    """
+    fleet_links = (100, 100)
+    for link in fleet_links:
+        await fleet.add_router(link=link)
+    member = await fleet.add_router(link=1, store=NO_STORE)
+    knowledge = member.parts.knowledge
+    await until(lambda: not knowledge.shares.sums_up and member.parts.app.ready)
+    return len(fleet.routers) - 1
+
+
+async def test_member_has_configuration_and_endpoints_from_others() -> None:
+    async with run_fleet(routers=0) as fleet:
+        member = await _add_member(fleet)
+        view = fleet.routers[member].parts.knowledge.view
+
+        fleet.store.configure(configuration=configuration(version=2))
+        await until(lambda: view.version == 2)
+        await fleet.add_runner("runner-2")
+        await until(lambda: len(view.ready(service=ServiceName(SERVICE))) == 2)
+        fleet.register("runner-1", state="draining")
+        await until(lambda: len(view.ready(service=ServiceName(SERVICE))) == 1)
+        answer = await fleet.call("/safe/", router=member)
+
+    assert answer.status == 200
+
+
+async def test_member_counts_the_requests_of_all() -> None:
+    async with run_fleet(routers=0) as fleet:
+        member = await _add_member(fleet)
+        books = [router.parts.knowledge.loads for router in fleet.routers]
+        endpoint = EndpointId("runner-1")
+        with (
+            books[0].hold(endpoint=endpoint),
+            books[1].hold(endpoint=endpoint),
+            books[member].hold(endpoint=endpoint),
+        ):
+            await until(lambda: all(book.loads()[endpoint] == 3 for book in books))
+
+
+async def test_member_goes_on_when_those_that_sum_up_have_ended() -> None:
+    async with run_fleet(routers=0) as fleet:
+        member = await _add_member(fleet)
+        parts = fleet.routers[member].parts
+        for router in fleet.routers[:member]:
+            router.parts.exchange._plan.recipients = list  # type: ignore[method-assign]
+
+        await until(lambda: parts.knowledge.shares.sums_up)
+        answer = await fleet.call("/safe/", router=member)
+
+    assert answer.status == 200
--- a/dotterelpaddle/tests/peers/test_word.py
+++ b/dotterelpaddle/tests/peers/test_word.py
@@ -130,6 +130,7 @@
 
 def test_router_that_relies_on_others_for_sums_is_told_all_news() -> None:
     world = World(view=_view(revision=3))
+    world.shares.summed = True
     world.shares.sums_up = False
     alone = world.word.passed_on
     world.hear("other", view=_view(revision=3))
@@ -137,3 +138,25 @@
     world.shares.sums_up = True
 
     assert (alone, relying, world.word.passed_on) == (False, True, False)
+
+
+def test_endpoints_are_passed_on_to_all_but_the_one_that_reads_first() -> None:
+    names = [f"router-{number}" for number in range(9)]
+    passed_on = []
+    for name in names:
+        world = World(view=_view(revision=1), name=name)
+        world.shares.summed = True
+        for other in names:
+            if other != name:
+                world.hear(other, view=world.view)
+        passed_on.append(world.word.endpoints_passed_on)
+
+    assert passed_on.count(False) == 1
+
+
+def test_each_router_of_a_small_fleet_asks_for_what_it_lacks() -> None:
+    world = World(view=_view(revision=1))
+    world.hear("other", view=_view(revision=3))
+
+    assert not world.word.endpoints_passed_on
+    assert not world.word.passed_on
--- /dev/null
+++ b/dotterelpaddle/tests/platform/test_configuration.py
@@ -0,0 +1,49 @@
+"""Configurations of which most is as before."""
+
+from __future__ import annotations
+
+import orjson
+import pytest
+
+from dotterelpaddle.exceptions import RecordError
+from dotterelpaddle.platform.configuration import ConfigurationDecoder
+from dotterelpaddle.tests.forwarding.harness import configuration, route
+
+
+def _document(version: int, *paths: str, **fields: object) -> bytes:
+    routes = [route(path, "idempotent") for path in paths]
+    return orjson.dumps(configuration(version=version, routes=routes, **fields))
+
+
+def test_routes_that_did_not_change_are_taken_over() -> None:
+    decoder = ConfigurationDecoder()
+    first = decoder.decode(document=_document(1, "a", "b"))
+
+    second = decoder.decode(document=_document(2, "c", "b"))
+
+    assert [each.prefix for each in second.routes] == ["/c/", "/b/"]
+    assert second.routes[1] is first.routes[1]
+    assert second.version == 2
+
+
+def test_changed_route_is_decoded_anew() -> None:
+    decoder = ConfigurationDecoder()
+    decoder.decode(document=_document(1, "a"))
+    changed = configuration(
+        version=2, routes=[route("a", "idempotent", timeoutMs=9000)]
+    )
+
+    (again,) = decoder.decode(document=orjson.dumps(changed)).routes
+
+    assert again.timeout == 9.0
+
+
+def test_unusable_configuration_spoils_nothing_of_the_next() -> None:
+    decoder = ConfigurationDecoder()
+    decoder.decode(document=_document(1, "a"))
+    broken = configuration(version=2, routes=[route("a", "idempotent"), {"name": "x"}])
+
+    with pytest.raises(RecordError, match=r"routes\.1\."):
+        decoder.decode(document=orjson.dumps(broken))
+
+    assert len(decoder.decode(document=_document(3, "a", "b")).routes) == 2
