Refuse at once what no endpoint in reach could serve

Ruled out: shorter waits (hosts that are slow to connect must serve where no other is left); going by silence of routers (endpoints may be in reach of some).

Change: an endpoint whose connection did not stand in 0.5 s either, tried in the background, is out of reach beyond doubt; a request that has only such ones left is refused, with a time to come back.

--- a/dotterelpaddle/forwarding/placement.py
+++ b/dotterelpaddle/forwarding/placement.py
@@ -223,10 +223,13 @@
             for entry in self._view.last_resort(service=service)
             if entry.endpoint not in excluded and _serves(entry=entry, request=request)
         ]
-        if reachable or fresh or last:
-            return reachable or fresh or last
+        for entries_left in (reachable, fresh, last):
+            remaining = self._reachability.perhaps_reachable(entries=entries_left)
+            if remaining:
+                return remaining
         raise NoEndpoint(
-            f"service '{service}' has no endpoint that takes this request",
+            f"service '{service}' has no endpoint that takes this request, "
+            f"{len(fresh)} of its endpoints are out of reach",
             retry_after=NO_ENDPOINT_WAIT,
         )
 
--- a/dotterelpaddle/forwarding/reachability.py
+++ b/dotterelpaddle/forwarding/reachability.py
@@ -31,6 +31,10 @@
 """Seconds in which a connection must stand; the farthest endpoint answers within
 some 5 ms, and a lost packet is sent again after a second only."""
 
+SECOND_PROBE_TIME = 0.5
+"""The same after a first try in vain: a busy host may need longer. One that does not
+answer in that time either is out of reach beyond doubt."""
+
 PROBE_PAUSE = 0.4
 """Seconds between two tries of a connection to one endpoint."""
 
@@ -58,12 +62,19 @@
         self._failure_domain = failure_domain
         self._clock = clock
         self._suspects: dict[EndpointId, EndpointEntry] = {}
+        self._out_of_reach: set[EndpointId] = set()
         self._news = anyio.Event()
 
     def reachable(self, *, entries: Iterable[EndpointEntry]) -> list[EndpointEntry]:
         """Return the endpoints that are not passed over."""
         return [entry for entry in entries if entry.endpoint not in self._suspects]
 
+    def perhaps_reachable(
+        self, *, entries: Iterable[EndpointEntry]
+    ) -> list[EndpointEntry]:
+        """Return the endpoints that are not out of reach beyond doubt."""
+        return [entry for entry in entries if entry.endpoint not in self._out_of_reach]
+
     def suspect(self, *, entry: EndpointEntry, silent: bool) -> None:
         """Note that no connection could be made.
 
@@ -117,11 +128,16 @@
     async def _probe(self, endpoint: EndpointId, probed: set[EndpointId]) -> None:
         began_at = self._clock()
         entry = self._suspects[endpoint]
-        while not await self._connects(entry=entry):
+        seconds = PROBE_TIME
+        while not await self._connects(entry=entry, seconds=seconds):
+            if seconds == SECOND_PROBE_TIME:
+                self._out_of_reach.add(endpoint)
+            seconds = SECOND_PROBE_TIME
             await anyio.sleep(PROBE_PAUSE)
             if all(each.endpoint != endpoint for each in self._view.entries):
                 break
         del self._suspects[endpoint]
+        self._out_of_reach.discard(endpoint)
         probed.discard(endpoint)
         log.info(
             "endpoint_suspicion_ended",
@@ -129,11 +145,11 @@
             seconds=round(self._clock() - began_at, 3),
         )
 
-    async def _connects(self, *, entry: EndpointEntry) -> bool:
+    async def _connects(self, *, entry: EndpointEntry, seconds: float) -> bool:
         address = entry.address
         try:
             stream = await self._backend.connect_tcp(
-                address.host, address.port, PROBE_TIME
+                address.host, address.port, seconds
             )
         except (httpcore.ConnectError, httpcore.ConnectTimeout):
             return False
