--- a/dotterelpaddle/forwarding/settings.py
+++ b/dotterelpaddle/forwarding/settings.py
@@ -29,7 +29,7 @@
         readiness: Where the balancer asks whether it is ready.
         control: Where other routers fetch what it knows.
         peers: Where it exchanges datagrams with other routers.
-        link: Bandwidth of its host's link, Mbit/s; those with the best links sum up
+        link: Bandwidth of its host's link, Mbit/s; those with the best links aggregate
             for the others of a large fleet.
         metrics: Where metrics are served besides the control address, None for nowhere.
         seeds: Where some routers exchange datagrams; they may be out of date.
--- a/dotterelpaddle/forwarding/shares.py
+++ b/dotterelpaddle/forwarding/shares.py
@@ -1,7 +1,7 @@
 """What other routers told of their requests, without counting any of them twice.
 
 In a small fleet each router tells each other one of itself. In a large one a router
-tells a few of its failure domain, which sum up for the others: for its members all
+tells a few of its failure domain, which aggregate for the others: for its members all
 that is in flight elsewhere, for other failure domains all that is in flight in its
 own one.
 """
@@ -40,7 +40,7 @@
 
     NOTHING = "nothing"
     ANSWER = "answer"
-    SUMS = "sums"
+    AGGREGATE = "aggregate"
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -96,29 +96,29 @@
         self._domains: dict[FailureDomain, _Told] = {}
         self._others: _Told | None = None
         self._asked: dict[RouterId, float] = {}
-        self._sums_up = True
-        self._summed = False
+        self._aggregates = True
+        self._aggregated = False
 
     @property
-    def sums_up(self) -> bool:
+    def aggregates(self) -> bool:
         """Whether this router adds up what others tell of themselves.
 
         Otherwise it relies on those that do.
         """
-        return self._sums_up
+        return self._aggregates
 
-    @sums_up.setter
-    def sums_up(self, sums_up: bool) -> None:
-        self._sums_up = sums_up
+    @aggregates.setter
+    def aggregates(self, aggregates: bool) -> None:
+        self._aggregates = aggregates
 
     @property
-    def summed(self) -> bool:
-        """Whether the fleet is so large that a few routers sum up for the others."""
-        return self._summed
+    def aggregated(self) -> bool:
+        """Whether the fleet is so large that a few routers aggregate for the others."""
+        return self._aggregated
 
-    @summed.setter
-    def summed(self, summed: bool) -> None:
-        self._summed = summed
+    @aggregated.setter
+    def aggregated(self, aggregated: bool) -> None:
+        self._aggregated = aggregated
 
     @property
     def routers(self) -> int:
@@ -127,7 +127,7 @@
 
     @property
     def asking(self) -> frozenset[RouterId]:
-        """Routers that ask this one to sum up for them."""
+        """Routers that ask this one to aggregate for them."""
         oldest = self._clock() - FRESH_TIME
         return frozenset(
             router for router, asked_at in self._asked.items() if asked_at >= oldest
@@ -159,7 +159,7 @@
             case Scope.OTHERS:
                 self._others = told
         match ask:
-            case Ask.SUMS:
+            case Ask.AGGREGATE:
                 self._asked[router] = now
             case Ask.NOTHING:
                 self._asked.pop(router, None)
@@ -167,7 +167,7 @@
     def in_force(self, *, max_age: float = FRESH_TIME) -> tuple[Share, ...]:
         """Shares that together count each other router once, as far as known."""
         others = self._others
-        if others is not None and not self._sums_up and self._is_fresh(others):
+        if others is not None and not self._aggregates and self._is_fresh(others):
             return (others.share,)
         near = [told.share for told in self._near(max_age=max_age).values()]
         return (*near, *self._far(max_age=max_age))
@@ -198,7 +198,7 @@
 
     def _far(self, *, max_age: float) -> list[Share]:
         """What was told of other failure domains: sums, where there are any."""
-        summed = {
+        aggregated = {
             domain: told.share
             for domain, told in self._domains.items()
             if domain != self._failure_domain and self._is_fresh(told)
@@ -207,10 +207,10 @@
             told.share
             for told in self._routers.values()
             if told.domain != self._failure_domain
-            and told.domain not in summed
+            and told.domain not in aggregated
             and self._is_fresh(told, max_age=max_age)
         ]
-        return [*summed.values(), *single]
+        return [*aggregated.values(), *single]
 
     def _is_fresh(self, told: _Told, *, max_age: float = FRESH_TIME) -> bool:
         return self._clock() - told.at <= max_age
--- a/dotterelpaddle/peers/directory.py
+++ b/dotterelpaddle/peers/directory.py
@@ -34,8 +34,8 @@
 SEED_TIME = 1.0
 """Seconds between reports to addresses that do not answer."""
 
-SUMMING_ROUTERS = 2
-"""Routers of a failure domain that sum up for the others of it; while one of them
+AGGREGATORS = 2
+"""Routers of a failure domain that aggregate for the others of it; while one of them
 has just ended, the other one goes on."""
 
 
@@ -112,7 +112,7 @@
     def heard_domains(self) -> dict[FailureDomain, bool]:
         """Tell by failure domain whether any router of it has just been heard.
 
-        Those that sum up for this router say which other domains they hear.
+        The aggregators of this router say which other domains they hear.
         """
         heard: set[FailureDomain] = set()
         for peer in self.just_heard():
@@ -130,8 +130,8 @@
         """
         return _rank(self._name(router))
 
-    def summing(self, *, failure_domain: FailureDomain) -> tuple[PeerName, ...]:
-        """The routers of a failure domain that sum up for the others of it.
+    def aggregators(self, *, failure_domain: FailureDomain) -> tuple[PeerName, ...]:
+        """The routers of a failure domain that aggregate for the others of it.
 
         Those that were asked to, and have been silent since, are left out.
         """
@@ -139,7 +139,7 @@
         if failure_domain == self._own.failure_domain:
             names.append(self._own)
         answering = [name for name in names if not self._is_silent(name.router)]
-        return tuple(sorted(answering, key=_rank)[:SUMMING_ROUTERS])
+        return tuple(sorted(answering, key=_rank)[:AGGREGATORS])
 
     def ask(self, *, routers: frozenset[RouterId]) -> None:
         """Note which routers are expected to report from now on."""
--- a/dotterelpaddle/peers/exchange.py
+++ b/dotterelpaddle/peers/exchange.py
@@ -141,7 +141,7 @@
         uses = {origin: self._caches.news(origin=origin) for origin in Origin}
         written: dict[tuple[Scope, Ask], bytes] = {}
         for recipient in recipients:
-            # Only what sums up for one router differs from recipient to recipient.
+            # Only an aggregate for one router differs from recipient to recipient.
             kind = (recipient.scope, recipient.ask)
             content = written.get(kind)
             if content is None:
@@ -273,7 +273,7 @@
 
     def _origin(self, *, report: PeerReport) -> Origin | None:
         """Tell for whom a report's uses are news that this router passes on."""
-        if report.ask is Ask.SUMS:
+        if report.ask is Ask.AGGREGATE:
             return Origin.NEAR
         if report.share.scope is Scope.DOMAIN:
             return Origin.FAR
--- a/dotterelpaddle/peers/plan.py
+++ b/dotterelpaddle/peers/plan.py
@@ -1,9 +1,9 @@
-"""Who is told what: each router each other one, or a few that sum up for the rest.
+"""Who is told what: each router each other one, or a few that aggregate for the rest.
 
-With a few routers all report to all. With more, a router reports to the summing
-routers of its failure domain, which tell it of all others; they tell those of other
+With a few routers all report to all. With more, a router reports to the
+aggregators of its failure domain, which tell it of all others; they tell those of other
 failure domains of their own one. So a report costs each router the same in a fleet
-of any size, and the few that sum up as much as their failure domain is large.
+of any size, and the aggregators as much as their failure domain is large.
 """
 
 from __future__ import annotations
@@ -67,27 +67,27 @@
     def recipients(self) -> list[Recipient]:
         """Tell who is due for a report now."""
         if self.in_mesh:
-            self._shares.summed = False
-            self._shares.sums_up = True
+            self._shares.aggregated = False
+            self._shares.aggregates = True
             self._directory.look()
             heard = [Recipient(address=each.address) for each in self._directory.alive]
             return heard + _asking_for_answers(self._directory.quiet_targets())
-        return self._summed_recipients()
+        return self._aggregated_recipients()
 
-    def _summed_recipients(self) -> list[Recipient]:
+    def _aggregated_recipients(self) -> list[Recipient]:
         directory = self._directory
         directory.look()
         own = directory.own
-        summing = directory.summing(failure_domain=own.failure_domain)
-        self._shares.summed = True
-        self._shares.sums_up = own in summing or bool(self._shares.asking)
+        aggregators = directory.aggregators(failure_domain=own.failure_domain)
+        self._shares.aggregated = True
+        self._shares.aggregates = own in aggregators or bool(self._shares.asking)
         asked = [
-            Recipient(address=name.address, router=name.router, ask=Ask.SUMS)
-            for name in summing
+            Recipient(address=name.address, router=name.router, ask=Ask.AGGREGATE)
+            for name in aggregators
             if name != own
         ]
         recipients = asked + self._members(without={each.router for each in asked})
-        if self._shares.sums_up:
+        if self._shares.aggregates:
             recipients += self._other_domains()
         directory.ask(
             routers=frozenset(
@@ -110,13 +110,13 @@
         ]
 
     def _other_domains(self) -> list[Recipient]:
-        """The summing routers of the other failure domains."""
+        """The aggregators of the other failure domains."""
         directory = self._directory
         domains = directory.heard_domains().keys() - {directory.own.failure_domain}
         return [
             Recipient(address=name.address, router=name.router, scope=Scope.DOMAIN)
             for domain in sorted(domains)
-            for name in directory.summing(failure_domain=domain)
+            for name in directory.aggregators(failure_domain=domain)
         ]
 
 
--- a/dotterelpaddle/peers/word.py
+++ b/dotterelpaddle/peers/word.py
@@ -24,7 +24,7 @@
     Args:
         view: What this router acts on.
         directory: The other routers.
-        shares: Tells whether this router relies on a few that sum up.
+        shares: Tells whether this router relies on aggregators.
         clock: Monotonic clock.
     """
 
@@ -58,15 +58,15 @@
     def passed_on(self) -> bool:
         """Whether others pass configurations on to this router in good time.
 
-        Those that sum up wait for them at the platform, each for itself.
+        Aggregators wait for them at the platform, each for itself.
         """
-        relying = self._shares.summed and not self._shares.sums_up
+        relying = self._shares.aggregated and not self._shares.aggregates
         return relying and bool(self._directory.alive)
 
     @property
     def endpoints_passed_on(self) -> bool:
         """Whether others pass endpoints on to this router in good time."""
-        return self._shares.summed and not self.reads_first
+        return self._shares.aggregated and not self.reads_first
 
     @property
     def configuration_age(self) -> float:
--- a/dotterelpaddle/tests/forwarding/test_summing.py
+++ b/dotterelpaddle/tests/forwarding/test_aggregation.py
@@ -1,4 +1,4 @@
-"""A router that relies on others for sums learns all news from them."""
+"""A router that relies on aggregators learns all news from them."""
 
 from __future__ import annotations
 
@@ -22,7 +22,7 @@
 
 @pytest.fixture(autouse=True)
 def small_mesh(monkeypatch: pytest.MonkeyPatch) -> None:
-    """Let two routers sum up for a third one."""
+    """Let two routers aggregate for a third one."""
     monkeypatch.setattr(plan, "MOST_IN_MESH", 2)
 
 
@@ -36,7 +36,7 @@
         await fleet.add_router(link=link)
     member = await fleet.add_router(link=1, store=NO_STORE)
     knowledge = member.parts.knowledge
-    await until(lambda: not knowledge.shares.sums_up and member.parts.app.ready)
+    await until(lambda: not knowledge.shares.aggregates and member.parts.app.ready)
     return len(fleet.routers) - 1
 
 
@@ -69,14 +69,14 @@
             await until(lambda: all(book.loads()[endpoint] == 3 for book in books))
 
 
-async def test_member_goes_on_when_those_that_sum_up_have_ended() -> None:
+async def test_member_goes_on_when_aggregators_have_ended() -> None:
     async with run_fleet(routers=0) as fleet:
         member = await _add_member(fleet)
         parts = fleet.routers[member].parts
         for router in fleet.routers[:member]:
             router.parts.exchange._plan.recipients = list  # type: ignore[method-assign]
 
-        await until(lambda: parts.knowledge.shares.sums_up)
+        await until(lambda: parts.knowledge.shares.aggregates)
         answer = await fleet.call("/safe/", router=member)
 
     assert answer.status == 200
--- a/dotterelpaddle/tests/forwarding/test_herding.py
+++ b/dotterelpaddle/tests/forwarding/test_herding.py
@@ -50,7 +50,7 @@
         read=EndpointsRead(revision=Revision(1), entries=entries, whole=True)
     )
     shares = ShareBook(failure_domain=HERE, clock=lambda: 0.0)
-    shares.sums_up = False
+    shares.aggregates = False
     shares.hear(
         router=RouterId("other"),
         failure_domain=HERE,
--- a/dotterelpaddle/tests/peers/test_messages.py
+++ b/dotterelpaddle/tests/peers/test_messages.py
@@ -64,7 +64,7 @@
                 loads={EndpointId("a"): 2},
                 repeats={ServiceName("s"): RepeatCounts(requests=4, repeats=1)},
             ),
-            "ask": Ask.SUMS,
+            "ask": Ask.AGGREGATE,
             "routers": 5,
             "domains": (FailureDomain("here"),),
             "uses": ((5, EndpointId("a")),),
--- a/dotterelpaddle/tests/peers/test_plan.py
+++ b/dotterelpaddle/tests/peers/test_plan.py
@@ -67,17 +67,17 @@
     await fleet.run(10.0)
 
     sent = sorted(node.sent / 10.0 for node in fleet.nodes)
-    summing = 2 * len(DOMAINS)
-    assert sent[-summing - 1] <= 11
+    aggregators = 2 * len(DOMAINS)
+    assert sent[-aggregators - 1] <= 11
     assert sent[-1] <= 5 * (routers / len(DOMAINS) + 5)
 
 
-async def test_others_go_on_when_a_summing_router_ends() -> None:
+async def test_others_go_on_when_an_aggregator_ends() -> None:
     fleet = _fleet(routers=30)
     held = _hold(fleet)
     await fleet.run(START_TIME)
     domain = FailureDomain("a")
-    first = fleet.nodes[0].directory.summing(failure_domain=domain)
+    first = fleet.nodes[0].directory.aggregators(failure_domain=domain)
     ended = [node for node in fleet.nodes if node.name in first]
     fleet.down = {node.name.address for node in ended}
     held -= sum(node.loads.own[A] for node in ended)
@@ -86,24 +86,24 @@
 
     rest = [node for node in fleet.nodes if node not in ended]
     assert {node.load(A) for node in rest} == {held}
-    again = rest[0].directory.summing(failure_domain=domain)
+    again = rest[0].directory.aggregators(failure_domain=domain)
     assert len(again) == 2
     assert not set(again) & set(first)
 
 
-async def test_router_that_comes_back_sums_up_again() -> None:
+async def test_router_that_comes_back_aggregates_again() -> None:
     fleet = _fleet(routers=30)
     held = _hold(fleet)
     await fleet.run(START_TIME)
     domain = FailureDomain("a")
-    first = fleet.nodes[0].directory.summing(failure_domain=domain)
+    first = fleet.nodes[0].directory.aggregators(failure_domain=domain)
     fleet.down = {name.address for name in first}
     await fleet.run(4.0)
 
     fleet.down = set()
     await fleet.run(4.0)
 
-    assert fleet.nodes[0].directory.summing(failure_domain=domain) == first
+    assert fleet.nodes[0].directory.aggregators(failure_domain=domain) == first
     assert {node.load(A) for node in fleet.nodes} == {held}
 
 
--- a/dotterelpaddle/tests/peers/test_word.py
+++ b/dotterelpaddle/tests/peers/test_word.py
@@ -128,14 +128,14 @@
     assert world.word.reads_first
 
 
-def test_router_that_relies_on_others_for_sums_is_told_all_news() -> None:
+def test_router_that_relies_on_aggregators_is_told_all_news() -> None:
     world = World(view=_view(revision=3))
-    world.shares.summed = True
-    world.shares.sums_up = False
+    world.shares.aggregated = True
+    world.shares.aggregates = False
     alone = world.word.passed_on
     world.hear("other", view=_view(revision=3))
     relying = world.word.passed_on
-    world.shares.sums_up = True
+    world.shares.aggregates = True
 
     assert (alone, relying, world.word.passed_on) == (False, True, False)
 
@@ -145,7 +145,7 @@
     passed_on = []
     for name in names:
         world = World(view=_view(revision=1), name=name)
-        world.shares.summed = True
+        world.shares.aggregated = True
         for other in names:
             if other != name:
                 world.hear(other, view=world.view)
