Test the count of requests in flight under series of trouble

Routers end, return, are cut off and lose datagrams; nobody counts a request twice at any time, and all count all of them once after some calm.

--- a/dotterelpaddle/tests/peers/test_plan.py
+++ b/dotterelpaddle/tests/peers/test_plan.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import random
+
 import pytest
 
 from dotterelpaddle.ids import EndpointId, FailureDomain
@@ -140,3 +142,39 @@
     assert sum(node.word.reads_first for node in fleet.nodes) == 1
     relying = [node for node in fleet.nodes if node.word.passed_on]
     assert len(relying) == 58 - 2 * len(DOMAINS)
+
+
+CALM_TIME = 8.0
+"""Seconds without trouble after which all routers know the same again."""
+
+
+@pytest.mark.parametrize("seed", range(8))
+async def test_all_is_counted_once_after_any_trouble(seed: int) -> None:
+    """Routers end, return, are cut off and lose datagrams, in series and at once."""
+    dice = random.Random(seed)
+    fleet = _fleet(routers=dice.choice([14, 18, 27, 40]))
+    held = _hold(fleet)
+    await fleet.run(START_TIME)
+
+    for _ in range(12):
+        match dice.randrange(4):
+            case 0:
+                ended = dice.sample(fleet.nodes, dice.randrange(len(fleet.nodes)))
+                fleet.down = {node.name.address for node in ended}
+            case 1:
+                fleet.down = set()
+            case 2:
+                fleet.cut = set(dice.sample(DOMAINS, dice.randrange(2)))
+            case 3:
+                fleet.loss = dice.choice([0.0, 0.1, 0.5])
+        for _ in range(dice.choice([2, 5, 15])):
+            await fleet.run(0.2)
+            # Some may be missing while roles change; nobody counts twice.
+            assert all(node.load(A) <= held for node in fleet.nodes)
+    fleet.down, fleet.cut, fleet.loss = set(), set(), 0.0
+    await fleet.run(CALM_TIME)
+
+    assert {node.load(A) for node in fleet.nodes} == {held}
+    assert sum(node.word.reads_first for node in fleet.nodes) == 1
+    for node in fleet.nodes:
+        assert all(node.directory.heard_domains().values())
