Leave routers behind a cut their part of the repeats also in large fleets

Cause: found by reading. In a large fleet a router knows few others by name and counts the rest by what aggregators tell. Behind a cut that count shrank at once, and each side took the whole budget for itself, the allowance twice; a fleet in which all report to all remembers names for half a minute and leaves them their part.

Change: the most routers that were counted in the last half minute are remembered.

Small fleets: the memory of names is as long, so nothing changes there.

--- a/dotterelpaddle/forwarding/repeats.py
+++ b/dotterelpaddle/forwarding/repeats.py
@@ -25,6 +25,10 @@
 SAFETY = 0.85
 """Share of the budget that is spent; the rest is for counts on their way."""
 
+HEARD_MEMORY = 30.0
+"""Seconds for which routers that were counted may still spend repeats unheard; a cut
+network is whole again by then, or its other side has little left to repeat."""
+
 STEP = 0.25
 """Seconds of one step in which requests are counted together."""
 
@@ -89,6 +93,8 @@
         self._clock = clock
         self._requests: dict[ServiceName, _Window] = {}
         self._repeats: dict[ServiceName, _Window] = {}
+        self._most_heard = 1
+        self._most_heard_at = clock()
 
     def count_request(self, *, service: ServiceName) -> None:
         """Count a request that came in for a service."""
@@ -108,6 +114,7 @@
     def counts(self) -> dict[ServiceName, RepeatCounts]:
         """What this router sent in the last window, for the others."""
         now = self._clock()
+        self._note_heard(count=self._shares.routers, now=now)
         services = self._requests.keys() | self._repeats.keys()
         return {
             service: RepeatCounts(
@@ -129,12 +136,19 @@
             if counts is not None:
                 requests += counts.requests
                 repeats += counts.repeats
-        routers = max(self._routers(), heard)
+        self._note_heard(count=heard, now=now)
+        routers = max(self._routers(), self._most_heard)
         budget = SAFETY * (self._limits.share * requests + self._limits.allowance)
         # Routers that were not heard of may have spent as much as this one.
         unheard = (routers - heard) * budget / routers
         return (budget - repeats - unheard) / max(1.0, routers / 2)
 
+    def _note_heard(self, *, count: int, now: float) -> None:
+        """Remember the most routers whose repeats were counted of late."""
+        if count >= self._most_heard or now - self._most_heard_at > HEARD_MEMORY:
+            self._most_heard = count
+            self._most_heard_at = now
+
     def _window(
         self, windows: dict[ServiceName, _Window], service: ServiceName
     ) -> _Window:
--- a/dotterelpaddle/tests/forwarding/test_repeats.py
+++ b/dotterelpaddle/tests/forwarding/test_repeats.py
@@ -2,11 +2,16 @@
 
 from __future__ import annotations
 
+import pytest
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
-from dotterelpaddle.forwarding.repeats import RepeatLimits, SharedRepeats
-from dotterelpaddle.forwarding.shares import Share, ShareBook
+from dotterelpaddle.forwarding.repeats import (
+    HEARD_MEMORY,
+    RepeatLimits,
+    SharedRepeats,
+)
+from dotterelpaddle.forwarding.shares import Scope, Share, ShareBook
 from dotterelpaddle.ids import FailureDomain, RouterId, ServiceName
 
 SERVICE = ServiceName("records")
@@ -53,6 +58,32 @@
     assert 0 < taken <= taken_alone / 4
 
 
+def test_routers_behind_a_cut_may_spend_what_they_were_counted_for() -> None:
+    now = 0.0
+    shares = ShareBook(failure_domain=HERE, clock=lambda: now)
+    shares.aggregates = False
+    repeats = SharedRepeats(
+        limits=LIMITS, shares=shares, routers=lambda: 4, clock=lambda: now
+    )
+
+    def hear(routers: int) -> None:
+        share = Share(scope=Scope.OTHERS, routers=routers)
+        shares.hear(router=RouterId("aggregator"), failure_domain=HERE, share=share)
+        repeats.counts()
+
+    hear(11)
+    before = repeats.room(service=SERVICE)
+    now = 3.0
+    hear(3)
+    behind_a_cut = repeats.room(service=SERVICE)
+    now = 2 * HEARD_MEMORY
+    hear(3)
+    later = repeats.room(service=SERVICE)
+
+    assert behind_a_cut == pytest.approx(before * 4 / 12)
+    assert later > before
+
+
 class SharedBudgetMachine(RuleBasedStateMachine):
     """Routers whose reports are lost, late and doubled, and which restart."""
 
