Keep an endpoint gone that came and went again unseen

The second removal found no entry and left no trace, so the entry of revision 3 was later than what was remembered and came back.

Change: a later removal raises the revision as of which the entry is gone.

The scenario stands as a test of its own, which fails before and passes after.

--- a/dotterelpaddle/forwarding/view.py
+++ b/dotterelpaddle/forwarding/view.py
@@ -284,7 +284,10 @@
 
     def _remove(self, endpoint: EndpointId, revision: Revision, now: float) -> bool:
         entry = self._entries.get(endpoint)
-        if entry is None or entry.revision > revision:
+        if entry is None:
+            self._remove_again(endpoint, revision, now)
+            return False
+        if entry.revision > revision:
             return False
         del self._entries[endpoint]
         del self._changed_at[endpoint]
@@ -307,6 +310,14 @@
         )
         return True
 
+    def _remove_again(
+        self, endpoint: EndpointId, revision: Revision, now: float
+    ) -> None:
+        """Note that an entry that had gone came and went again, unseen here."""
+        removed = self._removed.get(endpoint)
+        if removed is not None and revision > removed.revision:
+            self._removed[endpoint] = replace(removed, revision=revision, at=now)
+
     def _forget(self, *, now: float) -> None:
         for endpoint, removed in tuple(self._removed.items()):
             if now - removed.at > TOMBSTONE_TIME:
--- a/dotterelpaddle/tests/forwarding/test_view.py
+++ b/dotterelpaddle/tests/forwarding/test_view.py
@@ -143,6 +143,22 @@
 TestView = ViewMachine.TestCase
 
 
+def test_entry_that_came_and_went_unseen_does_not_come_back() -> None:
+    """Removals at 2 and 4 are heard before the entry that was written at 3."""
+    view = FleetView(clock=lambda: 0.0)
+    name = NAMES[1]
+    for read in (
+        EndpointsRead(revision=Revision(1), entries=(_entry(name, 1),)),
+        EndpointsRead(revision=Revision(2), entries=(), removed={name: Revision(2)}),
+        EndpointsRead(revision=Revision(4), entries=(), removed={name: Revision(4)}),
+        EndpointsRead(revision=Revision(3), entries=(_entry(name, 3),)),
+    ):
+        view.take_endpoints(read=read)
+
+    assert view.entries == ()
+    assert view.ready(service=SERVICE) == ()
+
+
 def test_entries_that_lapse_around_the_platforms_return_are_held() -> None:
     now = 0.0
     view = FleetView(clock=lambda: now)
