--- a/dotterelpaddle/forwarding/attempts.py
+++ b/dotterelpaddle/forwarding/attempts.py
@@ -213,7 +213,7 @@
             request=exchange.request,
             body=exchange.body,
             delivery=Delivery(
-                endpoint=choice.entry.endpoint,
+                endpoint=choice.entry.name,
                 time_left=time_left,
                 account=exchange.account,
                 rank=rank,
--- a/dotterelpaddle/forwarding/client.py
+++ b/dotterelpaddle/forwarding/client.py
@@ -34,6 +34,7 @@
         Protocols,
     )
     from dotterelpaddle.forwarding.model import EndpointEntry
+    from dotterelpaddle.ids import EndpointId
     from dotterelpaddle.network import LinkedBackend
 
 MAX_ANSWER = 8 * 1024 * 1024
@@ -160,7 +161,7 @@
         self._backend = backend
         self._clock = clock
         self._limits = limits
-        self._pools: dict[Address, ConnectionPool] = {}
+        self._pools: dict[tuple[EndpointId, Address], ConnectionPool] = {}
 
     @asynccontextmanager
     async def send(self, *, call: ForwardCall) -> AsyncIterator[ForwardAnswer]:
@@ -177,7 +178,7 @@
             AnswerBroken: If the connection broke.
             ForeignAnswer: If the answer belongs to another request.
         """
-        pool = self._pool(address=call.entry.address)
+        pool = self._pool(entry=call.entry)
         connection = await pool.acquire(fresh=call.fresh, timeout=call.patience.connect)
         call.observe(Evidence.CONNECTED)
         response: httpcore.Response | None = None
@@ -199,10 +200,10 @@
 
     async def discard_expired(self) -> None:
         """Close idle connections that are too old, everywhere."""
-        for address, pool in tuple(self._pools.items()):
+        for key, pool in tuple(self._pools.items()):
             await pool.discard_expired()
             if not pool.idle and not pool.busy:
-                del self._pools[address]
+                del self._pools[key]
 
     async def aclose(self) -> None:
         """Close all idle connections."""
@@ -210,11 +211,14 @@
             await pool.aclose()
         self._pools.clear()
 
-    def _pool(self, *, address: Address) -> ConnectionPool:
-        pool = self._pools.get(address)
+    def _pool(self, *, entry: EndpointEntry) -> ConnectionPool:
+        # Connections to an earlier start, or to another endpoint that had the
+        # address, neither serve this one nor count against its limit.
+        key = entry.endpoint, entry.address
+        pool = self._pools.get(key)
         if pool is None:
-            pool = self._pools[address] = ConnectionPool(
-                address=address,
+            pool = self._pools[key] = ConnectionPool(
+                address=entry.address,
                 backend=self._backend,
                 limits=self._limits,
                 clock=self._clock,
--- a/dotterelpaddle/forwarding/interface.py
+++ b/dotterelpaddle/forwarding/interface.py
@@ -16,7 +16,13 @@
         KeyHolder,
     )
     from dotterelpaddle.forwarding.uses import PartTag
-    from dotterelpaddle.ids import EndpointId, ModelId, RequestId, Revision
+    from dotterelpaddle.ids import (
+        EndpointId,
+        EndpointName,
+        ModelId,
+        RequestId,
+        Revision,
+    )
 
 Headers = list[tuple[bytes, bytes]]
 """Names in lower case and values, in order."""
@@ -94,7 +100,7 @@
     """What an endpoint is told beside the caller's own headers.
 
     Attributes:
-        endpoint: The endpoint that is meant; any other one must refuse.
+        endpoint: Name of the endpoint that is meant; any other one must refuse.
         time_left: Seconds after which nobody waits any more.
         account: The client account, None on public routes.
         rank: Priority, 0 is the highest; None for the endpoint's default.
@@ -102,7 +108,7 @@
         fetch_from: Endpoint from whose cache to fetch what it has of the prompt.
     """
 
-    endpoint: EndpointId
+    endpoint: EndpointName
     time_left: float
     account: KeyHolder | None
     rank: int | None
@@ -158,7 +164,7 @@
 
     revision: Revision
     entries: tuple[EndpointEntry, ...]
-    removed: Mapping[EndpointId, Revision] = field(default_factory=dict)
+    removed: Mapping[EndpointName, Revision] = field(default_factory=dict)
     whole: bool = False
 
 
@@ -173,7 +179,7 @@
         """
 
     def endpoint(
-        self, *, name: EndpointId, document: bytes, revision: Revision
+        self, *, name: EndpointName, document: bytes, revision: Revision
     ) -> EndpointEntry:
         """Decode an endpoint's entry.
 
@@ -182,10 +188,24 @@
         """
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class CachedParts:
+    """Parts of prompts that an endpoint has cached.
+
+    Attributes:
+        endpoint: The start of it that answered, which may be a later one than that
+            whose entry is known.
+        parts: Their tags.
+    """
+
+    endpoint: EndpointId
+    parts: tuple[PartTag, ...]
+
+
 class CachesReader(Protocol):
     """Asks endpoints for what they have cached."""
 
-    async def cached_parts(self, *, entry: EndpointEntry) -> list[PartTag]:
+    async def cached_parts(self, *, entry: EndpointEntry) -> CachedParts:
         """Return the parts of prompts that an endpoint has cached.
 
         Raises:
--- a/dotterelpaddle/forwarding/model.py
+++ b/dotterelpaddle/forwarding/model.py
@@ -6,19 +6,26 @@
 from enum import Enum
 from typing import TYPE_CHECKING
 
+from dotterelpaddle.ids import EndpointId, EndpointName, Incarnation
+
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
     from dotterelpaddle.address import Address
     from dotterelpaddle.ids import (
         AccountId,
-        EndpointId,
         FailureDomain,
         ModelId,
         Revision,
         ServiceName,
     )
 
+UNKNOWN_START = Incarnation(0)
+"""Incarnation of an endpoint that does not say when it started."""
+
+START_MARK = "@"
+"""Stands between an endpoint's name and its start."""
+
 
 class RequestKind(Enum):
     """What the requests of a route are, which decides what may be repeated."""
@@ -142,7 +149,9 @@
     """One endpoint as it registered itself.
 
     Attributes:
-        endpoint: Its name, new with each start.
+        endpoint: Names this start of it; see `endpoint_id`.
+        incarnation: Its start, a Unix time in milliseconds by its own clock;
+            UNKNOWN_START if it does not say.
         service: The service that it belongs to.
         address: Where it listens; used again by others after it has ended.
         failure_domain: Where it is.
@@ -154,6 +163,7 @@
     """
 
     endpoint: EndpointId
+    incarnation: Incarnation = UNKNOWN_START
     service: ServiceName
     address: Address
     failure_domain: FailureDomain
@@ -162,3 +172,33 @@
     revision: Revision
     models: frozenset[ModelId] = field(default_factory=frozenset)
     document: bytes = b""
+
+    @property
+    def name(self) -> EndpointName:
+        """The name under which it registered."""
+        return split_endpoint_id(endpoint=self.endpoint)[0]
+
+    @property
+    def order(self) -> tuple[Incarnation, Revision]:
+        """Which of two entries of one name is in force: the greater one."""
+        return self.incarnation, self.revision
+
+
+def endpoint_id(*, name: EndpointName, incarnation: Incarnation) -> EndpointId:
+    """Name one start of an endpoint.
+
+    All that is known of an endpoint (load, results, cached parts, connections) is
+    kept by this name. An endpoint that starts again holds nothing from before, and
+    so nothing that was known of its earlier start counts for it.
+    """
+    if incarnation == UNKNOWN_START and START_MARK not in name:
+        return EndpointId(name)
+    return EndpointId(f"{name}{START_MARK}{incarnation}")
+
+
+def split_endpoint_id(*, endpoint: EndpointId) -> tuple[EndpointName, Incarnation]:
+    """Return the name under which an endpoint registered, and its start."""
+    name, mark, incarnation = endpoint.rpartition(START_MARK)
+    if not mark:
+        return EndpointName(endpoint), UNKNOWN_START
+    return EndpointName(name), Incarnation(int(incarnation))
--- a/dotterelpaddle/forwarding/view.py
+++ b/dotterelpaddle/forwarding/view.py
@@ -1,8 +1,8 @@
 """The configuration and endpoints that one router acts on.
 
 Nothing in it goes back while the process lives: a configuration is replaced by
-a higher version only, an endpoint's entry by a later revision only, whichever
-way the news comes in.
+a higher version only, an endpoint's entry by one of a later start or of a later
+revision of the same start only, whichever way the news comes in.
 """
 
 from __future__ import annotations
@@ -13,7 +13,11 @@
 import anyio
 
 from dotterelpaddle.forwarding.interface import EndpointsRead
-from dotterelpaddle.forwarding.model import EndpointState
+from dotterelpaddle.forwarding.model import (
+    UNKNOWN_START,
+    EndpointState,
+    endpoint_id,
+)
 from dotterelpaddle.ids import Revision
 from dotterelpaddle.logs import get_logger
 from dotterelpaddle.placement.rendezvous import tag
@@ -28,7 +32,7 @@
         FleetConfiguration,
         ForwardRoute,
     )
-    from dotterelpaddle.ids import EndpointId, ServiceName
+    from dotterelpaddle.ids import EndpointId, EndpointName, ServiceName
 
 log = get_logger(name=__name__)
 
@@ -86,9 +90,9 @@
         self._clock = clock
         self._configuration: FleetConfiguration | None = None
         self._routes: dict[str, tuple[ForwardRoute, ...]] = {}
-        self._entries: dict[EndpointId, EndpointEntry] = {}
-        self._changed_at: dict[EndpointId, Revision] = {}
-        self._removed: dict[EndpointId, _Removed] = {}
+        self._entries: dict[EndpointName, EndpointEntry] = {}
+        self._changed_at: dict[EndpointName, Revision] = {}
+        self._removed: dict[EndpointName, _Removed] = {}
         self._ready: dict[ServiceName, tuple[EndpointEntry, ...]] = {}
         self._endpoints_revision: Revision | None = None
         self._endpoints_tag = _tag(entries=())
@@ -139,6 +143,13 @@
         """All entries that are there."""
         return tuple(self._entries.values())
 
+    def start_of(self, name: EndpointName) -> EndpointId:
+        """Return the start of an endpoint that is in force."""
+        entry = self._entries.get(name)
+        if entry is None:
+            return endpoint_id(name=name, incarnation=UNKNOWN_START)
+        return entry.endpoint
+
     def endpoints_since(self, *, revision: Revision | None) -> EndpointsRead | None:
         """Tell what has changed since a revision; heartbeats are no change.
 
@@ -158,12 +169,12 @@
             revision=known,
             entries=tuple(
                 entry
-                for entry in self._entries.values()
-                if self._changed_at[entry.endpoint] > revision
+                for name, entry in self._entries.items()
+                if self._changed_at[name] > revision
             ),
             removed={
-                endpoint: removed.revision
-                for endpoint, removed in self._removed.items()
+                name: removed.revision
+                for name, removed in self._removed.items()
                 if removed.revision > revision
             },
         )
@@ -223,13 +234,13 @@
         changed = False
         for entry in read.entries:
             changed = self._put(entry=entry) or changed
-        for endpoint, revision in read.removed.items():
-            changed = self._remove(endpoint, revision, now) or changed
+        for name, revision in read.removed.items():
+            changed = self._remove(name, revision, now) or changed
         if read.whole:
-            present = {entry.endpoint for entry in read.entries}
-            for endpoint in tuple(self._entries):
-                if endpoint not in present:
-                    changed = self._remove(endpoint, read.revision, now) or changed
+            present = {entry.name for entry in read.entries}
+            for name in tuple(self._entries):
+                if name not in present:
+                    changed = self._remove(name, read.revision, now) or changed
         known = self._endpoints_revision
         if known is None:
             self._changes_from = read.revision
@@ -245,13 +256,13 @@
         """Drop endpoints that were held for the time after the platform's return."""
         now = self._clock()
         lapsed = [
-            endpoint
-            for endpoint, removed in self._removed.items()
+            name
+            for name, removed in self._removed.items()
             if removed.held and removed.until <= now
         ]
-        for endpoint in lapsed:
-            self._removed[endpoint] = replace(self._removed[endpoint], held=False)
-            log.info("endpoint_hold_ended", endpoint=endpoint)
+        for name in lapsed:
+            self._removed[name] = replace(self._removed[name], held=False)
+            log.info("endpoint_hold_ended", endpoint=self._removed[name].entry.endpoint)
         if lapsed:
             self._index()
 
@@ -260,18 +271,20 @@
             self._completed.set()
 
     def _put(self, *, entry: EndpointEntry) -> bool:
-        known = self._entries.get(entry.endpoint)
-        if known is not None and known.revision >= entry.revision:
+        name = entry.name
+        known = self._entries.get(name)
+        if known is not None and known.order >= entry.order:
             return False
-        removed = self._removed.get(entry.endpoint)
+        removed = self._removed.get(name)
         if removed is not None:
-            if removed.revision >= entry.revision:
+            earlier_start = entry.incarnation < removed.entry.incarnation
+            if earlier_start or removed.revision >= entry.revision:
                 return False
-            del self._removed[entry.endpoint]
-        self._entries[entry.endpoint] = entry
+            del self._removed[name]
+        self._entries[name] = entry
         if known is not None and _same_but_revision(known, entry):
             return False
-        self._changed_at[entry.endpoint] = entry.revision
+        self._changed_at[name] = entry.revision
         log.info(
             "endpoint_known",
             endpoint=entry.endpoint,
@@ -282,18 +295,18 @@
         )
         return True
 
-    def _remove(self, endpoint: EndpointId, revision: Revision, now: float) -> bool:
-        entry = self._entries.get(endpoint)
+    def _remove(self, name: EndpointName, revision: Revision, now: float) -> bool:
+        entry = self._entries.get(name)
         if entry is None:
-            self._remove_again(endpoint, revision, now)
+            self._remove_again(name, revision, now)
             return False
         if entry.revision > revision:
             return False
-        del self._entries[endpoint]
-        del self._changed_at[endpoint]
+        del self._entries[name]
+        del self._changed_at[name]
         held_until = self._returned_at + RETURN_TIME
         held = held_until > now and entry.state is EndpointState.READY
-        self._removed[endpoint] = _Removed(
+        self._removed[name] = _Removed(
             entry=entry,
             revision=revision,
             at=now,
@@ -302,7 +315,7 @@
         )
         log.info(
             "endpoint_gone",
-            endpoint=endpoint,
+            endpoint=entry.endpoint,
             service=entry.service,
             state=entry.state.value,
             revision=revision,
@@ -310,18 +323,16 @@
         )
         return True
 
-    def _remove_again(
-        self, endpoint: EndpointId, revision: Revision, now: float
-    ) -> None:
+    def _remove_again(self, name: EndpointName, revision: Revision, now: float) -> None:
         """Note that an entry that had gone came and went again, unseen here."""
-        removed = self._removed.get(endpoint)
+        removed = self._removed.get(name)
         if removed is not None and revision > removed.revision:
-            self._removed[endpoint] = replace(removed, revision=revision, at=now)
+            self._removed[name] = replace(removed, revision=revision, at=now)
 
     def _forget(self, *, now: float) -> None:
-        for endpoint, removed in tuple(self._removed.items()):
+        for name, removed in tuple(self._removed.items()):
             if now - removed.at > TOMBSTONE_TIME:
-                del self._removed[endpoint]
+                del self._removed[name]
                 self._changes_from = max(self._changes_from, removed.revision)
 
     def _index(self) -> None:
@@ -353,7 +364,7 @@
 
 
 def _same_but_revision(one: EndpointEntry, other: EndpointEntry) -> bool:
-    return _content(one) == _content(other)
+    return one.endpoint == other.endpoint and _content(one) == _content(other)
 
 
 def _content(entry: EndpointEntry) -> tuple[object, ...]:
--- a/dotterelpaddle/ids.py
+++ b/dotterelpaddle/ids.py
@@ -19,9 +19,15 @@
 EndpointId = NewType("EndpointId", str)
 """Name of an endpoint record."""
 
+EndpointName = NewType("EndpointName", str)
+"""Name under which an endpoint registers; another start of it may have the same."""
+
 FailureDomain = NewType("FailureDomain", str)
 """Name of a failure domain."""
 
+Incarnation = NewType("Incarnation", int)
+"""Start of a process that keeps its name: a later start has a greater number."""
+
 LeaseEpoch = NewType("LeaseEpoch", int)
 """Number of times a lease has changed hands; used as fencing number."""
 
--- a/dotterelpaddle/peers/exchange.py
+++ b/dotterelpaddle/peers/exchange.py
@@ -231,7 +231,7 @@
             if not self._links.is_open(peer=address):
                 continue
             try:
-                report = decode_report(datagram=datagram)
+                report = decode_report(datagram=datagram, start_of=self._view.start_of)
             except ControlError as error:
                 self._dropped += 1
                 log.warning(
--- a/dotterelpaddle/peers/fetching.py
+++ b/dotterelpaddle/peers/fetching.py
@@ -9,6 +9,7 @@
 import httpcore
 
 from dotterelpaddle.exceptions import ControlError, EndpointError, RecordError
+from dotterelpaddle.forwarding.unusable import UnusableEntries
 from dotterelpaddle.logs import get_logger
 from dotterelpaddle.peers.snapshot import (
     SnapshotRequest,
@@ -99,6 +100,7 @@
         self._word = word
         self._looks_behind = 0
         self._documents = documents
+        self._unusable = UnusableEntries()
         self._caches_reader = caches_reader
         self._platform_age = platform_age
         self._clock = clock
@@ -167,7 +169,9 @@
             revision=self._view.endpoints_revision, uses=not self._caches.known
         )
         content = await self._get(peer=peer, target=f"{SNAPSHOT_PATH}?{request.query}")
-        snapshot = decode_snapshot(content=content, documents=self._documents)
+        snapshot = decode_snapshot(
+            content=content, documents=self._documents, unusable=self._unusable
+        )
         if snapshot.endpoints is not None:
             self._view.take_endpoints(read=snapshot.endpoints)
         if not self._caches.known:
@@ -228,9 +232,9 @@
 
     async def _read_cache(self, entry: EndpointEntry) -> None:
         try:
-            parts = await self._caches_reader.cached_parts(entry=entry)
+            cached = await self._caches_reader.cached_parts(entry=entry)
         except EndpointError as error:
             log.warning("cache_unread", endpoint=entry.endpoint, cause=error.message)
             return
-        self._caches.hear(uses=[(part, entry.endpoint) for part in parts])
-        log.info("cache_read", endpoint=entry.endpoint, parts=len(parts))
+        self._caches.hear(uses=[(part, cached.endpoint) for part in cached.parts])
+        log.info("cache_read", endpoint=cached.endpoint, parts=len(cached.parts))
--- a/dotterelpaddle/peers/messages.py
+++ b/dotterelpaddle/peers/messages.py
@@ -13,13 +13,16 @@
 from dotterelpaddle.forwarding.shares import Ask, RepeatCounts, Scope, Share
 from dotterelpaddle.ids import (
     EndpointId,
+    EndpointName,
     FailureDomain,
     Revision,
     RouterId,
     ServiceName,
 )
+from dotterelpaddle.peers.starts import ToldStarts, heard_endpoints
 
 if TYPE_CHECKING:
+    from collections.abc import Callable, Mapping
     from typing import Any
 
     from dotterelpaddle.forwarding.caches import Use
@@ -27,6 +30,9 @@
 FORMAT = 3
 """Version of the format; reports of another one are dropped and counted."""
 
+STARTS = 19
+"""Place of endpoints' starts; earlier releases end before it and read no further."""
+
 MOST_PEERS_TOLD = 16
 """Routers named in one report, so that it stays in one packet."""
 
@@ -98,6 +104,9 @@
 def encode_report(*, report: PeerReport) -> bytes:
     """Turn a report into a datagram."""
     share = report.share
+    told = ToldStarts(
+        endpoints=(*share.loads, *(endpoint for _, endpoint in report.uses))
+    )
     return orjson.dumps(
         [
             FORMAT,
@@ -115,7 +124,11 @@
             [
                 share.scope.value,
                 share.routers,
-                share.loads,
+                {
+                    name: load
+                    for endpoint, load in share.loads.items()
+                    if (name := told.name(endpoint=endpoint)) is not None
+                },
                 {
                     service: [counts.requests, counts.repeats]
                     for service, counts in share.repeats.items()
@@ -124,19 +137,33 @@
             report.ask.value,
             report.routers,
             report.domains,
-            report.uses,
+            [
+                (part, name)
+                for part, endpoint in report.uses
+                if (name := told.name(endpoint=endpoint)) is not None
+            ],
             report.parts,
             [
                 [peer.router, peer.failure_domain, str(peer.address), peer.link]
                 for peer in report.peers[:MOST_PEERS_TOLD]
             ],
+            told.wire,
         ]
     )
 
 
-def decode_report(*, datagram: bytes) -> PeerReport:
+def decode_report(
+    *, datagram: bytes, start_of: Callable[[EndpointName], EndpointId] = EndpointId
+) -> PeerReport:
     """Turn a datagram back into a report.
 
+    Args:
+        datagram: The datagram.
+        start_of: Returns the start of an endpoint that is known here. Routers of
+            earlier releases tell names only: what they have in flight is counted
+            there, which errs on the safe side, but where they say that parts of
+            prompts are cached is not taken over, as that may be of an earlier start.
+
     Raises:
         ControlError: If it is no report of this format.
     """
@@ -144,6 +171,11 @@
         fields = orjson.loads(datagram)
         if fields[0] != FORMAT:
             raise ControlError(f"a report of format {fields[0]!r}, not {FORMAT}")
+        uses = fields[16]
+        starts = fields[STARTS] if len(fields) > STARTS else ()
+        endpoints = heard_endpoints(
+            names=[*fields[12][2], *(name for _, name in uses)], starts=starts
+        )
         return PeerReport(
             router=RouterId(str(fields[1])),
             failure_domain=FailureDomain(str(fields[2])),
@@ -156,11 +188,13 @@
             configuration_age=_seconds(fields[9]),
             endpoints_age=_seconds(fields[10]),
             endpoints_tag=int(fields[11]),
-            share=_share(fields[12]),
+            share=_share(
+                fields[12], endpoints if starts else _known(endpoints, start_of)
+            ),
             ask=Ask(fields[13]),
             routers=int(fields[14]),
             domains=tuple(FailureDomain(str(domain)) for domain in fields[15]),
-            uses=tuple((int(part), EndpointId(name)) for part, name in fields[16]),
+            uses=tuple((int(part), endpoints[name]) for part, name in uses),
             parts=int(fields[17]),
             peers=tuple(_peer(peer) for peer in fields[18]),
         )
@@ -175,12 +209,18 @@
         raise ControlError(f"a datagram that is no report: {error!r}") from error
 
 
-def _share(fields: Any) -> Share:
+def _known(
+    endpoints: Mapping[str, EndpointId], start_of: Callable[[EndpointName], EndpointId]
+) -> Mapping[str, EndpointId]:
+    return {name: start_of(EndpointName(name)) for name in endpoints}
+
+
+def _share(fields: Any, endpoints: Mapping[str, EndpointId]) -> Share:
     scope, routers, loads, repeats = fields
     return Share(
         scope=Scope(scope),
         routers=int(routers),
-        loads={EndpointId(name): int(load) for name, load in loads.items()},
+        loads={endpoints[name]: int(load) for name, load in loads.items()},
         repeats={
             ServiceName(name): RepeatCounts(
                 requests=int(counts[0]), repeats=int(counts[1])
--- a/dotterelpaddle/peers/snapshot.py
+++ b/dotterelpaddle/peers/snapshot.py
@@ -13,14 +13,16 @@
 
 import orjson
 
-from dotterelpaddle.exceptions import ControlError
+from dotterelpaddle.exceptions import ControlError, RecordError
 from dotterelpaddle.forwarding.interface import EndpointsRead
-from dotterelpaddle.ids import EndpointId, Revision
+from dotterelpaddle.ids import EndpointName, Revision
+from dotterelpaddle.peers.starts import ToldStarts, heard_endpoints
 
 if TYPE_CHECKING:
     from dotterelpaddle.forwarding.caches import CacheMap
     from dotterelpaddle.forwarding.interface import Documents
     from dotterelpaddle.forwarding.model import FleetConfiguration
+    from dotterelpaddle.forwarding.unusable import UnusableEntries
     from dotterelpaddle.forwarding.uses import Use
     from dotterelpaddle.forwarding.view import FleetView
 
@@ -83,10 +85,17 @@
 ) -> bytes:
     """Turn what another router lacks into a document for it."""
     endpoints = view.endpoints_since(revision=request.revision)
+    uses = caches.uses() if request.uses else []
+    told = ToldStarts(endpoints=(endpoint for _, endpoint in uses))
     document = orjson.dumps(
         {
             "endpoints": _encode_endpoints(endpoints) if endpoints else None,
-            "uses": caches.uses() if request.uses else [],
+            "uses": [
+                (part, name)
+                for part, endpoint in uses
+                if (name := told.name(endpoint=endpoint)) is not None
+            ],
+            "starts": told.wire,
         }
     )
     return zlib.compress(document, COMPRESSION)
@@ -133,26 +142,37 @@
         "revision": read.revision,
         "whole": read.whole,
         "entries": [
-            [entry.endpoint, entry.revision, entry.document.decode()]
+            [entry.name, entry.revision, entry.document.decode()]
             for entry in read.entries
         ],
         "removed": read.removed,
     }
 
 
-def decode_snapshot(*, content: bytes, documents: Documents) -> Snapshot:
+def decode_snapshot(
+    *, content: bytes, documents: Documents, unusable: UnusableEntries
+) -> Snapshot:
     """Turn a document back into what it holds.
 
+    Args:
+        content: The document.
+        documents: Decodes endpoints' entries.
+        unusable: Is told of entries that can't be used here.
+
     Raises:
         ControlError: If it is no snapshot.
-        RecordError: If something in it can't be used.
     """
     try:
         fields = orjson.loads(_decompress(content))
-        endpoints = fields["endpoints"]
+        endpoints, uses = fields["endpoints"], fields["uses"]
+        names = heard_endpoints(
+            names=[name for _, name in uses], starts=fields.get("starts", ())
+        )
         return Snapshot(
-            endpoints=(_decode_endpoints(endpoints, documents) if endpoints else None),
-            uses=tuple((int(part), EndpointId(name)) for part, name in fields["uses"]),
+            endpoints=(
+                _decode_endpoints(endpoints, documents, unusable) if endpoints else None
+            ),
+            uses=tuple((int(part), names[name]) for part, name in uses),
         )
     except (
         orjson.JSONDecodeError,
@@ -164,21 +184,30 @@
         raise ControlError(f"a document that is no snapshot: {error!r}") from error
 
 
-def _decode_endpoints(fields: dict[str, Any], documents: Documents) -> EndpointsRead:
+def _decode_endpoints(
+    fields: dict[str, Any], documents: Documents, unusable: UnusableEntries
+) -> EndpointsRead:
+    """Decode entries; one that can't be used here is the same as none."""
+    removed = {
+        EndpointName(name): Revision(int(revision))
+        for name, revision in fields["removed"].items()
+    }
+    entries = []
+    for name, number, document in fields["entries"]:
+        revision = Revision(int(number))
+        try:
+            entry = documents.endpoint(
+                name=EndpointName(name), document=document.encode(), revision=revision
+            )
+        except RecordError as error:
+            unusable.note(name=EndpointName(name), revision=revision, error=error)
+            removed[EndpointName(name)] = revision
+            continue
+        entries.append(entry)
     return EndpointsRead(
         revision=Revision(int(fields["revision"])),
-        entries=tuple(
-            documents.endpoint(
-                name=EndpointId(name),
-                document=document.encode(),
-                revision=Revision(int(revision)),
-            )
-            for name, revision, document in fields["entries"]
-        ),
-        removed={
-            EndpointId(name): Revision(int(revision))
-            for name, revision in fields["removed"].items()
-        },
+        entries=tuple(entries),
+        removed=removed,
         whole=bool(fields["whole"]),
     )
 
--- /dev/null
+++ b/dotterelpaddle/peers/starts.py
@@ -0,0 +1,69 @@
+"""Names of endpoints as routers tell them to each other.
+
+A message names an endpoint as it registered, and its start in a list of its own:
+routers of releases that know of no starts read the names and pass over the list.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from dotterelpaddle.forwarding.model import (
+    UNKNOWN_START,
+    endpoint_id,
+    split_endpoint_id,
+)
+from dotterelpaddle.ids import EndpointName, Incarnation
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Sequence
+
+    from dotterelpaddle.ids import EndpointId
+
+
+class ToldStarts:
+    """The latest start of each endpoint that a message tells of.
+
+    Args:
+        endpoints: All that it tells of; earlier starts of an endpoint are left out,
+            as nothing of them matters any more.
+    """
+
+    def __init__(self, *, endpoints: Iterable[EndpointId]) -> None:
+        self._starts: dict[EndpointName, Incarnation] = {}
+        for endpoint in endpoints:
+            name, incarnation = split_endpoint_id(endpoint=endpoint)
+            known = self._starts.get(name, UNKNOWN_START)
+            self._starts[name] = max(known, incarnation)
+
+    @property
+    def wire(self) -> list[int]:
+        """Starts in the order of the names; empty if no endpoint tells its start."""
+        if not any(self._starts.values()):
+            return []
+        return [self._starts[name] for name in sorted(self._starts)]
+
+    def name(self, *, endpoint: EndpointId) -> EndpointName | None:
+        """Name to tell an endpoint by, None for an earlier start of it."""
+        name, incarnation = split_endpoint_id(endpoint=endpoint)
+        return name if incarnation == self._starts[name] else None
+
+
+def heard_endpoints(
+    *, names: Iterable[str], starts: Sequence[int]
+) -> dict[str, EndpointId]:
+    """Return the endpoints that a message tells of, by their names in it.
+
+    Args:
+        names: All names in it.
+        starts: Its list of starts, empty from a router that knows of none.
+
+    Raises:
+        ValueError: If there are starts, but not one for each name.
+    """
+    distinct = sorted(set(names))
+    told = starts or [UNKNOWN_START] * len(distinct)
+    return {
+        name: endpoint_id(name=EndpointName(name), incarnation=Incarnation(int(start)))
+        for name, start in zip(distinct, told, strict=True)
+    }
--- a/dotterelpaddle/platform/documents.py
+++ b/dotterelpaddle/platform/documents.py
@@ -9,7 +9,7 @@
 
 if TYPE_CHECKING:
     from dotterelpaddle.forwarding.model import EndpointEntry, FleetConfiguration
-    from dotterelpaddle.ids import EndpointId, Revision
+    from dotterelpaddle.ids import EndpointName, Revision
 
 
 class PlatformDocuments:
@@ -23,7 +23,7 @@
         return self._configurations.decode(document=document)
 
     def endpoint(
-        self, *, name: EndpointId, document: bytes, revision: Revision
+        self, *, name: EndpointName, document: bytes, revision: Revision
     ) -> EndpointEntry:
         """Decode the row by which an endpoint registered itself."""
         return decode_endpoint(name=name, document=document, revision=revision)
--- a/dotterelpaddle/platform/endpoints.py
+++ b/dotterelpaddle/platform/endpoints.py
@@ -6,17 +6,25 @@
 
 from dotterelpaddle.address import Address
 from dotterelpaddle.exceptions import RecordError
-from dotterelpaddle.forwarding.model import EndpointEntry, EndpointState
-from dotterelpaddle.ids import EndpointId, FailureDomain, ModelId, ServiceName
-from dotterelpaddle.platform.decoding import field, optional, parse
+from dotterelpaddle.forwarding.model import (
+    UNKNOWN_START,
+    EndpointEntry,
+    EndpointState,
+    endpoint_id,
+)
+from dotterelpaddle.ids import FailureDomain, Incarnation, ModelId, ServiceName
+from dotterelpaddle.platform.decoding import field, optional, parse, seconds
+from dotterelpaddle.platform.names import Field
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
-    from dotterelpaddle.ids import Revision
+    from dotterelpaddle.ids import EndpointName, Revision
 
 
-def decode_endpoint(*, name: str, document: bytes, revision: Revision) -> EndpointEntry:
+def decode_endpoint(
+    *, name: EndpointName, document: bytes, revision: Revision
+) -> EndpointEntry:
     """Decode one entry.
 
     Args:
@@ -26,32 +34,83 @@
 
     Raises:
         RecordError: If a field is missing or can't be used; it names the field.
+            Who wrote such a row is no endpoint that could be relied on.
     """
     row = parse(document)
     path = f"{name}."
+    _check_unused(row, path)
     address = field(row, "address", str, path)
     try:
         parsed = Address.parse(text=address)
     except ValueError as error:
         raise RecordError(f"field '{path}address': {error}") from error
+    incarnation = decode_incarnation(row, path)
     return EndpointEntry(
-        endpoint=EndpointId(name),
+        endpoint=endpoint_id(name=name, incarnation=incarnation),
+        incarnation=incarnation,
         service=ServiceName(field(row, "service", str, path)),
         address=parsed,
-        failure_domain=FailureDomain(optional(row, "zone", str, path, "")),
-        slots=max(1, optional(row, "slots", int, path, 1)),
+        failure_domain=FailureDomain(field(row, "zone", str, path)),
+        slots=_slots(row, path),
         state=_state(row, path),
-        models=frozenset(
-            ModelId(str(model.get("name", "")))
-            for model in optional(row, "models", list, path, [])
-        ),
+        models=_models(row, path),
         revision=revision,
         document=document,
     )
 
 
+def decode_incarnation(row: Mapping[str, Any], path: str) -> Incarnation:
+    """Decode when an endpoint started, which it may leave out.
+
+    Raises:
+        RecordError: If it is something else than a whole number of milliseconds.
+    """
+    started_at = optional(row, Field.STARTED_AT, int, path, UNKNOWN_START)
+    if started_at < 0:
+        raise RecordError(
+            f"field '{path}{Field.STARTED_AT}' must be from 0 on, not {started_at}",
+            field=f"{path}{Field.STARTED_AT}",
+        )
+    return Incarnation(started_at)
+
+
+def _check_unused(row: Mapping[str, Any], path: str) -> None:
+    """Check fields that say whether an endpoint wrote the row, and else nothing."""
+    field(row, Field.SOFTWARE, str, path)
+    field(row, Field.CHANGES, int, path)
+    seconds(row, Field.SLOW_START_LEFT, path)
+
+
+def _slots(row: Mapping[str, Any], path: str) -> int:
+    slots = field(row, "slots", int, path)
+    if slots < 1:
+        raise RecordError(
+            f"field '{path}slots' must be 1 or more, not {slots}",
+            field=f"{path}slots",
+        )
+    return slots
+
+
 def _state(row: Mapping[str, Any], path: str) -> EndpointState:
-    """Any state that is not ready takes no new work."""
-    if field(row, "state", str, path) == EndpointState.READY.value:
-        return EndpointState.READY
-    return EndpointState.DRAINING
+    state = field(row, "state", str, path)
+    try:
+        return EndpointState(state)
+    except ValueError as error:
+        known = ", ".join(each.value for each in EndpointState)
+        raise RecordError(
+            f"field '{path}state' must be one of {known}, not {state!r}",
+            field=f"{path}state",
+        ) from error
+
+
+def _models(row: Mapping[str, Any], path: str) -> frozenset[ModelId]:
+    models = optional(row, "models", list, path, [])
+    for model in models:
+        if not isinstance(model, dict):
+            raise RecordError(
+                f"field '{path}models' must hold objects, not {model!r}",
+                field=f"{path}models",
+            )
+    return frozenset(
+        ModelId(field(model, "name", str, f"{path}models.")) for model in models
+    )
--- a/dotterelpaddle/platform/engines.py
+++ b/dotterelpaddle/platform/engines.py
@@ -6,17 +6,18 @@
 
 import anyio
 import httpcore
-import orjson
 
-from dotterelpaddle.exceptions import EndpointError, EndpointSilent
+from dotterelpaddle.exceptions import EndpointError, EndpointSilent, RecordError
 from dotterelpaddle.forwarding.caches import part_tag
-from dotterelpaddle.forwarding.interface import PromptPart
+from dotterelpaddle.forwarding.interface import CachedParts, PromptPart
+from dotterelpaddle.forwarding.model import endpoint_id
 from dotterelpaddle.ids import ModelId
 from dotterelpaddle.network import LinkedBackend
+from dotterelpaddle.platform.decoding import parse
+from dotterelpaddle.platform.endpoints import decode_incarnation
 from dotterelpaddle.platform.names import Call
 
 if TYPE_CHECKING:
-    from dotterelpaddle.forwarding.caches import PartTag
     from dotterelpaddle.forwarding.model import EndpointEntry
     from dotterelpaddle.links import Links
 
@@ -36,7 +37,7 @@
     def __init__(self, *, links: Links) -> None:
         self._backend = LinkedBackend(links=links)
 
-    async def cached_parts(self, *, entry: EndpointEntry) -> list[PartTag]:
+    async def cached_parts(self, *, entry: EndpointEntry) -> CachedParts:
         """Return the parts of prompts that an engine has cached.
 
         Raises:
@@ -69,19 +70,33 @@
             raise EndpointError(
                 f"answered {response.status} when asked for its cache", peer=peer
             )
-        return _parts(content=response.content, peer=peer)
+        return read_cached_parts(content=response.content, entry=entry)
 
 
-def _parts(*, content: bytes, peer: str) -> list[PartTag]:
-    """Decode a list; each entry is an unused text, a part, its tokens, a model."""
+def read_cached_parts(*, content: bytes, entry: EndpointEntry) -> CachedParts:
+    """Decode a list; each row is an unused text, a part, its tokens, a model.
+
+    Args:
+        content: The list.
+        entry: The endpoint that was asked; another start of it may have answered.
+
+    Raises:
+        EndpointError: If it can't be read.
+    """
     try:
-        return [
+        document = parse(content)
+        incarnation = decode_incarnation(document, f"{entry.endpoint}.")
+        parts = tuple(
             part_tag(
                 model=ModelId(model), part=PromptPart(part=part, tokens=int(tokens))
             )
-            for _, part, tokens, model in orjson.loads(content)["held"]
-        ]
-    except (orjson.JSONDecodeError, KeyError, TypeError, ValueError) as error:
+            for _, part, tokens, model in document["held"]
+        )
+    except (RecordError, KeyError, TypeError, ValueError) as error:
         raise EndpointError(
-            f"a list of its cache that can't be read: {error!r}", peer=peer
+            f"a list of its cache that can't be read: {error!r}", peer=entry.endpoint
         ) from error
+    # An answer that names no start is of the one that was asked.
+    start = incarnation or entry.incarnation
+    endpoint = endpoint_id(name=entry.name, incarnation=start)
+    return CachedParts(endpoint=endpoint, parts=parts)
--- a/dotterelpaddle/platform/names.py
+++ b/dotterelpaddle/platform/names.py
@@ -72,6 +72,19 @@
     ENDPOINTS = "servers"
 
 
+class Field:
+    """Fields of what endpoints say of themselves, where their names mislead."""
+
+    # When the process started, Unix milliseconds by the endpoint's own clock.
+    STARTED_AT = "born"
+    # Version of the endpoint's software, not of its model's weights.
+    SOFTWARE = "version"
+    # Grows when more of the row changes than this; heartbeats leave it.
+    CHANGES = "seq"
+    # Milliseconds that it will still be slow after its start.
+    SLOW_START_LEFT = "coldLeftMs"
+
+
 CONFIGURATION_KEY = "config"
 """Key of the row in the operator's table that holds the whole configuration."""
 
--- /dev/null
+++ b/dotterelpaddle/platform/rows.py
@@ -0,0 +1,93 @@
+"""Decodes rows of the platform's store, whoever wrote them."""
+
+from __future__ import annotations
+
+import base64
+import binascii
+from typing import TYPE_CHECKING, Any
+
+from dotterelpaddle.exceptions import PlatformUnavailable, RecordError
+from dotterelpaddle.forwarding.unusable import UnusableEntries
+from dotterelpaddle.ids import EndpointName, Revision
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Sequence
+
+    from dotterelpaddle.forwarding.interface import Documents
+    from dotterelpaddle.forwarding.model import EndpointEntry
+
+Row = dict[str, Any]
+"""A row as the store tells it: key, version, and value or `removed`."""
+
+
+class EntryRows:
+    """Decodes the rows of endpoints' entries.
+
+    Args:
+        documents: Decodes the values.
+    """
+
+    def __init__(self, *, documents: Documents) -> None:
+        self._documents = documents
+        self._unusable = UnusableEntries()
+
+    def decode(
+        self, *, rows: Iterable[Row]
+    ) -> tuple[tuple[EndpointEntry, ...], dict[EndpointName, Revision]]:
+        """Return entries, and names without one; a row that can't be used is none.
+
+        Of several rows of one name all are returned, as the last one may be an
+        earlier start's that came late.
+        """
+        entries: list[EndpointEntry] = []
+        removed: dict[EndpointName, Revision] = {}
+        for row in rows:
+            name, revision = EndpointName(row["key"]), Revision(row["ver"])
+            entry = None if row.get("removed") else self._entry(row, name, revision)
+            if entry is None:
+                removed[name] = revision
+            else:
+                entries.append(entry)
+        return tuple(entries), removed
+
+    def _entry(
+        self, row: Row, name: EndpointName, revision: Revision
+    ) -> EndpointEntry | None:
+        try:
+            entry = self._documents.endpoint(
+                name=name, document=row_value(row=row), revision=revision
+            )
+        except RecordError as error:
+            self._unusable.note(name=name, revision=revision, error=error)
+            return None
+        self._unusable.forget(name=name)
+        return entry
+
+
+def check_rows(*, rows: Sequence[object], peer: str) -> None:
+    """Check what the store itself says of rows; others write their values.
+
+    Raises:
+        PlatformUnavailable: If a key or a version is missing.
+    """
+    for row in rows:
+        if (
+            not isinstance(row, dict)
+            or not isinstance(row.get("key"), str)
+            or not isinstance(row.get("ver"), int)
+        ):
+            raise PlatformUnavailable(
+                "answered with a row without key or version", peer=peer
+            )
+
+
+def row_value(*, row: Row) -> bytes:
+    """Return the value of a row.
+
+    Raises:
+        RecordError: If there is none.
+    """
+    try:
+        return base64.b64decode(row["value"])
+    except (KeyError, TypeError, ValueError, binascii.Error) as error:
+        raise RecordError(f"the row holds no value: {error}", field="value") from error
--- a/dotterelpaddle/platform/store.py
+++ b/dotterelpaddle/platform/store.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import base64
-import binascii
 from typing import TYPE_CHECKING, Any
 from urllib.parse import urlencode
 
@@ -13,18 +11,20 @@
 
 from dotterelpaddle.exceptions import HistoryLost, PlatformUnavailable, RecordError
 from dotterelpaddle.forwarding.interface import ConfigurationRead, EndpointsRead
-from dotterelpaddle.ids import EndpointId, Revision
+from dotterelpaddle.ids import Revision
 from dotterelpaddle.logs import get_logger
 from dotterelpaddle.network import LinkedBackend
 from dotterelpaddle.platform.names import CONFIGURATION_KEY, Call, Table
+from dotterelpaddle.platform.rows import EntryRows, check_rows, row_value
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
     from dotterelpaddle.address import Address
     from dotterelpaddle.forwarding.interface import Documents
-    from dotterelpaddle.forwarding.model import EndpointEntry, FleetConfiguration
+    from dotterelpaddle.forwarding.model import FleetConfiguration
     from dotterelpaddle.links import Links
+    from dotterelpaddle.platform.rows import Row
 
 log = get_logger(name=__name__)
 
@@ -41,8 +41,6 @@
 OK = 200
 GONE = 410
 
-Row = dict[str, Any]
-
 
 class StoreSource:
     """Configuration and endpoints' entries in the platform's store.
@@ -56,6 +54,7 @@
     def __init__(self, *, address: Address, documents: Documents, links: Links) -> None:
         self._address = address
         self._documents = documents
+        self._entry_rows = EntryRows(documents=documents)
         self._pool = httpcore.AsyncConnectionPool(
             network_backend=LinkedBackend(links=links),
             max_connections=4,
@@ -99,13 +98,13 @@
             if not answer.get("truncated") or not answer["rows"]:
                 break
             query = {**query, "from": answer["rows"][-1]["key"] + "\0"}
-        entries, _ = self._entries(rows)
+        entries, _ = self._entry_rows.decode(rows=rows)
         return EndpointsRead(revision=first, entries=entries, whole=True)
 
     async def endpoints_after(self, *, after: Revision, wait: float) -> EndpointsRead:
         """Wait for changes of endpoints' entries, some seconds at most."""
         answer = await self._watch(table=Table.ENDPOINTS, after=after, wait=wait)
-        entries, removed = self._entries(answer["rows"])
+        entries, removed = self._entry_rows.decode(rows=answer["rows"])
         return EndpointsRead(
             revision=_revision(answer), entries=entries, removed=removed
         )
@@ -156,7 +155,7 @@
             if row.get("key") != CONFIGURATION_KEY or row.get("removed"):
                 continue
             try:
-                return self._documents.configuration(document=_value(row))
+                return self._documents.configuration(document=row_value(row=row))
             except RecordError as error:
                 log.error(
                     "configuration_unusable",
@@ -166,33 +165,6 @@
                 )
         return None
 
-    def _entries(
-        self, rows: list[Row]
-    ) -> tuple[tuple[EndpointEntry, ...], dict[EndpointId, Revision]]:
-        entries: list[EndpointEntry] = []
-        removed: dict[EndpointId, Revision] = {}
-        for row in rows:
-            if row.get("removed"):
-                removed[EndpointId(row["key"])] = Revision(row["ver"])
-                continue
-            try:
-                entry = self._documents.endpoint(
-                    name=EndpointId(row["key"]),
-                    document=_value(row),
-                    revision=Revision(row["ver"]),
-                )
-            except RecordError as error:
-                log.error(
-                    "endpoint_unusable",
-                    endpoint=row.get("key"),
-                    revision=row.get("ver"),
-                    field=error.field,
-                    cause=error.message,
-                )
-                continue
-            entries.append(entry)
-        return tuple(entries), removed
-
 
 def _document(*, content: bytes, peer: str) -> Row:
     try:
@@ -201,6 +173,7 @@
         raise PlatformUnavailable(f"answered no JSON: {error}", peer=peer) from error
     if not isinstance(document, dict) or not isinstance(document.get("rows"), list):
         raise PlatformUnavailable("answered without rows", peer=peer)
+    check_rows(rows=document["rows"], peer=peer)
     return document
 
 
@@ -209,15 +182,3 @@
     if not isinstance(version, int):
         raise PlatformUnavailable("answered without a version")
     return Revision(version)
-
-
-def _value(row: Row) -> bytes:
-    """Return the value of a row.
-
-    Raises:
-        RecordError: If there is none.
-    """
-    try:
-        return base64.b64decode(row["value"])
-    except (KeyError, TypeError, binascii.Error) as error:
-        raise RecordError(f"the row holds no value: {error}", field="value") from error
--- /dev/null
+++ b/dotterelpaddle/tests/forwarding/test_starts.py
@@ -0,0 +1,242 @@
+"""An endpoint that starts again under its name holds nothing from before."""
+
+from __future__ import annotations
+
+import base64
+from typing import Any
+
+import orjson
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from dotterelpaddle.forwarding.caches import CacheMap
+from dotterelpaddle.forwarding.health import HealthBook
+from dotterelpaddle.forwarding.interface import EndpointsRead
+from dotterelpaddle.forwarding.loads import LoadBook
+from dotterelpaddle.forwarding.model import EndpointState
+from dotterelpaddle.forwarding.shares import ShareBook
+from dotterelpaddle.forwarding.unusable import UnusableEntries
+from dotterelpaddle.forwarding.view import FleetView
+from dotterelpaddle.ids import EndpointName, FailureDomain, Revision, ServiceName
+from dotterelpaddle.peers.snapshot import (
+    SnapshotRequest,
+    decode_snapshot,
+    encode_snapshot,
+)
+from dotterelpaddle.platform.documents import PlatformDocuments
+from dotterelpaddle.platform.engines import read_cached_parts
+from dotterelpaddle.platform.rows import EntryRows
+
+SERVICE = ServiceName("records")
+NAMES = [EndpointName("a"), EndpointName("b")]
+DOCUMENTS = PlatformDocuments()
+FIRST_START = 1_733_000_000_000
+FOREIGN = [b"", b"\xff", b"[]", b'{"service":"records"}', b'{"state":"resting"}']
+
+
+def _value(*, start: int, seq: int, state: EndpointState) -> bytes:
+    return orjson.dumps(
+        {
+            "service": SERVICE,
+            "address": "10.0.0.1:80",
+            "zone": "here",
+            "version": "v1",
+            "slots": 4,
+            "state": state.value,
+            "coldLeftMs": 0,
+            "seq": seq,
+            "born": start,
+        }
+    )
+
+
+class StartsMachine(RuleBasedStateMachine):
+    """Two routers hear of a store that endpoints, old starts and strangers write.
+
+    Words come late, doubled and in any order: rows of the store's feed, whole lists,
+    and what one router hands to the other.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.routers = [FleetView(clock=lambda: 0.0), FleetView(clock=lambda: 0.0)]
+        self.decoders = [EntryRows(documents=DOCUMENTS), EntryRows(documents=DOCUMENTS)]
+        self.revision = 0
+        self.starts = dict.fromkeys(NAMES, 0)
+        self.table: dict[EndpointName, dict[str, Any]] = {}
+        self.feed: list[dict[str, Any]] = []
+        self.latest: list[dict[EndpointName, int]] = [{}, {}]
+
+    def _write(self, name: EndpointName, value: bytes) -> None:
+        self.revision += 1
+        encoded = base64.b64encode(value).decode()
+        self.table[name] = {"key": name, "ver": self.revision, "value": encoded}
+        self.feed.append(self.table[name])
+
+    @rule(name=st.sampled_from(NAMES), state=st.sampled_from(EndpointState))
+    def beat(self, name: EndpointName, state: EndpointState) -> None:
+        start = FIRST_START + self.starts[name]
+        self._write(name, _value(start=start, seq=1, state=state))
+
+    @rule(name=st.sampled_from(NAMES))
+    def start_again(self, name: EndpointName) -> None:
+        self.starts[name] += 1
+        self.beat(name, EndpointState.READY)
+
+    @rule(name=st.sampled_from(NAMES), seq=st.integers(1, 1000))
+    def write_of_an_earlier_start_is_done_late(
+        self, name: EndpointName, seq: int
+    ) -> None:
+        if self.starts[name]:
+            start = FIRST_START + self.starts[name] - 1
+            state = EndpointState.READY
+            self._write(name, _value(start=start, seq=seq, state=state))
+
+    @rule(name=st.sampled_from(NAMES), value=st.sampled_from(FOREIGN))
+    def another_writes(self, name: EndpointName, value: bytes) -> None:
+        self._write(name, value)
+
+    @rule(name=st.sampled_from(NAMES))
+    def remove(self, name: EndpointName) -> None:
+        if self.table.pop(name, None) is not None:
+            self.revision += 1
+            self.feed.append({"key": name, "ver": self.revision, "removed": True})
+
+    @rule(router=st.integers(0, 1), data=st.data())
+    def hear_rows(self, router: int, data: st.DataObject) -> None:
+        if not self.feed:
+            return
+        first = data.draw(st.integers(0, len(self.feed) - 1))
+        rows = self.feed[first : first + data.draw(st.integers(1, 4))]
+        entries, removed = self.decoders[router].decode(rows=rows)
+        revision = Revision(rows[-1]["ver"])
+        read = EndpointsRead(revision=revision, entries=entries, removed=removed)
+        self.routers[router].take_endpoints(read=read)
+
+    @rule(router=st.integers(0, 1))
+    def read_all(self, router: int) -> None:
+        entries, _ = self.decoders[router].decode(rows=self.table.values())
+        revision = Revision(self.revision)
+        read = EndpointsRead(revision=revision, entries=entries, whole=True)
+        self.routers[router].take_endpoints(read=read)
+
+    @rule(router=st.integers(0, 1), whole=st.booleans())
+    def hear_the_other_router(self, router: int, whole: bool) -> None:
+        view, other = self.routers[router], self.routers[1 - router]
+        revision = None if whole else view.endpoints_revision
+        content = encode_snapshot(
+            view=other,
+            caches=CacheMap(clock=lambda: 0.0),
+            request=SnapshotRequest(revision=revision, uses=True),
+        )
+        snapshot = decode_snapshot(
+            content=content, documents=DOCUMENTS, unusable=UnusableEntries()
+        )
+        if snapshot.endpoints is not None:
+            view.take_endpoints(read=snapshot.endpoints)
+
+    @invariant()
+    def no_router_goes_back_to_an_earlier_start(self) -> None:
+        for view, latest in zip(self.routers, self.latest, strict=True):
+            for entry in view.entries:
+                assert entry.incarnation >= latest.get(entry.name, 0)
+                latest[entry.name] = entry.incarnation
+
+    @invariant()
+    def one_start_of_each_endpoint_is_used(self) -> None:
+        for view in self.routers:
+            names = [entry.name for entry in view.ready(service=SERVICE)]
+            assert len(names) == len(set(names))
+
+    def teardown(self) -> None:
+        """Each endpoint beats once more, and all is heard: both routers agree."""
+        for name in NAMES:
+            self.beat(name, EndpointState.READY)
+        for router in (0, 1):
+            self.read_all(router)
+        for view in self.routers:
+            assert {entry.name: entry.incarnation for entry in view.entries} == {
+                name: FIRST_START + start for name, start in self.starts.items()
+            }
+        one, other = self.routers
+        assert one.endpoints_tag == other.endpoints_tag
+
+
+TestStarts = StartsMachine.TestCase
+
+
+def _hear(view: FleetView, *rows: tuple[int, int]) -> None:
+    """Hear rows of one endpoint: a revision and a start each."""
+    for revision, start in rows:
+        value = _value(start=FIRST_START + start, seq=9, state=EndpointState.READY)
+        entry = DOCUMENTS.endpoint(
+            name=NAMES[0], document=value, revision=Revision(revision)
+        )
+        read = EndpointsRead(revision=Revision(revision), entries=(entry,))
+        view.take_endpoints(read=read)
+
+
+def test_row_of_an_earlier_start_does_not_bring_it_back_after_a_removal() -> None:
+    view = FleetView(clock=lambda: 0.0)
+    _hear(view, (1, 0), (2, 5))
+    gone = EndpointsRead(
+        revision=Revision(3), entries=(), removed={NAMES[0]: Revision(3)}
+    )
+    view.take_endpoints(read=gone)
+    _hear(view, (4, 0))
+
+    assert view.entries == ()
+
+
+def test_routers_that_know_different_starts_do_not_take_each_other_for_alike() -> None:
+    one, other = FleetView(clock=lambda: 0.0), FleetView(clock=lambda: 0.0)
+    _hear(one, (1, 0))
+    _hear(other, (1, 0), (2, 5))
+
+    assert one.endpoints_tag != other.endpoints_tag
+
+
+def test_nothing_known_of_an_earlier_start_counts_for_the_next() -> None:
+    view = FleetView(clock=lambda: 0.0)
+    caches, health = CacheMap(clock=lambda: 0.0), HealthBook(clock=lambda: 0.0)
+    shares = ShareBook(failure_domain=FailureDomain("here"), clock=lambda: 0.0)
+    loads = LoadBook(shares=shares)
+    _hear(view, (1, 0))
+    (before,) = view.entries
+    caches.note_part(endpoint=before.endpoint, part=7)
+    health.gone(entry=before)
+    health.failed_hard(entry=before, cause="broke off")
+
+    with loads.hold(endpoint=before.endpoint):
+        _hear(view, (2, 5))
+        (after,) = view.entries
+
+        assert after.name == before.name
+        assert loads.loads()[after.endpoint] == 0
+    assert not health.is_gone(endpoint=after.endpoint)
+    assert health.usable(entries=[after]) == [after]
+    assert (7, after.endpoint) not in caches.uses()
+    assert (7, before.endpoint) in caches.uses()
+
+
+def test_list_of_a_cache_names_the_start_that_answered() -> None:
+    """It comes before the row of the new start is heard."""
+    view = FleetView(clock=lambda: 0.0)
+    _hear(view, (1, 0))
+    content = orjson.dumps({"born": FIRST_START + 5, "held": [["", "5c1e", 800, "m"]]})
+
+    cached = read_cached_parts(content=content, entry=view.entries[0])
+    _hear(view, (2, 5))
+
+    assert [entry.endpoint for entry in view.entries] == [cached.endpoint]
+
+
+def test_list_of_a_cache_without_a_start_is_of_the_known_one() -> None:
+    view = FleetView(clock=lambda: 0.0)
+    _hear(view, (1, 0))
+    content = orjson.dumps({"held": [["", "5c1e", 800, "m"]]})
+
+    cached = read_cached_parts(content=content, entry=view.entries[0])
+
+    assert cached.endpoint == view.entries[0].endpoint
+    assert len(cached.parts) == 1
--- a/dotterelpaddle/tests/peers/test_messages.py
+++ b/dotterelpaddle/tests/peers/test_messages.py
@@ -25,6 +25,7 @@
 )
 from dotterelpaddle.peers.messages import (
     MOST_PEERS_TOLD,
+    STARTS,
     PeerName,
     PeerReport,
     decode_report,
@@ -201,3 +202,51 @@
 
     assert world.directory.count == 1
     assert set(world.directory.quiet_targets()) <= {OTHER}
+
+
+def test_start_of_an_endpoint_is_told() -> None:
+    start, other = EndpointId("a@1733000000123"), EndpointId("b")
+    report = _report(
+        share=Share(loads={start: 2, other: 1}), uses=((5, start), (6, other))
+    )
+
+    decoded = decode_report(datagram=encode_report(report=report))
+
+    assert decoded.share.loads == {start: 2, other: 1}
+    assert decoded.uses == ((5, start), (6, other))
+
+
+def test_only_the_latest_start_is_told() -> None:
+    earlier, later = EndpointId("a@1733000000123"), EndpointId("a@1733000000999")
+    report = _report(
+        share=Share(loads={earlier: 2, later: 1}), uses=((5, earlier), (6, later))
+    )
+
+    decoded = decode_report(datagram=encode_report(report=report))
+
+    assert decoded.share.loads == {later: 1}
+    assert decoded.uses == ((6, later),)
+
+
+def test_report_without_starts_counts_for_the_known_ones_but_tells_no_parts() -> None:
+    """As an earlier release writes it, which knows endpoints by name only."""
+    fields = orjson.loads(encode_report(report=_report()))
+    known = EndpointId("a@1733000000123")
+
+    decoded = decode_report(
+        datagram=orjson.dumps(fields[:STARTS]), start_of=lambda name: known
+    )
+
+    assert decoded.share.loads == {known: 2}
+    assert decoded.uses == ((5, "a"),)
+
+
+def test_earlier_releases_find_names_where_they_look() -> None:
+    start = EndpointId("a@1733000000123")
+    report = _report(share=Share(loads={start: 2}), uses=((5, start),))
+
+    fields = orjson.loads(encode_report(report=report))
+
+    assert fields[12][2] == {"a": 2}
+    assert fields[16] == [[5, "a"]]
+    assert len(fields) == STARTS + 1
--- /dev/null
+++ b/dotterelpaddle/tests/platform/test_rows.py
@@ -0,0 +1,122 @@
+"""Rows of the store by whoever wrote them."""
+
+from __future__ import annotations
+
+import base64
+from typing import Any
+
+import orjson
+import pytest
+from hypothesis import given, strategies as st
+
+from dotterelpaddle.exceptions import PlatformUnavailable
+from dotterelpaddle.forwarding import unusable
+from dotterelpaddle.platform.documents import PlatformDocuments
+from dotterelpaddle.platform.rows import EntryRows, check_rows
+
+VALUE = {
+    "service": "records",
+    "address": "10.0.0.1:80",
+    "zone": "here",
+    "version": "v1",
+    "slots": 4,
+    "state": "ready",
+    "coldLeftMs": 0,
+    "seq": 3,
+}
+
+
+def _row(key: str, revision: int, value: object) -> dict[str, Any]:
+    content = value if isinstance(value, bytes) else orjson.dumps(value)
+    return {"key": key, "ver": revision, "value": base64.b64encode(content).decode()}
+
+
+class _Lines:
+    """Takes log lines in place of the log."""
+
+    def __init__(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        self.lines: list[dict[str, Any]] = []
+        monkeypatch.setattr(unusable, "log", self)
+
+    def error(self, message: str, **fields: Any) -> None:
+        self.lines.append({"message": message, **fields})
+
+
+@pytest.mark.parametrize(
+    "value",
+    [
+        b"\xff\xfe",
+        b"",
+        b"null",
+        [],
+        {**VALUE, "state": "resting"},
+        {"service": "records"},
+    ],
+    ids=["no text", "nothing", "null", "a list", "unknown state", "fields missing"],
+)
+def test_row_of_another_writer_names_no_endpoint(value: object) -> None:
+    rows = EntryRows(documents=PlatformDocuments())
+
+    entries, removed = rows.decode(rows=[_row("a", 4, VALUE), _row("b", 5, value)])
+
+    assert [entry.name for entry in entries] == ["a"]
+    assert removed == {"b": 5}
+
+
+def test_row_without_a_readable_value_names_no_endpoint() -> None:
+    rows = EntryRows(documents=PlatformDocuments())
+    without: list[dict[str, Any]] = [
+        {"key": "a", "ver": 4},
+        {"key": "b", "ver": 5, "value": 7},
+        {"key": "c", "ver": 6, "value": "a"},
+        {"key": "d", "ver": 7, "value": "ü"},
+    ]
+
+    entries, removed = rows.decode(rows=without)
+
+    assert entries == ()
+    assert removed == {"a": 4, "b": 5, "c": 6, "d": 7}
+
+
+def test_fault_of_a_row_is_logged_once(monkeypatch: pytest.MonkeyPatch) -> None:
+    """A row that is written anew with each heartbeat keeps its fault."""
+    rows, lines = EntryRows(documents=PlatformDocuments()), _Lines(monkeypatch)
+
+    for revision in range(1, 50):
+        rows.decode(rows=[_row("a", revision, {**VALUE, "state": "resting"})])
+    rows.decode(rows=[_row("a", 50, {**VALUE, "slots": "many"})])
+    rows.decode(rows=[_row("a", 51, VALUE)])
+    rows.decode(rows=[_row("a", 52, {**VALUE, "slots": "many"})])
+
+    assert [line["field"] for line in lines.lines] == ["a.state", "a.slots", "a.slots"]
+    assert [line["revision"] for line in lines.lines] == [1, 50, 52]
+
+
+def test_faults_of_many_rows_take_bounded_memory(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    entries, lines = unusable.UnusableEntries(), _Lines(monkeypatch)
+    rows = EntryRows(documents=PlatformDocuments())
+    rows._unusable = entries
+
+    for number in range(unusable.MOST_REMEMBERED + 10):
+        rows.decode(rows=[_row(f"foreign-{number}", number + 1, {})])
+
+    assert len(entries._causes) == unusable.MOST_REMEMBERED
+    assert len(lines.lines) == unusable.MOST_REMEMBERED + 10
+
+
+@given(st.binary(max_size=64))
+def test_noise_names_no_endpoint(noise: bytes) -> None:
+    entries, removed = EntryRows(documents=PlatformDocuments()).decode(
+        rows=[_row("a", 1, noise)]
+    )
+
+    assert entries == ()
+    assert removed == {"a": 1}
+
+
+@pytest.mark.parametrize("row", [None, {}, {"key": 1, "ver": 1}, {"key": "a"}])
+def test_answer_with_rows_that_the_store_can_not_mean_is_none(row: object) -> None:
+    with pytest.raises(PlatformUnavailable, match="10.0.0.9"):
+        check_rows(rows=[row], peer="10.0.0.9:1")
