Hand out verdicts also when nothing waits any more; say why requests were late

The verdicts found then are kept until the next settlement, which was left out when the queue was empty: a caller whose request had been granted waited for its deadline, and the load of the grant was counted till then. Ruled out: a lost datagram (the caller waited at the owner itself), a change of owners, the account's limit. Change: settlement goes by ShardOwner.unsettled. The new test fails before.

--- /dev/null
+++ b/bench/causes/__init__.py
@@ -0,0 +1,1 @@
+"""Says from routers' logs which requests were not served in time, and why."""
--- a/dotterelpaddle/forwarding/app.py
+++ b/dotterelpaddle/forwarding/app.py
@@ -103,7 +103,9 @@
     ) -> None:
         """Serve one request as ASGI asks."""
         received_at = self._clock()
-        reply = ForwardReply(send=send, closing=lambda: self._sends_away)
+        reply = ForwardReply(
+            send=send, closing=lambda: self._sends_away, clock=self._clock
+        )
         try:
             request = self._protocols.read_request(scope=scope)
         except RequestError as error:
@@ -193,22 +195,28 @@
         )
 
     def _log_end(self, *, exchange: ForwardExchange) -> None:
-        error = exchange.error
+        error, route, reply = exchange.error, exchange.route, exchange.reply
         seconds = self._clock() - exchange.received_at
         self._metrics.ended(exchange=exchange, seconds=seconds)
-        status = exchange.reply.status
+        status = reply.status
         refused = status in PROMISES
+        begun = seconds
+        if reply.begun_at is not None:
+            begun = reply.begun_at - exchange.received_at
         log.info(
             "request_ended",
-            keep=refused
-            and exchange.route is not None
-            and not exchange.route.repeatable,
+            keep=refused and route is not None and not route.repeatable,
             request_id=exchange.request.request_id,
-            route=exchange.route.name if exchange.route else "",
+            route=route.name if route else "",
+            kind=route.kind.value if route else "",
+            objective=route.objective if route else 0.0,
+            begun=round(begun, 4),
+            pause_objective=route.pause_objective if route else 0.0,
+            longest_pause=round(reply.longest_pause, 4),
             service=exchange.service or "",
             version=exchange.version,
             status=status,
-            finished=exchange.reply.finished,
+            finished=reply.finished,
             caller_gone=exchange.caller_gone,
             attempts=exchange.attempts.count,
             endpoint=exchange.last_endpoint,
--- a/dotterelpaddle/forwarding/metrics.py
+++ b/dotterelpaddle/forwarding/metrics.py
@@ -7,6 +7,7 @@
 from pathlib import Path
 from typing import TYPE_CHECKING
 
+from dotterelpaddle.forwarding.model import RequestKind
 from dotterelpaddle.metrics import Metrics
 
 if TYPE_CHECKING:
@@ -38,6 +39,10 @@
             name="request_seconds",
             doc="Seconds from a request's arrival to its end, by kind.",
         )
+        self._pauses = histogram(
+            name="longest_pause_seconds",
+            doc="Longest pause between two events of a stream, by route's objective.",
+        )
         self._begins = histogram(
             name="first_byte_seconds",
             doc="Seconds from an attempt's begin to its answer's, by service.",
@@ -62,6 +67,10 @@
             }
         )
         self._seconds.observe({"kind": kind}, seconds)
+        route = exchange.route
+        if route is not None and route.kind is RequestKind.STREAM:
+            objective = f"{route.pause_objective:g}"
+            self._pauses.observe({"objective": objective}, exchange.reply.longest_pause)
 
     def begun(self, *, service: str, seconds: float) -> None:
         """Count an answer that began."""
--- a/dotterelpaddle/forwarding/reply.py
+++ b/dotterelpaddle/forwarding/reply.py
@@ -7,6 +7,7 @@
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
+    from dotterelpaddle.clock import Clock
     from dotterelpaddle.forwarding.interface import Headers
 
     Send = Callable[[dict[str, Any]], Awaitable[None]]
@@ -18,11 +19,18 @@
     Args:
         send: The ASGI server's function.
         closing: Tells whether the caller should open a new connection next time.
+        clock: Monotonic clock.
     """
 
-    def __init__(self, *, send: Send, closing: Callable[[], bool]) -> None:
+    def __init__(
+        self, *, send: Send, closing: Callable[[], bool], clock: Clock
+    ) -> None:
         self._send = send
         self._closing = closing
+        self._clock = clock
+        self._begun_at: float | None = None
+        self._written_at = 0.0
+        self._longest_pause = 0.0
         self._finished = False
         self._status = 0
 
@@ -41,6 +49,16 @@
         """The status that was sent, 0 before."""
         return self._status
 
+    @property
+    def begun_at(self) -> float | None:
+        """When its first bytes were sent, None before."""
+        return self._begun_at
+
+    @property
+    def longest_pause(self) -> float:
+        """Longest seconds between two parts of its body."""
+        return self._longest_pause
+
     async def whole(self, *, status: int, headers: Headers, body: bytes) -> None:
         """Send a whole answer at once."""
         length = (b"content-length", str(len(body)).encode())
@@ -51,6 +69,7 @@
     async def start(self, *, status: int, headers: Headers) -> None:
         """Send the status line and headers."""
         self._status = status
+        self._begun_at = self._written_at = self._clock()
         if self._closing():
             headers = [*headers, (b"connection", b"close")]
         await self._send(
@@ -59,6 +78,9 @@
 
     async def write(self, *, chunk: bytes) -> None:
         """Send part of the body."""
+        now = self._clock()
+        self._longest_pause = max(self._longest_pause, now - self._written_at)
+        self._written_at = now
         await self._send(
             {"type": "http.response.body", "body": chunk, "more_body": True}
         )
--- a/dotterelpaddle/placement/directory.py
+++ b/dotterelpaddle/placement/directory.py
@@ -189,7 +189,7 @@
     def attended(self) -> list[ShardState]:
         """Shards that need a look all the time: owned ones and those with a queue."""
         for shard, state in tuple(self._queues.items()):
-            if not state.decider.queued:
+            if not state.decider.unsettled:
                 del self._queues[shard]
         queues = [state for state in self._queues.values() if not state.owned]
         return [*self._owned, *queues]
@@ -330,7 +330,7 @@
             self._follow_owners(state=state, owners=owners, now=now)
             state.rhythm = self.rhythm
             state.away.keeps = bool(state.owned) or not self.is_sparse
-            if state.decider.queued:
+            if state.decider.unsettled:
                 self.note_queue(state=state)
         self._owned = tuple(state for state in self._states.values() if state.owned)
         self._elections += 1
--- a/dotterelpaddle/placement/duties.py
+++ b/dotterelpaddle/placement/duties.py
@@ -90,7 +90,7 @@
 
     def settle(self, *, state: ShardState) -> None:
         """Serve what waits in a shard and deliver the verdicts."""
-        if not state.decider.queued:
+        if not state.decider.unsettled:
             return
         for verdict in state.decider.settle(now=self._clock()):
             self._deliver(state=state, verdict=verdict)
--- a/dotterelpaddle/placement/owner.py
+++ b/dotterelpaddle/placement/owner.py
@@ -158,6 +158,15 @@
         """Requests that wait."""
         return len(self._queue) + len(self._patient)
 
+    @property
+    def unsettled(self) -> bool:
+        """Whether requests wait, or have verdicts that were not handed out yet.
+
+        Room that is found while another request joins the queue may empty it; the
+        verdicts of those that waited are still to be told then.
+        """
+        return self.queued > 0 or len(self._ready) > 0
+
     @property
     def is_backlogged(self) -> bool:
         """Whether requests wait for capacity."""
