Ask engines for their caches sooner after a start; return callers when they are moved

Callers in a cut-off domain are refused and come back 0.3 s later to the same routers, before the balancer has moved them.

--- a/dotterelpaddle/daemon/lean.py
+++ b/dotterelpaddle/daemon/lean.py
@@ -6,9 +6,22 @@
 from importlib import import_module
 from importlib.machinery import PathFinder
 from importlib.util import module_from_spec
+from types import ModuleType
 
 SERVER_PACKAGE = "uvicorn"
 
+NEVER_CALLED = ("certifi", "logging.config")
+"""Modules that libraries import for what a router never asks of them: certificates
+of encrypted connections, and settings of logs. They bring forty others along, which
+are a fifteenth of the processor time of a start; callers wait for that."""
+
+
+def skip_what_is_never_run() -> None:
+    """Let libraries be imported without what a router never runs of them."""
+    for name in NEVER_CALLED:
+        sys.modules.setdefault(name, ModuleType(name))
+    skip_server_command_line()
+
 
 def skip_server_command_line() -> None:
     """Let the HTTP server's modules be imported without its command line.
--- a/dotterelpaddle/forwarding/app.py
+++ b/dotterelpaddle/forwarding/app.py
@@ -16,6 +16,7 @@
 from dotterelpaddle.forwarding.exchange import ForwardExchange
 from dotterelpaddle.forwarding.relays import PROMISES
 from dotterelpaddle.forwarding.reply import ForwardReply
+from dotterelpaddle.forwarding.returns import return_wait
 from dotterelpaddle.http_server import ReplyCut
 from dotterelpaddle.logs import get_logger
 
@@ -40,9 +41,6 @@
 DEFAULT_BODY_BYTES = 4 * 1024 * 1024
 """Longest body while no configuration says otherwise."""
 
-REFUSAL_WAIT = 0.3
-"""Seconds after which a caller may come back where the error names no time."""
-
 BAD_GATEWAY = 502
 UNAVAILABLE = 503
 GATEWAY_ERRORS = frozenset({502, 504})
@@ -190,10 +188,23 @@
         status = _status(exchange=exchange, error=error)
         await reply.whole(
             status=status,
-            headers=_headers(status=status, error=error),
+            headers=self._headers(exchange=exchange, status=status, error=error),
             body=_body(error=error),
         )
 
+    def _headers(
+        self, *, exchange: ForwardExchange, status: int, error: RequestError
+    ) -> Headers:
+        headers = [(b"content-type", b"text/plain; charset=utf-8")]
+        if status in PROMISES:
+            wait = return_wait(
+                wait=error.retry_after,
+                time_left=exchange.deadline - self._clock(),
+                isolated_for=self._isolation.isolated_for,
+            )
+            headers.append((b"retry-after", f"{wait:.3g}".encode()))
+        return headers
+
     def _log_end(self, *, exchange: ForwardExchange) -> None:
         error, route, reply = exchange.error, exchange.route, exchange.reply
         seconds = self._clock() - exchange.received_at
@@ -240,15 +251,5 @@
     return error.status
 
 
-def _headers(*, status: int, error: RequestError) -> Headers:
-    headers = [(b"content-type", b"text/plain; charset=utf-8")]
-    if status in PROMISES:
-        wait = error.retry_after
-        if wait is None:
-            wait = REFUSAL_WAIT
-        headers.append((b"retry-after", f"{wait:g}".encode()))
-    return headers
-
-
 def _body(*, error: RequestError) -> bytes:
     return f"{error.message}\n".encode()
--- a/dotterelpaddle/forwarding/isolation.py
+++ b/dotterelpaddle/forwarding/isolation.py
@@ -18,6 +18,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping
 
+    from dotterelpaddle.clock import Clock
     from dotterelpaddle.forwarding.reachability import Reachability
     from dotterelpaddle.forwarding.view import FleetView
     from dotterelpaddle.ids import FailureDomain, ServiceName
@@ -42,6 +43,7 @@
         reachability: Where no connection can be made.
         failure_domain: Where this router is.
         routers: Tells by failure domain whether any of its routers is heard.
+        clock: Monotonic clock.
     """
 
     def __init__(
@@ -51,6 +53,7 @@
         reachability: Reachability,
         failure_domain: FailureDomain,
         routers: Callable[[], Mapping[FailureDomain, bool]],
+        clock: Clock,
     ) -> None:
         self._view = view
         self._reachability = reachability
@@ -58,12 +61,20 @@
         self._routers = routers
         self._silent: frozenset[FailureDomain] = frozenset()
         self._lost: frozenset[FailureDomain] = frozenset()
-        self._isolated = False
+        self._clock = clock
+        self._isolated_at: float | None = None
 
     @property
     def isolated(self) -> bool:
         """Whether the other side has more failure domains, and can serve more."""
-        return self._isolated
+        return self._isolated_at is not None
+
+    @property
+    def isolated_for(self) -> float | None:
+        """Seconds since that was found, None if it is not so."""
+        if self._isolated_at is None:
+            return None
+        return self._clock() - self._isolated_at
 
     async def run(self) -> None:
         """Look at the other failure domains until cancelled."""
@@ -104,9 +115,9 @@
         }
 
     def _judge(self, *, isolated: bool) -> None:
-        if isolated is self._isolated:
+        if isolated is self.isolated:
             return
-        self._isolated = isolated
+        self._isolated_at = self._clock() if isolated else None
         log.warning(
             "isolation_changed", isolated=isolated, lost_domains=sorted(self._lost)
         )
--- a/dotterelpaddle/forwarding/parts.py
+++ b/dotterelpaddle/forwarding/parts.py
@@ -156,6 +156,7 @@
         reachability=reachability,
         failure_domain=settings.failure_domain,
         routers=directory.heard_domains,
+        clock=clock,
     )
     placer = ForwardPlacer(
         view=knowledge.view,
--- /dev/null
+++ b/dotterelpaddle/forwarding/returns.py
@@ -0,0 +1,38 @@
+"""Tells callers whose request has not run when to come back."""
+
+from __future__ import annotations
+
+REFUSAL_WAIT = 0.3
+"""Seconds after which a caller may come back where the error names no time."""
+
+CALLERS_MOVED_AFTER = 2.2
+"""Seconds after a router reports not ready until the balancer sends its callers
+elsewhere: it asks once a second, and two answers in a row must say so."""
+
+LONGEST_SHARE = 1 / 3
+"""Share of the time that a caller has left after which it must be back: then two
+thirds are left to serve it, and callers are not bound to wait for longer."""
+
+
+def return_wait(
+    *, wait: float | None, time_left: float, isolated_for: float | None
+) -> float:
+    """Return the seconds after which a refused caller may come back.
+
+    A caller that is refused by a router on the smaller side of a cut network, and
+    comes back before the balancer has moved it, is refused once more, and for good if
+    it tries but once. So it is asked to wait until then, as far as its time allows: of
+    the callers with three seconds or more those of the last one and a half before the
+    move are served, late, instead of not at all.
+
+    Args:
+        wait: What the error says, None if it does not.
+        time_left: Seconds until the caller's deadline.
+        isolated_for: Seconds since this router found itself on the smaller side, None
+            if it does not.
+    """
+    usual = REFUSAL_WAIT if wait is None else wait
+    if isolated_for is None:
+        return usual
+    moved_in = CALLERS_MOVED_AFTER - isolated_for
+    return max(usual, min(moved_in, LONGEST_SHARE * time_left))
--- a/dotterelpaddle/peers/fetching.py
+++ b/dotterelpaddle/peers/fetching.py
@@ -42,9 +42,11 @@
 """Looks in a row at which another router must know later endpoints before they are
 fetched from it: a call to the platform, which comes first, takes 4 ms."""
 
-ALONE_AFTER = 0.1
+ALONE_AFTER = 0.03
 """Seconds after the start from which a router that knows no places of parts, and
-hears of none, asks endpoints; a router that lives answers its first report."""
+hears of none, asks endpoints. A router that lives answers the first report within some
+5 ms. Where all have stopped, callers of the last third of a second wait at the door,
+and each moment that this takes makes more of their streams late."""
 
 MOST_READ_BY_EACH = 16
 """Engines that every router asks for itself, as it takes 0.1 s; of more one router
--- a/dotterelpaddle/tests/daemon/test_process.py
+++ b/dotterelpaddle/tests/daemon/test_process.py
@@ -72,10 +72,10 @@
     assert b"set DOTTERELPADDLE_SETTINGS" in ended.stderr
 
 
-def test_daemon_loads_no_command_line_of_its_libraries() -> None:
+def test_daemon_loads_nothing_that_it_never_runs() -> None:
     listing = (
         "import sys, dotterelpaddle.daemon.lean as lean;"
-        "lean.skip_server_command_line();"
+        "lean.skip_what_is_never_run();"
         "import dotterelpaddle.daemon.process;"
         "print(*sys.modules)"
     )
@@ -86,6 +86,7 @@
 
     assert "uvicorn.server" in loaded
     assert not loaded & {"click", "uvicorn.main", "multiprocessing", "cyclopts"}
+    assert not loaded & {"importlib.resources", "tempfile", "logging.handlers"}
 
 
 async def test_daemon_serves_and_stops_when_told(tmp_path: Path) -> None:
--- a/dotterelpaddle/tests/forwarding/test_isolation.py
+++ b/dotterelpaddle/tests/forwarding/test_isolation.py
@@ -47,6 +47,7 @@
         view.take_endpoints(
             read=EndpointsRead(revision=Revision(1), entries=entries, whole=True)
         )
+        self.now = 0.0
         self.view = view
         self.reachability = ScriptedReachability()
         self.heard = dict.fromkeys(slots, True)
@@ -55,6 +56,7 @@
             reachability=_as_reachability(self.reachability),
             failure_domain=HERE,
             routers=lambda: self.heard,
+            clock=lambda: self.now,
         )
 
     def cut(self, *domains: FailureDomain) -> None:
@@ -86,6 +88,18 @@
     return World(slots={HERE: 8, NEAR: 8, FAR: 8})
 
 
+def test_isolation_tells_how_long_it_lasts() -> None:
+    world = _even()
+    before = world.isolation.isolated_for
+    world.cut(NEAR, FAR)
+    world.now = 7.0
+    world.isolated()
+    world.now = 7.5
+
+    assert before is None
+    assert world.isolation.isolated_for == 0.5
+
+
 def test_router_that_reaches_all_stays() -> None:
     assert not _even().isolated()
 
--- /dev/null
+++ b/dotterelpaddle/tests/forwarding/test_returns.py
@@ -0,0 +1,49 @@
+"""When refused callers are asked to come back.
+
+The pattern: a failure domain with routers and callers, and without an endpoint of the
+service, is cut off for some seconds. Its callers try once more at most, and reach the
+same routers until the balancer has asked those twice, a second apart.
+"""
+
+from __future__ import annotations
+
+import pytest
+
+from dotterelpaddle.forwarding.returns import (
+    CALLERS_MOVED_AFTER,
+    LONGEST_SHARE,
+    REFUSAL_WAIT,
+    return_wait,
+)
+
+
+def _served_after_return(*, budget: float, sent: float) -> bool:
+    """Tell whether a caller that isolated routers refused is served on return."""
+    wait = return_wait(wait=REFUSAL_WAIT, time_left=budget, isolated_for=sent)
+    return sent + wait >= CALLERS_MOVED_AFTER and wait <= LONGEST_SHARE * budget
+
+
+@pytest.mark.parametrize(
+    ("budget", "served_from"), [(12.0, 0.0), (4.0, 0.9), (3.0, 1.2)]
+)
+def test_callers_with_time_come_back_when_they_are_moved(
+    budget: float, served_from: float
+) -> None:
+    sent = [step / 10 for step in range(22)]
+
+    served = [each for each in sent if _served_after_return(budget=budget, sent=each)]
+
+    assert served == [each for each in sent if each >= served_from]
+
+
+def test_caller_with_little_time_is_not_kept_from_trying() -> None:
+    assert return_wait(wait=0.3, time_left=0.6, isolated_for=0.1) == 0.3
+
+
+def test_caller_of_a_router_in_reach_of_all_is_told_what_the_error_says() -> None:
+    assert return_wait(wait=0.5, time_left=12.0, isolated_for=None) == 0.5
+    assert return_wait(wait=None, time_left=12.0, isolated_for=None) == REFUSAL_WAIT
+
+
+def test_long_isolated_router_asks_for_no_more_than_the_usual_wait() -> None:
+    assert return_wait(wait=0.3, time_left=12.0, isolated_for=5.0) == 0.3
