Let no stream wait for engines behind a cut after a start; refuse at once there

Cause: streams wait until a started router knows what engines have cached. It counted as known when all engines had answered or 0.3 s had passed, and engines behind a cut never answer: by the routers' clocks the first stream was placed 0.32 s after the start of each router, 0.28 s after the lists of all engines in reach were there. A router that starts where it reaches neither store nor others held each request for 0.4 s before it refused it, all the time. Change: the caches count as known 0.06 s after the question; requests wait for the configuration only until 0.4 s after the start; a router that knows none asks callers to come back when the balancer has moved them.

--- a/dotterelpaddle/forwarding/app.py
+++ b/dotterelpaddle/forwarding/app.py
@@ -92,6 +92,13 @@
     def _sends_away(self) -> bool:
         return self._leaving or self._isolation.isolated
 
+    @property
+    def _not_ready_for(self) -> float | None:
+        """Seconds since the balancer might have begun to send callers elsewhere."""
+        if not self._view.complete:
+            return self._view.age
+        return self._isolation.isolated_for
+
     def announce_leaving(self) -> None:
         """Report not ready and close connections after answers; still serve."""
         self._leaving = True
@@ -199,12 +206,19 @@
         if status in PROMISES:
             wait = return_wait(
                 wait=error.retry_after,
-                time_left=exchange.deadline - self._clock(),
-                isolated_for=self._isolation.isolated_for,
+                time_left=self._time_left(exchange=exchange),
+                not_ready_for=self._not_ready_for,
             )
             headers.append((b"retry-after", f"{wait:.3g}".encode()))
         return headers
 
+    def _time_left(self, *, exchange: ForwardExchange) -> float:
+        """Seconds that a caller waits, also where its route is not known."""
+        passed = self._clock() - exchange.received_at
+        patience = exchange.request.time_left
+        own = exchange.deadline - exchange.received_at
+        return (own if patience is None else min(own, patience)) - passed
+
     def _log_end(self, *, exchange: ForwardExchange) -> None:
         error, route, reply = exchange.error, exchange.route, exchange.reply
         seconds = self._clock() - exchange.received_at
--- a/dotterelpaddle/forwarding/returns.py
+++ b/dotterelpaddle/forwarding/returns.py
@@ -15,24 +15,25 @@
 
 
 def return_wait(
-    *, wait: float | None, time_left: float, isolated_for: float | None
+    *, wait: float | None, time_left: float, not_ready_for: float | None
 ) -> float:
     """Return the seconds after which a refused caller may come back.
 
-    A caller that is refused by a router on the smaller side of a cut network, and
-    comes back before the balancer has moved it, is refused once more, and for good if
-    it tries but once. So it is asked to wait until then, as far as its time allows: of
-    the callers with three seconds or more those of the last one and a half before the
-    move are served, late, instead of not at all.
+    A router on the smaller side of a cut network refuses callers, and so does one that
+    has started there and knows no configuration. A caller that comes back before the
+    balancer has moved it is refused once more, and for good if it tries but once. So
+    it is asked to wait until then, as far as its time allows: of the callers with
+    three seconds or more, those of the last second before the move are served, late,
+    instead of not at all.
 
     Args:
         wait: What the error says, None if it does not.
         time_left: Seconds until the caller's deadline.
-        isolated_for: Seconds since this router found itself on the smaller side, None
-            if it does not.
+        not_ready_for: Seconds since this router began to report not ready, None if it
+            is ready.
     """
     usual = REFUSAL_WAIT if wait is None else wait
-    if isolated_for is None:
+    if not_ready_for is None:
         return usual
-    moved_in = CALLERS_MOVED_AFTER - isolated_for
+    moved_in = CALLERS_MOVED_AFTER - not_ready_for
     return max(usual, min(moved_in, LONGEST_SHARE * time_left))
--- a/dotterelpaddle/forwarding/view.py
+++ b/dotterelpaddle/forwarding/view.py
@@ -37,8 +37,9 @@
 log = get_logger(name=__name__)
 
 COMPLETE_WAIT = 0.4
-"""Seconds that requests wait after a router's start for configuration and
-endpoints; the platform answers in 4 ms when all is well."""
+"""Seconds after a router's start until which requests wait for configuration and
+endpoints; the platform answers in 4 ms when all is well. Later ones are refused at
+once: a router that starts behind a cut may know nothing for as long as that lasts."""
 
 LAST_RESORT_TIME = 1.2
 """Seconds that an endpoint without an entry may still serve if no other can.
@@ -98,6 +99,7 @@
         self._endpoints_tag = _tag(entries=())
         self._changes_from = Revision(0)
         self._returned_at = float("-inf")
+        self._started_at = clock()
         self._completed = anyio.Event()
 
     @property
@@ -128,14 +130,21 @@
         """
         return self._endpoints_tag
 
+    @property
+    def age(self) -> float:
+        """Seconds since the router's start."""
+        return self._clock() - self._started_at
+
     @property
     def complete(self) -> bool:
         """Whether there is enough to serve requests."""
         return self._configuration is not None and self._endpoints_revision is not None
 
     async def wait_complete(self) -> None:
-        """Wait until there is enough to serve requests, for a moment at most."""
-        with anyio.move_on_after(COMPLETE_WAIT):
+        """Wait until there is enough to serve requests, shortly after the start."""
+        if self.complete:
+            return
+        with anyio.move_on_after(COMPLETE_WAIT - self.age):
             await self._completed.wait()
 
     @property
--- a/dotterelpaddle/peers/fetching.py
+++ b/dotterelpaddle/peers/fetching.py
@@ -48,6 +48,10 @@
 5 ms. Where all have stopped, callers of the last third of a second wait at the door,
 and each moment that this takes makes more of their streams late."""
 
+ENOUGH_TIME = 0.06
+"""Seconds that requests wait for engines' lists; engines in reach need some 0.02 s, and
+those behind a cut would make streams wait for 0.3 s, by which they are late."""
+
 MOST_READ_BY_EACH = 16
 """Engines that every router asks for itself, as it takes 0.1 s; of more one router
 asks all, since each question takes an engine some of its time."""
@@ -228,8 +232,19 @@
                     self._caches.mark_known()
                 return
         async with anyio.create_task_group() as tasks:
-            for entry in engines:
-                tasks.start_soon(self._read_cache, entry)
+            tasks.start_soon(self._mark_known_soon)
+            async with anyio.create_task_group() as reads:
+                for entry in engines:
+                    reads.start_soon(self._read_cache, entry)
+            tasks.cancel_scope.cancel()
+        self._caches.mark_known()
+
+    async def _mark_known_soon(self) -> None:
+        """Let requests go on while some engines have not answered.
+
+        Engines behind a cut never do; what the others told is all that can be used.
+        """
+        await anyio.sleep(ENOUGH_TIME)
         self._caches.mark_known()
 
     async def _read_cache(self, entry: EndpointEntry) -> None:
--- a/dotterelpaddle/tests/forwarding/test_view.py
+++ b/dotterelpaddle/tests/forwarding/test_view.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import anyio
+import pytest
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
@@ -12,11 +14,14 @@
     EndpointState,
     FleetConfiguration,
 )
-from dotterelpaddle.forwarding.view import RETURN_TIME, FleetView
+from dotterelpaddle.forwarding.view import COMPLETE_WAIT, RETURN_TIME, FleetView
 from dotterelpaddle.ids import EndpointName, Revision, ServiceName
 from dotterelpaddle.tests.forwarding.entries import make_entry
 
 SERVICE = ServiceName("records")
+LIMIT = 30.0
+"""Seconds after which a wait fails."""
+
 NAMES = [EndpointName(f"endpoint-{number}") for number in range(3)]
 LIMITS = CallerLimits(
     header_bytes=1, body_bytes=1, header_timeout=1.0, idle_timeout=1.0
@@ -194,3 +199,17 @@
 
     assert view.ready(service=SERVICE) == ()
     assert view.last_resort(service=SERVICE) == ()
+
+
+@pytest.mark.anyio
+async def test_router_that_knows_nothing_long_after_its_start_keeps_nobody() -> None:
+    """It started behind a cut: what comes in is refused at once, not held."""
+    now = 0.0
+    view = FleetView(clock=lambda: now)
+    now = COMPLETE_WAIT
+
+    with anyio.move_on_after(LIMIT) as scope:
+        await view.wait_complete()
+
+    assert not scope.cancelled_caught
+    assert not view.complete
--- a/dotterelpaddle/tests/peers/test_reading.py
+++ b/dotterelpaddle/tests/peers/test_reading.py
@@ -6,6 +6,7 @@
 from types import SimpleNamespace
 from typing import TYPE_CHECKING
 
+import anyio
 import pytest
 
 from dotterelpaddle.forwarding.caches import CacheMap
@@ -28,6 +29,9 @@
 
 PART = 7
 
+LIMIT = 30.0
+"""Seconds after which a wait fails; it takes a tenth of one."""
+
 
 class World:
     """One router that has just started, and its engines."""
@@ -35,6 +39,7 @@
     def __init__(self, *, engines: int, first: bool) -> None:
         self.now = 0.0
         self.asked: set[str] = set()
+        self.silent: set[str] = set()
         self.view = FleetView(clock=lambda: self.now)
         entries = tuple(
             make_entry(f"engine-{number}", models=frozenset({ModelId("m")}))
@@ -59,6 +64,8 @@
 
     async def _cached(self, *, entry: EndpointEntry) -> CachedParts:
         self.asked.add(entry.endpoint)
+        if entry.endpoint in self.silent:
+            await anyio.sleep_forever()
         return CachedParts(endpoint=entry.endpoint, parts=(PART,))
 
     async def look(self, at: float) -> None:
@@ -97,3 +104,18 @@
     assert not waiting
     assert world.caches.known
     assert not world.asked
+
+
+async def test_engine_that_does_not_answer_keeps_nobody_waiting() -> None:
+    """All routers start behind a cut that some engines lie beyond."""
+    world = World(engines=3, first=False)
+    world.silent.add("engine-1")
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(world.look, ALONE_AFTER)
+        with anyio.fail_after(LIMIT):
+            await world.caches._known.wait()
+        read = len(world.caches.uses())
+        tasks.cancel_scope.cancel()
+
+    assert world.asked == {"engine-0", "engine-1", "engine-2"}
+    assert read == 2
