Wait on at endpoints that are slow for all instead of running requests twice

Cause: after all routers lost power while a failure domain is cut off, two of eight engines have the whole load and few of the prompts. Requests were given up on after 0.3 s as if their engine were silent, and sent to the other one, which was as loaded: each ran twice. Change: a request whose time is up waits on, up to the longest wait that is ever learnt, while its endpoint sends bytes to others and has not begun three later requests' answers.

--- a/dotterelpaddle/endpoint/patience.py
+++ b/dotterelpaddle/endpoint/patience.py
@@ -13,11 +13,14 @@
         connect: Seconds until a connection stands.
         first_byte: Seconds from sending until the answer begins.
         gap: Seconds between two parts of an answer.
+        slow_first_byte: The same as first_byte while the endpoint is slow for all
+            rather than silent for one; no longer than that where it is 0.
     """
 
     connect: float = 1.0
     first_byte: float = 30.0
     gap: float = 5.0
+    slow_first_byte: float = 0.0
 
 
 CONTROL_PATIENCE = Patience(connect=0.5, first_byte=2.0, gap=2.0)
--- a/dotterelpaddle/forwarding/client.py
+++ b/dotterelpaddle/forwarding/client.py
@@ -4,6 +4,7 @@
 
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
+from functools import partial
 from typing import TYPE_CHECKING
 
 import anyio
@@ -34,12 +35,16 @@
         Protocols,
     )
     from dotterelpaddle.forwarding.model import EndpointEntry
+    from dotterelpaddle.forwarding.signs import EndpointSigns
     from dotterelpaddle.ids import EndpointId
     from dotterelpaddle.network import LinkedBackend
 
 MAX_ANSWER = 8 * 1024 * 1024
 """Bytes of an answer that is read whole; the largest known take a few KB."""
 
+LOOK_AGAIN = 0.1
+"""Seconds after which it is looked again whether a slow endpoint lives."""
+
 POOL_LIMITS = PoolLimits(max_open=96, max_idle=16, max_idle_age=3.0)
 """Connections to one endpoint: a router's part of what endpoints accept.
 
@@ -80,6 +85,7 @@
         response: The answer of httpcore.
         connection: The connection it comes on.
         call: The request that it answers.
+        signs: Is told when parts of it come.
     """
 
     def __init__(
@@ -89,12 +95,14 @@
         response: httpcore.Response,
         connection: Connection,
         call: ForwardCall,
+        signs: EndpointSigns,
     ) -> None:
         self._head = head
         self._response = response
         self._connection = connection
         self._gap = call.patience.gap
         self._endpoint = call.entry.endpoint
+        self._signs = signs
 
     @property
     def head(self) -> AnswerHead:
@@ -112,6 +120,7 @@
             async for chunk in self._response.aiter_stream():
                 # Until here the patience for the answer's begin was in force.
                 self._connection.stream.read_timeout = self._gap
+                self._signs.heard(endpoint=self._endpoint)
                 yield chunk
         except httpcore.ReadTimeout as error:
             raise EndpointSilent("the answer stopped", peer=self._endpoint) from error
@@ -146,6 +155,7 @@
         protocols: Translates to the endpoints' wire.
         backend: Opens connections.
         clock: Monotonic clock.
+        signs: Signs of life of endpoints.
         limits: Bounds of each endpoint's connections.
     """
 
@@ -155,11 +165,13 @@
         protocols: Protocols,
         backend: LinkedBackend,
         clock: Clock,
+        signs: EndpointSigns,
         limits: PoolLimits = POOL_LIMITS,
     ) -> None:
         self._protocols = protocols
         self._backend = backend
         self._clock = clock
+        self._signs = signs
         self._limits = limits
         self._pools: dict[tuple[EndpointId, Address], ConnectionPool] = {}
 
@@ -183,14 +195,22 @@
         call.observe(Evidence.CONNECTED)
         response: httpcore.Response | None = None
         try:
+            sent_at = self._clock()
             connection.stream.read_timeout = call.patience.first_byte
+            connection.stream.more_time = partial(self._more_time, call, sent_at)
             response = await self._exchange(call=call, connection=connection)
+            connection.stream.more_time = None
+            self._signs.begun(endpoint=call.entry.endpoint, sent_at=sent_at)
             head = self._protocols.read_answer(
                 status=response.status, headers=response.headers
             )
             _check(head=head, call=call, reused=connection.reused)
             yield ForwardAnswer(
-                head=head, response=response, connection=connection, call=call
+                head=head,
+                response=response,
+                connection=connection,
+                call=call,
+                signs=self._signs,
             )
         finally:
             with anyio.CancelScope(shield=True):
@@ -198,6 +218,13 @@
                     await response.aclose()
                 await _release(pool=pool, connection=connection)
 
+    def _more_time(self, call: ForwardCall, sent_at: float) -> float:
+        """Seconds that a request whose time is up waits on, 0 to give it up."""
+        if not self._signs.is_slow(endpoint=call.entry.endpoint, sent_at=sent_at):
+            return 0.0
+        left = call.patience.slow_first_byte - (self._clock() - sent_at)
+        return min(left, LOOK_AGAIN)
+
     async def discard_expired(self) -> None:
         """Close idle connections that are too old, everywhere."""
         for key, pool in tuple(self._pools.items()):
--- a/dotterelpaddle/forwarding/parts.py
+++ b/dotterelpaddle/forwarding/parts.py
@@ -20,6 +20,7 @@
 from dotterelpaddle.forwarding.reachability import Reachability
 from dotterelpaddle.forwarding.repeats import SharedRepeats
 from dotterelpaddle.forwarding.shares import ShareBook
+from dotterelpaddle.forwarding.signs import EndpointSigns
 from dotterelpaddle.forwarding.view import FleetView
 from dotterelpaddle.forwarding.waits import WaitBook
 from dotterelpaddle.network import LinkedBackend
@@ -73,6 +74,7 @@
         shares: What other routers told of their requests.
         loads: Requests in flight.
         health: Results of requests.
+        signs: Signs of life of endpoints.
         caches: Where parts of prompts are.
         repeats: What repeats cost.
         directory: The other routers.
@@ -82,6 +84,7 @@
     shares: ShareBook
     loads: LoadBook
     health: HealthBook
+    signs: EndpointSigns
     caches: CacheMap
     repeats: SharedRepeats
     directory: PeerDirectory
@@ -127,7 +130,10 @@
     directory = knowledge.directory
     backend = LinkedBackend(links=surroundings.links)
     client = ForwardClient(
-        protocols=surroundings.protocols, backend=backend, clock=clock
+        protocols=surroundings.protocols,
+        backend=backend,
+        clock=clock,
+        signs=knowledge.signs,
     )
     word = PeersWord(
         view=knowledge.view,
@@ -256,6 +262,7 @@
         shares=shares,
         loads=LoadBook(shares=shares),
         health=HealthBook(clock=clock),
+        signs=EndpointSigns(clock=clock),
         caches=caches,
         repeats=SharedRepeats(
             limits=settings.repeats,
--- a/dotterelpaddle/forwarding/router.py
+++ b/dotterelpaddle/forwarding/router.py
@@ -134,8 +134,10 @@
 
 
 async def _keep_house(parts: Parts) -> None:
-    view, health = parts.knowledge.view, parts.knowledge.health
+    knowledge = parts.knowledge
     while True:
         await anyio.sleep(HOUSEKEEPING_PAUSE)
         await parts.client.discard_expired()
-        health.keep(endpoints=frozenset(entry.endpoint for entry in view.entries))
+        known = frozenset(entry.endpoint for entry in knowledge.view.entries)
+        knowledge.health.keep(endpoints=known)
+        knowledge.signs.keep(endpoints=known)
--- /dev/null
+++ b/dotterelpaddle/forwarding/signs.py
@@ -0,0 +1,80 @@
+"""Tells endpoints that are slow for all from those that have lost one request.
+
+A request that is given up on and sent to another endpoint runs twice. Where all
+endpoints are slow, each of them then runs more, and all get slower.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from dotterelpaddle.clock import Clock
+    from dotterelpaddle.ids import EndpointId
+
+LIFE_TIME = 0.15
+"""Seconds since the last bytes from an endpoint within which it counts as alive: one
+that decodes several streams sends something every 20 to 60 ms. One that was cut off
+or died is given up on this much later at most."""
+
+OVERTAKEN = 3
+"""Answers to later requests that must have begun before a request counts as lost.
+Shorter prompts and more urgent requests overtake one or two; an endpoint that loses a
+part of its requests goes on with the others."""
+
+REMEMBERED = 8
+"""Answers of one endpoint whose requests' times are remembered."""
+
+
+class _Signs:
+    """What was seen of one endpoint."""
+
+    def __init__(self) -> None:
+        self.heard_at = float("-inf")
+        self.begun: deque[float] = deque(maxlen=REMEMBERED)
+
+
+class EndpointSigns:
+    """Signs of life of endpoints, from all requests of this router.
+
+    Args:
+        clock: Monotonic clock.
+    """
+
+    def __init__(self, *, clock: Clock) -> None:
+        self._clock = clock
+        self._signs: dict[EndpointId, _Signs] = {}
+
+    def heard(self, *, endpoint: EndpointId) -> None:
+        """Note that some bytes came from an endpoint."""
+        self._of(endpoint).heard_at = self._clock()
+
+    def begun(self, *, endpoint: EndpointId, sent_at: float) -> None:
+        """Note that the answer to a request that was sent at some time began."""
+        signs = self._of(endpoint)
+        signs.heard_at = self._clock()
+        signs.begun.append(sent_at)
+
+    def is_slow(self, *, endpoint: EndpointId, sent_at: float) -> bool:
+        """Tell whether an unanswered request waits because the endpoint is slow.
+
+        Args:
+            endpoint: The endpoint.
+            sent_at: When the request was sent.
+        """
+        signs = self._signs.get(endpoint)
+        if signs is None or self._clock() - signs.heard_at > LIFE_TIME:
+            return False
+        return sum(each > sent_at for each in signs.begun) < OVERTAKEN
+
+    def keep(self, *, endpoints: frozenset[EndpointId]) -> None:
+        """Forget all endpoints but some."""
+        for endpoint in self._signs.keys() - endpoints:
+            del self._signs[endpoint]
+
+    def _of(self, endpoint: EndpointId) -> _Signs:
+        signs = self._signs.get(endpoint)
+        if signs is None:
+            signs = self._signs[endpoint] = _Signs()
+        return signs
--- a/dotterelpaddle/forwarding/waits.py
+++ b/dotterelpaddle/forwarding/waits.py
@@ -76,11 +76,14 @@
         connect = min(connect_time, time_left)
         if not may_repeat:
             return Patience(connect=connect, first_byte=time_left, gap=time_left)
-        begin = self._begin(route).limit() + READING_TIME * missing_tokens
+        reading = READING_TIME * missing_tokens
+        begin = self._begin(route).limit() + reading
+        longest = _bounds(route=route).cap + reading
         return Patience(
             connect=connect,
             first_byte=min(begin, time_left),
             gap=min(_longest_gap(route=route), time_left),
+            slow_first_byte=min(longest, time_left),
         )
 
     def begun(self, *, route: ForwardRoute, seconds: float) -> None:
--- a/dotterelpaddle/network.py
+++ b/dotterelpaddle/network.py
@@ -17,7 +17,7 @@
 
 if TYPE_CHECKING:
     import ssl
-    from collections.abc import Iterable
+    from collections.abc import Callable, Iterable
 
     from dotterelpaddle.links import Links
 
@@ -44,6 +44,16 @@
         self._written = 0
         self._received = 0
         self._read_timeout: float | None = None
+        self._more_time: Callable[[], float] | None = None
+
+    @property
+    def more_time(self) -> Callable[[], float] | None:
+        """Tells how many more seconds a read waits whose time is up, 0 for none."""
+        return self._more_time
+
+    @more_time.setter
+    def more_time(self, more_time: Callable[[], float] | None) -> None:
+        self._more_time = more_time
 
     @property
     def read_timeout(self) -> float | None:
@@ -75,12 +85,21 @@
             timeout = self._read_timeout
         if self._held:
             await self._send_held(timeout=timeout)
-        data = await self._stream.read(max_bytes, timeout)
+        data = await self._read_on(max_bytes, timeout)
         if self._links.faulty:
             await self._wait_for_link(timeout=timeout, error=httpcore.ReadTimeout)
         self._received += len(data)
         return data
 
+    async def _read_on(self, max_bytes: int, timeout: float | None) -> bytes:
+        while True:
+            try:
+                return await self._stream.read(max_bytes, timeout)
+            except httpcore.ReadTimeout:
+                timeout = 0.0 if self._more_time is None else self._more_time()
+                if timeout <= 0.0:
+                    raise
+
     async def write(self, buffer: bytes, timeout: float | None = None) -> None:
         """Write all bytes; while the link is cut they wait for it unseen."""
         self._written += len(buffer)
