Count prompts that wait to be read when an endpoint is chosen

Load was counted in requests, so a prompt that was cached joined one behind which twenty of 5,000 tokens waited: streams began after 0.6 to 1.6 s. Change: routers count and tell each other the tokens that wait to be read at each engine; what is over 16,000 of them costs as much as reading it.

--- a/dotterelpaddle/forwarding/attempts.py
+++ b/dotterelpaddle/forwarding/attempts.py
@@ -36,7 +36,7 @@
     from dotterelpaddle.forwarding.caches import CacheMap
     from dotterelpaddle.forwarding.exchange import ForwardExchange, Result
     from dotterelpaddle.forwarding.health import HealthBook
-    from dotterelpaddle.forwarding.loads import LoadBook
+    from dotterelpaddle.forwarding.loads import Held, LoadBook
     from dotterelpaddle.forwarding.metrics import ForwardMetrics
     from dotterelpaddle.forwarding.placement import Choice, ForwardPlacer
     from dotterelpaddle.forwarding.reachability import Reachability
@@ -165,7 +165,8 @@
         exchange.last_endpoint = entry.endpoint
         progress = _Progress(attempt=attempt, clock=self._clock)
         try:
-            with self._loads.hold(endpoint=entry.endpoint):
+            with self._loads.hold(endpoint=entry.endpoint, work=choice.work) as held:
+                progress.held = held
                 result = await relay.send(
                     call=self._call(
                         exchange=exchange,
@@ -372,6 +373,7 @@
         self.attempt = attempt
         self.begun_at = clock()
         self.first_byte: float | None = None
+        self.held: Held | None = None
         self._clock = clock
 
     def observe(self, evidence: Evidence) -> None:
@@ -382,3 +384,5 @@
             AttemptState.ANSWERED,
         ):
             self.first_byte = self._clock() - self.begun_at
+            if self.held is not None:
+                self.held.begun()
--- /dev/null
+++ b/dotterelpaddle/forwarding/cost.py
@@ -0,0 +1,66 @@
+"""What it costs to send a prompt to an endpoint, in prompt tokens that are read.
+
+All costs are times; a token is the time that an engine takes to read it.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+LOAD_TOKENS = 100
+"""Prompt tokens that are read again rather than add one request to a load.
+
+Reading 100 tokens takes 1.2 ms; one request more slows each step of all others
+by 0.08 ms, over some hundred steps.
+"""
+
+FETCH_SHARE = 0.16
+"""Cost of a token that is fetched from another endpoint's cache, relative to one
+that is read: at 35 GB/s a prompt of 10,000 tokens takes 5 ms to fetch and
+120 ms to read."""
+
+UNFELT_QUEUE = 16_000
+"""Tokens that may wait to be read at an endpoint before a prompt is sent elsewhere for
+it: 0.1 to 0.2 s of reading, which leaves a stream most of its latency objective. To go
+round shorter queues moves the caches of three times as many prompts and serves nobody
+sooner."""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class PromptWork:
+    """What an endpoint has to do before it can answer a prompt.
+
+    Attributes:
+        lacks: Shared tokens that it does not have.
+        elsewhere: Those of them that another endpoint has.
+        own: Tokens that no other prompt shares.
+    """
+
+    lacks: int
+    elsewhere: int
+    own: int
+
+    @property
+    def tokens(self) -> float:
+        """The time for it, in tokens read."""
+        return self.lacks - self.elsewhere + FETCH_SHARE * self.elsewhere + self.own
+
+
+def prompt_cost(
+    *, work: PromptWork, queued: float, load: int, expected_failures: float
+) -> float:
+    """Return the cost of sending a prompt to an endpoint.
+
+    Load alone does not tell how long a prompt waits: twenty requests whose prompts are
+    cached let it begin within a step, five that read 6,000 tokens each let it wait for
+    0.2 s and more. That binds when endpoints that held many prompts are gone or cut
+    off, and the others read them anew.
+
+    Args:
+        work: What the endpoint has to do for it.
+        queued: Tokens that it has to read for others first.
+        load: Requests that are in flight there.
+        expected_failures: Requests of load that weigh as much as the failures there.
+    """
+    waits = max(0.0, queued - UNFELT_QUEUE)
+    return work.tokens + waits + LOAD_TOKENS * (load + expected_failures)
--- a/dotterelpaddle/forwarding/loads.py
+++ b/dotterelpaddle/forwarding/loads.py
@@ -13,6 +13,29 @@
     from dotterelpaddle.ids import EndpointId
 
 
+class Held:
+    """A request that is counted at an endpoint.
+
+    Args:
+        reading: Tokens that wait to be read, by endpoint.
+        endpoint: The endpoint.
+        work: Time until it can answer, in tokens read.
+    """
+
+    def __init__(
+        self, *, reading: Counter[EndpointId], endpoint: EndpointId, work: int
+    ) -> None:
+        self._reading = reading
+        self._endpoint = endpoint
+        self._work = work
+        _add(reading, endpoint, work)
+
+    def begun(self) -> None:
+        """Note that the answer has begun, and so that the prompt was read."""
+        work, self._work = self._work, 0
+        _add(self._reading, self._endpoint, -work)
+
+
 class LoadBook:
     """Counts of requests in flight.
 
@@ -23,27 +46,38 @@
     def __init__(self, *, shares: ShareBook) -> None:
         self._shares = shares
         self._own: Counter[EndpointId] = Counter()
+        self._own_reading: Counter[EndpointId] = Counter()
 
     @property
     def own(self) -> Mapping[EndpointId, int]:
         """This router's requests in flight, by endpoint."""
         return self._own
 
+    @property
+    def own_reading(self) -> Mapping[EndpointId, int]:
+        """Tokens that this router's requests wait to have read, by endpoint."""
+        return self._own_reading
+
     @property
     def routers(self) -> int:
         """Routers whose requests are counted, this one included."""
         return self._shares.routers
 
     @contextmanager
-    def hold(self, *, endpoint: EndpointId) -> Iterator[None]:
-        """Count a request at an endpoint while the context lasts."""
-        self._own[endpoint] += 1
+    def hold(self, *, endpoint: EndpointId, work: int = 0) -> Iterator[Held]:
+        """Count a request at an endpoint while the context lasts.
+
+        Args:
+            endpoint: The endpoint.
+            work: Time until it can answer, in tokens read.
+        """
+        _add(self._own, endpoint, 1)
+        held = Held(reading=self._own_reading, endpoint=endpoint, work=work)
         try:
-            yield
+            yield held
         finally:
-            self._own[endpoint] -= 1
-            if not self._own[endpoint]:
-                del self._own[endpoint]
+            held.begun()
+            _add(self._own, endpoint, -1)
 
     def loads(self) -> Counter[EndpointId]:
         """Requests in flight by endpoint, as far as this router knows."""
@@ -51,3 +85,17 @@
         for share in self._shares.in_force():
             loads.update(share.loads)
         return loads
+
+    def reading(self) -> Counter[EndpointId]:
+        """Tokens that wait to be read by endpoint, as far as this router knows."""
+        reading = Counter(self._own_reading)
+        for share in self._shares.in_force():
+            reading.update(share.reading)
+        return reading
+
+
+def _add(counts: Counter[EndpointId], endpoint: EndpointId, count: int) -> None:
+    """Add to a count; what is back at zero is dropped, so that nobody tells it."""
+    counts[endpoint] += count
+    if not counts[endpoint]:
+        del counts[endpoint]
--- a/dotterelpaddle/forwarding/placement.py
+++ b/dotterelpaddle/forwarding/placement.py
@@ -8,6 +8,7 @@
 
 from dotterelpaddle.exceptions import NoEndpoint
 from dotterelpaddle.forwarding.caches import part_tag, shared_parts, shared_tokens
+from dotterelpaddle.forwarding.cost import PromptWork, prompt_cost
 from dotterelpaddle.forwarding.herding import (
     LEAST_NEARNESS,
     MANY_ROUTERS,
@@ -31,18 +32,6 @@
     from dotterelpaddle.forwarding.view import FleetView
     from dotterelpaddle.ids import EndpointId, FailureDomain, ServiceName
 
-LOAD_TOKENS = 100
-"""Prompt tokens that are read again rather than add one request to a load.
-
-Reading 100 tokens takes 1.2 ms; one request more slows each step of all others
-by 0.08 ms, over some hundred steps.
-"""
-
-FETCH_SHARE = 0.16
-"""Cost of a token that is fetched from another endpoint's cache, relative to one
-that is read: at 35 GB/s a prompt of 10,000 tokens takes 5 ms to fetch and
-120 ms to read."""
-
 LEAST_FETCH = 256
 """Shared prompt tokens below which a fetch, which takes 5 ms to set up, does not
 beat reading them."""
@@ -93,6 +82,7 @@
         candidates: Endpoints that it was chosen from.
         part: Tag of the deepest shared part of the prompt, 0 without one.
         missing: Shared prompt tokens that it does not have.
+        work: Time that it takes until it can answer, in tokens read.
         fetch_from: Endpoint from whose cache it may fetch them, None if none
             has more of them.
         noted: Parts that it was not known to have before this choice.
@@ -105,6 +95,7 @@
     candidates: int
     part: int = 0
     missing: int = 0
+    work: int = 0
     fetch_from: EndpointEntry | None = None
     noted: tuple[PartTag, ...] = ()
 
@@ -117,16 +108,24 @@
         missing: Shared tokens that an endpoint lacks.
         holder: The endpoint that lacks the least, None if none can be reached.
         least: The tokens that it lacks.
-        unknown: Whether nobody has any of them.
+        own: Tokens of the prompt that no other one shares.
+        unknown: Whether nobody has any of the shared ones.
         domains: Failure domains of the candidates that lack no more than it.
     """
 
     missing: Mapping[EndpointId, int]
     holder: EndpointEntry | None
     least: int
+    own: int
     unknown: bool
     domains: frozenset[FailureDomain]
 
+    def work(self, *, endpoint: EndpointId) -> PromptWork:
+        """What an endpoint has to do for the prompt."""
+        lacks = self.missing[endpoint]
+        elsewhere = max(0, lacks - self.least)
+        return PromptWork(lacks=lacks, elsewhere=elsewhere, own=self.own)
+
 
 class ForwardPlacer:
     """Chooses endpoints.
@@ -261,15 +260,16 @@
             within = self._sampled(entries=within, cached=cached, home=home)
         home_tokens = MANY_HOME_TOKENS if many else HOME_TOKENS
 
+        reading = self._loads.reading()
+
         def _cost(entry: EndpointEntry) -> float:
-            lacks = cached.missing[entry.endpoint]
-            read = min(lacks, cached.least)
-            return (
-                read
-                + FETCH_SHARE * (lacks - read)
-                + LOAD_TOKENS * (loads[entry.endpoint] + risk * self._share(entry))
-                - home_tokens * (cached.unknown and entry is home)
+            cost = prompt_cost(
+                work=cached.work(endpoint=entry.endpoint),
+                queued=reading[entry.endpoint],
+                load=loads[entry.endpoint],
+                expected_failures=risk * self._share(entry),
             )
+            return cost - home_tokens * (cached.unknown and entry is home)
 
         entry = min(within, key=_cost)
         if cached.missing[entry.endpoint] > cached.least:
@@ -290,6 +290,7 @@
             candidates=len(candidates),
             part=part_tag(model=request.model, part=shared_parts(request=request)[-1]),
             missing=lacks,
+            work=round(cached.work(endpoint=entry.endpoint).tokens),
             fetch_from=cached.holder if fetch else None,
         )
 
@@ -337,6 +338,7 @@
             missing=missing,
             holder=holder,
             least=least,
+            own=request.prompt[-1].tokens,
             unknown=least == total,
             domains=frozenset(
                 entry.failure_domain
--- a/dotterelpaddle/forwarding/shares.py
+++ b/dotterelpaddle/forwarding/shares.py
@@ -65,12 +65,14 @@
             recipient's.
         routers: How many routers that are.
         loads: Their requests in flight, by endpoint.
+        reading: Tokens that these wait to have read, by endpoint.
         repeats: What they sent of late, by service.
     """
 
     scope: Scope = Scope.ROUTER
     routers: int = 1
     loads: Mapping[EndpointId, int] = field(default_factory=dict)
+    reading: Mapping[EndpointId, int] = field(default_factory=dict)
     repeats: Mapping[ServiceName, RepeatCounts] = field(default_factory=dict)
 
 
@@ -220,11 +222,13 @@
     """Add shares up."""
     routers = 0
     loads: Counter[EndpointId] = Counter()
+    reading: Counter[EndpointId] = Counter()
     requests: Counter[ServiceName] = Counter()
     repeats: Counter[ServiceName] = Counter()
     for share in shares:
         routers += share.routers
         loads.update(share.loads)
+        reading.update(share.reading)
         for service, counts in share.repeats.items():
             requests[service] += counts.requests
             repeats[service] += counts.repeats
@@ -232,6 +236,7 @@
         scope=scope,
         routers=routers,
         loads=loads,
+        reading=reading,
         repeats={
             service: RepeatCounts(requests=count, repeats=repeats[service])
             for service, count in requests.items()
--- a/dotterelpaddle/peers/exchange.py
+++ b/dotterelpaddle/peers/exchange.py
@@ -195,7 +195,11 @@
             configuration_age=min(follower.configuration_age, word.configuration_age),
             endpoints_age=min(follower.endpoints_age, word.endpoints_age),
             endpoints_tag=self._view.endpoints_tag,
-            share=Share(loads=self._loads.own, repeats=self._repeats.counts()),
+            share=Share(
+                loads=self._loads.own,
+                reading=self._loads.own_reading,
+                repeats=self._repeats.counts(),
+            ),
             routers=self._plan.routers,
             domains=tuple(
                 {peer.name.failure_domain for peer in self._directory.just_heard()}
--- a/dotterelpaddle/peers/messages.py
+++ b/dotterelpaddle/peers/messages.py
@@ -33,6 +33,9 @@
 STARTS = 19
 """Place of endpoints' starts; earlier releases end before it and read no further."""
 
+READING = 20
+"""Place of what waits to be read at endpoints, which earlier releases lack as well."""
+
 MOST_PEERS_TOLD = 16
 """Routers named in one report, so that it stays in one packet."""
 
@@ -105,7 +108,11 @@
     """Turn a report into a datagram."""
     share = report.share
     told = ToldStarts(
-        endpoints=(*share.loads, *(endpoint for _, endpoint in report.uses))
+        endpoints=(
+            *share.loads,
+            *share.reading,
+            *(endpoint for _, endpoint in report.uses),
+        )
     )
     return orjson.dumps(
         [
@@ -148,6 +155,11 @@
                 for peer in report.peers[:MOST_PEERS_TOLD]
             ],
             told.wire,
+            {
+                name: tokens
+                for endpoint, tokens in share.reading.items()
+                if (name := told.name(endpoint=endpoint)) is not None
+            },
         ]
     )
 
@@ -173,8 +185,10 @@
             raise ControlError(f"a report of format {fields[0]!r}, not {FORMAT}")
         uses = fields[16]
         starts = fields[STARTS] if len(fields) > STARTS else ()
+        reading = fields[READING] if len(fields) > READING else {}
         endpoints = heard_endpoints(
-            names=[*fields[12][2], *(name for _, name in uses)], starts=starts
+            names=[*fields[12][2], *reading, *(name for _, name in uses)],
+            starts=starts,
         )
         return PeerReport(
             router=RouterId(str(fields[1])),
@@ -189,7 +203,9 @@
             endpoints_age=_seconds(fields[10]),
             endpoints_tag=int(fields[11]),
             share=_share(
-                fields[12], endpoints if starts else _known(endpoints, start_of)
+                fields[12],
+                reading,
+                endpoints if starts else _known(endpoints, start_of),
             ),
             ask=Ask(fields[13]),
             routers=int(fields[14]),
@@ -215,12 +231,15 @@
     return {name: start_of(EndpointName(name)) for name in endpoints}
 
 
-def _share(fields: Any, endpoints: Mapping[str, EndpointId]) -> Share:
+def _share(
+    fields: Any, reading: Mapping[str, int], endpoints: Mapping[str, EndpointId]
+) -> Share:
     scope, routers, loads, repeats = fields
     return Share(
         scope=Scope(scope),
         routers=int(routers),
         loads={endpoints[name]: int(load) for name, load in loads.items()},
+        reading={endpoints[name]: int(tokens) for name, tokens in reading.items()},
         repeats={
             ServiceName(name): RepeatCounts(
                 requests=int(counts[0]), repeats=int(counts[1])
--- a/dotterelpaddle/placement/duties.py
+++ b/dotterelpaddle/placement/duties.py
@@ -90,6 +90,8 @@
 
     def settle(self, *, state: ShardState) -> None:
         """Serve what waits in a shard and deliver the verdicts."""
+        # A queue may have been emptied while another request joined it; the verdicts
+        # of those that waited are still to be told then.
         if not state.decider.unsettled:
             return
         for verdict in state.decider.settle(now=self._clock()):
--- a/dotterelpaddle/placement/owner.py
+++ b/dotterelpaddle/placement/owner.py
@@ -160,11 +160,7 @@
 
     @property
     def unsettled(self) -> bool:
-        """Whether requests wait, or have verdicts that were not handed out yet.
-
-        Room that is found while another request joins the queue may empty it; the
-        verdicts of those that waited are still to be told then.
-        """
+        """Whether requests wait, or have verdicts that were not handed out yet."""
         return self.queued > 0 or len(self._ready) > 0
 
     @property
--- /dev/null
+++ b/dotterelpaddle/tests/forwarding/test_loads.py
@@ -0,0 +1,50 @@
+"""What is counted at endpoints while requests are in flight."""
+
+from __future__ import annotations
+
+from dotterelpaddle.forwarding.loads import LoadBook
+from dotterelpaddle.forwarding.shares import Share, ShareBook
+from dotterelpaddle.ids import EndpointId, FailureDomain, RouterId
+
+HERE = FailureDomain("here")
+ENDPOINT = EndpointId("engine-1")
+
+
+def _book() -> tuple[LoadBook, ShareBook]:
+    shares = ShareBook(failure_domain=HERE, clock=lambda: 0.0)
+    return LoadBook(shares=shares), shares
+
+
+def test_prompt_waits_until_its_answer_begins() -> None:
+    book, _ = _book()
+    with book.hold(endpoint=ENDPOINT, work=700) as held:
+        waiting = book.reading()[ENDPOINT]
+        held.begun()
+        begun = book.reading()[ENDPOINT]
+        load = book.loads()[ENDPOINT]
+
+    assert (waiting, begun, load) == (700, 0, 1)
+    assert not book.loads()
+    assert not book.reading()
+
+
+def test_request_that_ends_without_an_answer_waits_no_more() -> None:
+    book, _ = _book()
+    with book.hold(endpoint=ENDPOINT, work=700):
+        pass
+
+    assert not book.own
+    assert not book.own_reading
+
+
+def test_what_waits_is_added_up_over_all_routers() -> None:
+    book, shares = _book()
+    shares.hear(
+        router=RouterId("other"),
+        failure_domain=HERE,
+        share=Share(loads={ENDPOINT: 2}, reading={ENDPOINT: 300}),
+    )
+    with book.hold(endpoint=ENDPOINT, work=700):
+        assert book.reading()[ENDPOINT] == 1000
+        own = Share(loads=book.own, reading=book.own_reading)
+        assert shares.own_domain(own=own).reading == {ENDPOINT: 1000}
--- /dev/null
+++ b/dotterelpaddle/tests/forwarding/test_signs.py
@@ -0,0 +1,60 @@
+"""Requests that wait at slow endpoints, and those that were lost there.
+
+The pattern: two engines have the load of eight and read most prompts anew. A request
+waits there for a second beside others that wait as long, and is not sent to the other
+engine as well. An engine that fails part of its requests answers later ones meanwhile.
+"""
+
+from __future__ import annotations
+
+from dotterelpaddle.forwarding.signs import LIFE_TIME, OVERTAKEN, EndpointSigns
+from dotterelpaddle.ids import EndpointId
+
+ENGINE = EndpointId("engine-1")
+
+
+class World:
+    """One router and its clock."""
+
+    def __init__(self) -> None:
+        self.now = 0.0
+        self.signs = EndpointSigns(clock=lambda: self.now)
+
+
+def test_engine_that_answers_in_order_is_slow_for_all() -> None:
+    world = World()
+    for number in range(20):
+        world.now = 1.0 + number / 100
+        world.signs.begun(endpoint=ENGINE, sent_at=number / 100)
+
+    assert world.signs.is_slow(endpoint=ENGINE, sent_at=0.2)
+
+
+def test_request_that_later_ones_overtook_is_lost() -> None:
+    world = World()
+    world.now = 1.0
+    for number in range(OVERTAKEN):
+        world.signs.begun(endpoint=ENGINE, sent_at=0.5 + number / 100)
+
+    assert not world.signs.is_slow(endpoint=ENGINE, sent_at=0.4)
+    assert world.signs.is_slow(endpoint=ENGINE, sent_at=0.51)
+
+
+def test_engine_that_sends_nothing_to_anybody_is_not_waited_for() -> None:
+    world = World()
+    world.signs.heard(endpoint=ENGINE)
+    world.now = LIFE_TIME + 0.01
+
+    assert not world.signs.is_slow(endpoint=ENGINE, sent_at=0.0)
+
+
+def test_engine_that_was_never_heard_is_not_waited_for() -> None:
+    assert not World().signs.is_slow(endpoint=ENGINE, sent_at=0.0)
+
+
+def test_engines_that_are_gone_are_forgotten() -> None:
+    world = World()
+    world.signs.heard(endpoint=ENGINE)
+    world.signs.keep(endpoints=frozenset())
+
+    assert not world.signs.is_slow(endpoint=ENGINE, sent_at=0.0)
