--- a/bench/days/__main__.py
+++ b/bench/days/__main__.py
@@ -1,4 +1,4 @@
-"""Plays the days of this folder on a deployment of the users' bench.
+"""Plays the days in deploy/days on a deployment of the users' bench.
 
 Prints a table of broken rules and worth. The bench is a program of the users, which
 this repository does not hold: name it, and a deployment's file.
@@ -12,7 +12,7 @@
 from dataclasses import dataclass
 from pathlib import Path
 
-DAYS = Path(__file__).parent
+DAYS = Path(__file__).parents[2] / "deploy" / "days"
 USAGE = "use: python -m bench.days PROGRAM DEPLOYMENT [DAY ...]"
 LEAST_ARGUMENTS = 2
 BAD_USAGE = 2
