Leave out entries of services that no route names where the fleet is weighed

Cause: an entry by another writer may name any service. It got no requests, but counted as an endpoint of its failure domain: it could keep a router on the smaller side of a cut network from sending callers away, and was asked for its cache.

--- a/dotterelpaddle/forwarding/cost.py
+++ b/dotterelpaddle/forwarding/cost.py
@@ -22,8 +22,7 @@
 UNFELT_QUEUE = 16_000
 """Tokens that may wait to be read at an endpoint before a prompt is sent elsewhere for
 it: 0.1 to 0.2 s of reading, which leaves a stream most of its latency objective. To go
-round shorter queues moves the caches of three times as many prompts and serves nobody
-sooner."""
+round each queue moves the caches of twice as many prompts and serves nobody sooner."""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/dotterelpaddle/forwarding/view.py
+++ b/dotterelpaddle/forwarding/view.py
@@ -18,6 +18,7 @@
     EndpointState,
     endpoint_id,
 )
+from dotterelpaddle.forwarding.routes import routes_by_host, used_services
 from dotterelpaddle.ids import Revision
 from dotterelpaddle.logs import get_logger
 from dotterelpaddle.placement.rendezvous import tag
@@ -91,6 +92,7 @@
         self._clock = clock
         self._configuration: FleetConfiguration | None = None
         self._routes: dict[str, tuple[ForwardRoute, ...]] = {}
+        self._used_services: frozenset[ServiceName] = frozenset()
         self._entries: dict[EndpointName, EndpointEntry] = {}
         self._changed_at: dict[EndpointName, Revision] = {}
         self._removed: dict[EndpointName, _Removed] = {}
@@ -152,6 +154,20 @@
         """All entries that are there."""
         return tuple(self._entries.values())
 
+    @property
+    def used_entries(self) -> tuple[EndpointEntry, ...]:
+        """Entries of services that the configuration sends requests to.
+
+        Others may be by another writer: they say nothing of the fleet's endpoints.
+        """
+        if self._configuration is None:
+            return self.entries
+        return tuple(
+            entry
+            for entry in self._entries.values()
+            if entry.service in self._used_services
+        )
+
     def start_of(self, name: EndpointName) -> EndpointId:
         """Return the start of an endpoint that is in force."""
         entry = self._entries.get(name)
@@ -229,7 +245,8 @@
             routes=len(configuration.routes),
         )
         self._configuration = configuration
-        self._routes = _routes_by_host(routes=configuration.routes)
+        self._routes = routes_by_host(routes=configuration.routes)
+        self._used_services = used_services(routes=configuration.routes)
         self._note_complete()
         return True
 
@@ -359,19 +376,6 @@
         }
 
 
-def _routes_by_host(
-    *, routes: Iterable[ForwardRoute]
-) -> dict[str, tuple[ForwardRoute, ...]]:
-    """Group routes by host, the longest prefix first."""
-    by_host: dict[str, list[ForwardRoute]] = {}
-    for route in routes:
-        by_host.setdefault(route.host, []).append(route)
-    return {
-        host: tuple(sorted(group, key=lambda route: -len(route.prefix)))
-        for host, group in by_host.items()
-    }
-
-
 def _same_but_revision(one: EndpointEntry, other: EndpointEntry) -> bool:
     return one.endpoint == other.endpoint and _content(one) == _content(other)
 
--- a/dotterelpaddle/peers/fetching.py
+++ b/dotterelpaddle/peers/fetching.py
@@ -223,7 +223,7 @@
         waited = self._clock() - self._started_at
         if self._caches.known or not self._view.complete or waited < ALONE_AFTER:
             return
-        engines = [entry for entry in self._view.entries if entry.models]
+        engines = [entry for entry in self._view.used_entries if entry.models]
         if len(engines) > MOST_READ_BY_EACH:
             if waited < FIRST_AFTER:
                 return
--- a/dotterelpaddle/tests/forwarding/test_view.py
+++ b/dotterelpaddle/tests/forwarding/test_view.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 import anyio
 import pytest
 from hypothesis import strategies as st
@@ -13,6 +15,9 @@
     EndpointEntry,
     EndpointState,
     FleetConfiguration,
+    ForwardRoute,
+    RequestKind,
+    WeightedService,
 )
 from dotterelpaddle.forwarding.view import COMPLETE_WAIT, RETURN_TIME, FleetView
 from dotterelpaddle.ids import EndpointName, Revision, ServiceName
@@ -213,3 +218,29 @@
 
     assert not scope.cancelled_caught
     assert not view.complete
+
+
+def test_entry_of_a_service_that_nobody_routes_to_is_not_used() -> None:
+    """Another writer may name what it likes."""
+    view = FleetView(clock=lambda: 0.0)
+    foreign = make_entry("foreign", service=ServiceName("unheard-of"))
+    own = _entry(NAMES[0], 1)
+    read = EndpointsRead(revision=Revision(1), entries=(own, foreign), whole=True)
+    view.take_endpoints(read=read)
+    before = view.used_entries
+    route = ForwardRoute(
+        name="r",
+        host="a.example",
+        prefix="/",
+        kind=RequestKind.IDEMPOTENT,
+        services=(WeightedService(service=SERVICE, weight=1.0),),
+        timeout=1.0,
+        objective=1.0,
+        max_attempts=1,
+    )
+    configuration = replace(_configuration(1), routes=(route,))
+    view.take_configuration(configuration=configuration)
+
+    assert before == (own, foreign)
+    assert view.used_entries == (own,)
+    assert view.entries == (own, foreign)
--- a/dotterelpaddle/tests/peers/test_reading.py
+++ b/dotterelpaddle/tests/peers/test_reading.py
@@ -47,7 +47,14 @@
         )
         read = EndpointsRead(revision=Revision(1), entries=entries, whole=True)
         self.view.take_endpoints(read=read)
-        self.view._configuration = SimpleNamespace(version=1)  # type: ignore[assignment]
+        route = SimpleNamespace(
+            host="a.example",
+            prefix="/",
+            services=(SimpleNamespace(service=entries[0].service),),
+        )
+        self.view.take_configuration(
+            configuration=SimpleNamespace(version=1, routes=(route,))  # type: ignore[arg-type]
+        )
         self.caches = CacheMap(clock=lambda: self.now)
         self.fetcher = Fetcher(
             view=self.view,
