--- a/dotterelpaddle/tests/forwarding/test_signs.py
+++ b/dotterelpaddle/tests/forwarding/test_signs.py
@@ -7,8 +7,14 @@
 
 from __future__ import annotations
 
+import httpcore
+import pytest
+
+from dotterelpaddle.address import Address
 from dotterelpaddle.forwarding.signs import LIFE_TIME, OVERTAKEN, EndpointSigns
 from dotterelpaddle.ids import EndpointId
+from dotterelpaddle.links import Links
+from dotterelpaddle.network import LinkedStream
 
 ENGINE = EndpointId("engine-1")
 
@@ -58,3 +64,55 @@
     world.signs.keep(endpoints=frozenset())
 
     assert not world.signs.is_slow(endpoint=ENGINE, sent_at=0.0)
+
+
+class LateStream(httpcore.AsyncNetworkStream):
+    """A connection on which some reads come to nothing in their time."""
+
+    def __init__(self, *, late: int) -> None:
+        self.late = late
+        self.timeouts: list[float | None] = []
+
+    async def read(self, max_bytes: int, timeout: float | None = None) -> bytes:
+        self.timeouts.append(timeout)
+        if len(self.timeouts) > self.late:
+            return b"answer"
+        raise httpcore.ReadTimeout
+
+
+def _linked(stream: LateStream) -> LinkedStream:
+    peer = Address(host="10.0.0.1", port=80)
+    linked = LinkedStream(stream=stream, peer=peer, links=Links())
+    linked.read_timeout = 0.3
+    return linked
+
+
+@pytest.mark.anyio
+async def test_read_goes_on_while_there_is_more_time() -> None:
+    late = LateStream(late=2)
+    linked = _linked(late)
+    linked.more_time = lambda: 0.1
+
+    assert await linked.read(100) == b"answer"
+    assert late.timeouts == [0.3, 0.1, 0.1]
+
+
+@pytest.mark.anyio
+async def test_read_ends_when_there_is_no_more_time() -> None:
+    late = LateStream(late=9)
+    linked = _linked(late)
+    more = [0.1, -0.02]
+    linked.more_time = lambda: more.pop(0)
+
+    with pytest.raises(httpcore.ReadTimeout):
+        await linked.read(100)
+    assert late.timeouts == [0.3, 0.1]
+
+
+@pytest.mark.anyio
+async def test_read_that_nobody_extends_ends_in_its_time() -> None:
+    late = LateStream(late=1)
+
+    with pytest.raises(httpcore.ReadTimeout):
+        await _linked(late).read(100)
+    assert late.timeouts == [0.3]
--- a/dotterelpaddle/tests/platform/test_rows.py
+++ b/dotterelpaddle/tests/platform/test_rows.py
@@ -9,21 +9,16 @@
 import pytest
 from hypothesis import given, strategies as st
 
+from dotterelpaddle.address import Address
 from dotterelpaddle.exceptions import PlatformUnavailable
 from dotterelpaddle.forwarding import unusable
 from dotterelpaddle.platform.documents import PlatformDocuments
 from dotterelpaddle.platform.rows import EntryRows, check_rows
+from dotterelpaddle.standins.runner import RunnerStandin
 
-VALUE = {
-    "service": "records",
-    "address": "10.0.0.1:80",
-    "zone": "here",
-    "version": "v1",
-    "slots": 4,
-    "state": "ready",
-    "coldLeftMs": 0,
-    "seq": 3,
-}
+VALUE = RunnerStandin(name="a").entry(
+    address=Address(host="10.0.0.1", port=80), service="records"
+)
 
 
 def _row(key: str, revision: int, value: object) -> dict[str, Any]:
