--- /dev/null
+++ b/dotterelpaddle/tests/forwarding/test_health.py
@@ -0,0 +1,47 @@
+"""Endpoints that are passed over, and what that leaves to the others.
+
+The pattern: most endpoints of a service lose the answers of a fifth of their requests
+with a reset, and serve all others.
+"""
+
+from __future__ import annotations
+
+from dotterelpaddle.forwarding.health import FIRST_EJECTION, HealthBook
+from dotterelpaddle.tests.forwarding.entries import make_entry
+
+ENTRIES = [make_entry(f"engine-{number}") for number in range(5)]
+
+
+class World:
+    """One router and its clock."""
+
+    def __init__(self) -> None:
+        self.now = 0.0
+        self.health = HealthBook(clock=lambda: self.now)
+
+    def usable(self) -> int:
+        return len(self.health.usable(entries=ENTRIES))
+
+
+def test_endpoint_that_broke_off_is_passed_over_for_a_while() -> None:
+    world = World()
+    world.health.failed_hard(entry=ENTRIES[0], cause="broke off")
+    at_once = world.usable()
+    world.now = FIRST_EJECTION
+    later = world.usable()
+
+    assert (at_once, later) == (4, 5)
+
+
+def test_endpoints_that_go_on_serving_are_not_all_passed_over_for_a_lost_answer() -> (
+    None
+):
+    """Each loses one answer and brings another, begun before, a moment later."""
+    world = World()
+    for entry in ENTRIES[:4]:
+        world.health.failed_hard(entry=entry, cause="the connection broke")
+    world.now = 0.2
+    for entry in ENTRIES[:4]:
+        world.health.succeeded(endpoint=entry.endpoint, begun_at=-0.1)
+
+    assert world.usable() > len(ENTRIES) / 2
