End an ejection with the next whole answer; never cancel an accept itself

Where four of five engines lose a fifth of their answers, one engine is left with the load. The test's fleet ends routers by cancelling them from outside, which cancels accept() before the listener is taken out of the loop; a connection in the same turn of the loop then sets the result of a cancelled future (Python 3.11).

Ruled out: uvicorn's servers (loop.create_server holds no future for accept); for health, leaving out ejections of broken answers altogether (a dead endpoint stays listed for four seconds).

Change: an answer that ends 50 ms or more after the break ends the ejection, not so after repeated silence. accepting.py takes listeners out of the loop before it cancels; channel and runner stand-in use it.

Before: the test of health red, the new test of the channel red each time (one turn of the loop). After: both green; tests of forwarding, control and catalog pass.

--- a/dotterelpaddle/control/channel.py
+++ b/dotterelpaddle/control/channel.py
@@ -13,6 +13,7 @@
 
 import anyio
 
+from dotterelpaddle.accepting import accepting
 from dotterelpaddle.control.authentication import Authenticator
 from dotterelpaddle.control.budget import BULK_SHARE, Budget, BulkBudget
 from dotterelpaddle.control.bulk import (
@@ -263,10 +264,7 @@
         tasks.start_soon(receiver.run)
         tasks.start_soon(sender.run)
         tasks.start_soon(channel.publish_counts)
-        tasks.start_soon(sockets.connections.serve, server.handle)
-        try:
+        async with accepting(listener=sockets.connections, handler=server.handle):
             yield channel
-        finally:
-            sockets.stop_accepting()
         traffic.publish()
         tasks.cancel_scope.cancel()
--- a/dotterelpaddle/control/sockets.py
+++ b/dotterelpaddle/control/sockets.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import errno
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
@@ -37,17 +36,6 @@
     datagrams: UDPSocket
     connections: MultiListener[SocketStream]
 
-    def stop_accepting(self) -> None:
-        """Take no new connection; call it before the accepting task is cancelled.
-
-        In Python 3.11 a connection that comes in just when `accept` is cancelled
-        sets the result of a future that has ended, which the loop reports as an
-        error.
-        """
-        loop = asyncio.get_running_loop()
-        for listener in self.connections.listeners:
-            loop.remove_reader(listener.extra(SocketAttribute.raw_socket).fileno())
-
 
 @asynccontextmanager
 async def open_sockets(*, address: Address) -> AsyncIterator[Sockets]:
--- a/dotterelpaddle/forwarding/health.py
+++ b/dotterelpaddle/forwarding/health.py
@@ -29,6 +29,12 @@
 LONGEST_EJECTION = 4.0
 """Seconds that an endpoint is passed over at most, before it is tried again."""
 
+IN_TRANSIT_TIME = 0.05
+"""Seconds after an endpoint broke off from which a whole answer shows that it lives:
+what it sent before it died is there within some milliseconds. One that loses a fifth
+of its answers brings the next one by then and keeps its share of the load; all such
+endpoints passed over at once leave the load of a service to the few others."""
+
 SILENCE_MEMORY = 3.0
 """Seconds within which a second silent request means more than a long queue."""
 
@@ -59,6 +65,7 @@
     hard_failures: int = 0
     ejected_at: float = 0.0
     ejected_until: float = 0.0
+    broke_off: bool = False
     silent_at: float = float("-inf")
     error_share: float = 0.0
     results: int = 0
@@ -85,7 +92,10 @@
         """Note a whole answer to a request that was sent at some time."""
         record = self._record(endpoint)
         self._smooth(record, failed=False)
-        if begun_at >= record.ejected_at:
+        lives = record.broke_off and self._clock() >= (
+            record.ejected_at + IN_TRANSIT_TIME
+        )
+        if lives or begun_at >= record.ejected_at:
             record.hard_failures = 0
             record.ejected_until = 0.0
 
@@ -94,7 +104,10 @@
         self._smooth(self._record(entry.endpoint), failed=True)
 
     def failed_hard(self, *, entry: EndpointEntry, cause: str) -> None:
-        """Note an endpoint that could not be reached, broke off or was silent."""
+        """Note an endpoint that broke off, or could not be used at all."""
+        self._eject(entry=entry, cause=cause, broke_off=True)
+
+    def _eject(self, *, entry: EndpointEntry, cause: str, broke_off: bool) -> None:
         record = self._record(entry.endpoint)
         self._smooth(record, failed=True)
         now = self._clock()
@@ -104,6 +117,7 @@
         record.hard_failures += 1
         record.ejected_at = now
         record.ejected_until = now + seconds
+        record.broke_off = broke_off
         log.warning(
             "endpoint_ejected",
             endpoint=entry.endpoint,
@@ -120,7 +134,7 @@
         repeated = now - record.silent_at < SILENCE_MEMORY
         record.silent_at = now
         if repeated:
-            self.failed_hard(entry=entry, cause="silent again and again")
+            self._eject(entry=entry, cause="silent again and again", broke_off=False)
         else:
             self._smooth(record, failed=True)
 
@@ -170,6 +184,7 @@
             # Its share starts afresh, so that it is judged anew when tried again.
             record.ejected_at = self._clock()
             record.ejected_until = record.ejected_at + ERROR_EJECTION
+            record.broke_off = False
             record.error_share = HIGH_ERROR_SHARE / 2
             record.results = 0
             log.warning(
--- a/dotterelpaddle/standins/runner.py
+++ b/dotterelpaddle/standins/runner.py
@@ -16,6 +16,7 @@
 import orjson
 from anyio.abc import SocketAttribute
 
+from dotterelpaddle.accepting import accepting
 from dotterelpaddle.address import Address
 from dotterelpaddle.platform.names import Header
 
@@ -347,10 +348,8 @@
     """
     listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
     port = listener.extra(SocketAttribute.local_port)
-    async with listener, anyio.create_task_group() as tasks:
-        tasks.start_soon(listener.serve, runner.handle)
+    async with listener, accepting(listener=listener, handler=runner.handle):
         yield Address(host="127.0.0.1", port=port)
-        tasks.cancel_scope.cancel()
 
 
 async def _receive(stream: SocketStream, connection: h11.Connection) -> Received | None:
--- a/dotterelpaddle/tests/control/test_channel.py
+++ b/dotterelpaddle/tests/control/test_channel.py
@@ -1,5 +1,6 @@
 from __future__ import annotations
 
+import asyncio
 import socket
 from contextlib import AsyncExitStack, asynccontextmanager
 from dataclasses import dataclass
@@ -222,3 +223,27 @@
         gone = Address(host="127.0.0.1", port=1)
         with pytest.raises(ControlError):
             await a.fetch(peer=gone, message=Bulk(text=b"x"), timeout=LIMIT)
+
+
+async def test_connection_that_comes_as_a_channel_is_cancelled_is_no_error():
+    """The end and the connection fall into one turn of the loop, the end first."""
+    loop = asyncio.get_running_loop()
+    errors: list[dict[str, object]] = []
+    loop.set_exception_handler(lambda _, context: errors.append(context))
+    with anyio.CancelScope() as scope:
+        async with open_channel(
+            address=Address(host="127.0.0.1", port=0),
+            key=KEY,
+            bytes_per_second=1e6,
+            links=Links(),
+            metrics=Metrics(),
+            clock=monotonic,
+        ) as channel:
+            await anyio.wait_all_tasks_blocked()
+            with socket.create_connection((channel.address.host, channel.address.port)):
+                loop.call_soon(scope.cancel)
+                await anyio.sleep_forever()
+    await anyio.wait_all_tasks_blocked()
+
+    assert scope.cancelled_caught
+    assert errors == []
--- a/dotterelpaddle/tests/forwarding/test_health.py
+++ b/dotterelpaddle/tests/forwarding/test_health.py
@@ -6,7 +6,11 @@
 
 from __future__ import annotations
 
-from dotterelpaddle.forwarding.health import FIRST_EJECTION, HealthBook
+from dotterelpaddle.forwarding.health import (
+    FIRST_EJECTION,
+    IN_TRANSIT_TIME,
+    HealthBook,
+)
 from dotterelpaddle.tests.forwarding.entries import make_entry
 
 ENTRIES = [make_entry(f"engine-{number}") for number in range(5)]
@@ -45,3 +49,22 @@
         world.health.succeeded(endpoint=entry.endpoint, begun_at=-0.1)
 
     assert world.usable() > len(ENTRIES) / 2
+
+
+def test_answer_that_was_under_way_when_its_endpoint_died_says_nothing() -> None:
+    world = World()
+    world.health.failed_hard(entry=ENTRIES[0], cause="the connection broke")
+    world.now = IN_TRANSIT_TIME / 2
+    world.health.succeeded(endpoint=ENTRIES[0].endpoint, begun_at=-0.1)
+
+    assert world.usable() == 4
+
+
+def test_late_answer_of_a_silent_endpoint_does_not_bring_it_back() -> None:
+    world = World()
+    world.health.was_silent(entry=ENTRIES[0])
+    world.health.was_silent(entry=ENTRIES[0])
+    world.now = 2 * IN_TRANSIT_TIME
+    world.health.succeeded(endpoint=ENTRIES[0].endpoint, begun_at=-0.1)
+
+    assert world.usable() == 4
