--- a/dotterelpaddle/forwarding/cached_prompts.py
+++ b/dotterelpaddle/forwarding/cached_prompts.py
@@ -71,12 +71,21 @@
         self._caches = caches
 
     def of(
-        self, *, request: Prompted, candidates: Sequence[EndpointEntry]
+        self,
+        *,
+        request: Prompted,
+        candidates: Sequence[EndpointEntry],
+        cached_at: EndpointId | None = None,
     ) -> CachedPrompt:
         """Find out where how much of a prompt is cached.
 
         Endpoints that are leaving count too, also those whose entries have just
         gone: they hand out what they have.
+
+        Args:
+            request: The request.
+            candidates: Where it can go.
+            cached_at: Endpoint that has all shared parts, as the owner of it told.
         """
         service = candidates[0].service
         holders = [entry for entry in self._view.entries if entry.service == service]
@@ -92,6 +101,8 @@
             entry.endpoint: total - cached.get(entry.endpoint, 0)
             for entry in (*holders, *candidates)
         }
+        if cached_at in missing:
+            missing[cached_at] = 0
         holder = min(holders, key=lambda entry: missing[entry.endpoint], default=None)
         least = total if holder is None else missing[holder.endpoint]
         return CachedPrompt(
--- a/dotterelpaddle/forwarding/placement.py
+++ b/dotterelpaddle/forwarding/placement.py
@@ -149,6 +149,7 @@
         excluded: frozenset[EndpointId],
         loads: Counter[EndpointId],
         must: bool,
+        cached_at: EndpointId | None = None,
     ) -> Choice | None:
         """Choose for another router among the endpoints that this one counts.
 
@@ -160,6 +161,7 @@
             excluded: Endpoints that can't be chosen.
             loads: Requests in flight, exact for these endpoints.
             must: Whether to choose one even if all are over their bound.
+            cached_at: Endpoint elsewhere that has the shared parts of the prompt.
 
         Returns:
             The choice; None if all are over their bound, or none of the shard is left.
@@ -184,6 +186,7 @@
                 mean=mean,
                 risk=risk,
                 exact=True,
+                cached_at=cached_at,
             )
         if choice is None:
             choice = self._least_loaded(
@@ -194,6 +197,16 @@
                 return None
         return self.noted(choice=choice, request=request)
 
+    def holder(self, *, service: ServiceName, request: Prompted) -> EndpointId | None:
+        """The endpoint that has all shared parts of a prompt, None if none has."""
+        candidates = self._view.ready(service=service)
+        if not candidates or not shared_parts(request=request):
+            return None
+        cached = self._cached.of(request=request, candidates=candidates)
+        if cached.least or cached.holder is None:
+            return None
+        return cached.holder.endpoint
+
     def usable(
         self,
         *,
@@ -271,6 +284,7 @@
         mean: float,
         risk: float,
         exact: bool = False,
+        cached_at: EndpointId | None = None,
     ) -> Choice | None:
         """Choose where the least has to be read, among those within the bound.
 
@@ -281,6 +295,7 @@
             mean: The mean of them.
             risk: Requests of load that weigh as much as certain failure.
             exact: Whether nobody else sends there what these loads don't count yet.
+            cached_at: Endpoint elsewhere that has the shared parts of the prompt.
         """
         many = not exact and self._loads.routers > MANY_ROUTERS
         nearness = self._generator.uniform(LEAST_NEARNESS, 1.0) if many else 1.0
@@ -293,7 +308,9 @@
         if not within:
             return None
         home = home_of(request=request, candidates=candidates, sharded=many)
-        cached = self._cached.of(request=request, candidates=candidates)
+        cached = self._cached.of(
+            request=request, candidates=candidates, cached_at=cached_at
+        )
         if many:
             within = self._sampled(entries=within, cached=cached, home=home)
         home_tokens = MANY_HOME_TOKENS if many or exact else HOME_TOKENS
--- a/dotterelpaddle/owners/messages.py
+++ b/dotterelpaddle/owners/messages.py
@@ -62,6 +62,7 @@
         repeatable: Whether a failure there could be made good elsewhere.
         excluded: Endpoints that can't be chosen.
         must: Whether an endpoint is to be chosen even if all are over their bound.
+        cached_at: Endpoint of another shard that has the shared parts, None if none.
     """
 
     number: int
@@ -73,6 +74,7 @@
     repeatable: bool
     excluded: frozenset[EndpointId]
     must: bool
+    cached_at: EndpointId | None = None
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -82,7 +84,8 @@
     Attributes:
         number: The question that it answers.
         endpoint: Where the request should go; None if all are over their bound.
-        fetch_from: Endpoint whose cache has what it lacks, None if none has.
+        fetch_from: Endpoint whose cache has what it lacks, or all that is shared
+            where none was chosen; None if none has.
         reason: Why it was chosen.
         load: Its requests in flight, this one excluded.
         mean_load: The mean over the endpoints of the service.
@@ -119,6 +122,7 @@
                     message.repeatable,
                     sorted(message.excluded),
                     message.must,
+                    message.cached_at,
                 ]
             )
         case Grant():
@@ -166,7 +170,7 @@
 
 
 def _question(fields: Any) -> Question:
-    shard = fields[4]
+    shard, cached_at = fields[4], fields[10]
     return Question(
         number=int(fields[1]),
         held=_held(fields[2]),
@@ -179,6 +183,7 @@
         repeatable=bool(fields[7]),
         excluded=frozenset(EndpointId(str(each)) for each in fields[8]),
         must=bool(fields[9]),
+        cached_at=None if cached_at is None else EndpointId(str(cached_at)),
     )
 
 
--- a/dotterelpaddle/owners/owner.py
+++ b/dotterelpaddle/owners/owner.py
@@ -70,12 +70,14 @@
                 excluded=question.excluded,
                 loads=self._current_loads(question=question),
                 must=question.must,
+                cached_at=question.cached_at,
             )
         except NoEndpoint as error:
             log.info("grant_refused", router=question.held.router, cause=error.message)
             return Grant(number=question.number)
         if choice is None:
-            return Grant(number=question.number)
+            holder = self._placer.holder(service=question.service, request=question)
+            return Grant(number=question.number, fetch_from=holder)
         endpoint = choice.entry.endpoint
         self._counts.granted(
             held=question.held, number=question.number, endpoint=endpoint
--- a/dotterelpaddle/owners/placing.py
+++ b/dotterelpaddle/owners/placing.py
@@ -124,6 +124,7 @@
             entries=usable,
             key=_key(service=service, request=request),
         )[:MOST_ASKED]
+        cached_at: EndpointId | None = None
         for shard in ranked:
             owner = self._owner(owners=owners, entries=usable, shard=shard)
             if owner is None:
@@ -138,6 +139,7 @@
                     repeatable=repeatable,
                     excluded=unusable,
                     must=shard == ranked[-1],
+                    cached_at=cached_at,
                 ),
             )
             if answered is None or answered.grant is None:
@@ -148,6 +150,7 @@
                     grant=grant, owner=owner, usable=usable, request=request
                 )
             self._requests.give_up(question=answered)
+            cached_at = grant.fetch_from
         return None
 
     def _owner(
@@ -204,6 +207,7 @@
     repeatable: bool,
     excluded: frozenset[EndpointId],
     must: bool,
+    cached_at: EndpointId | None,
 ) -> Question:
     return Question(
         number=number,
@@ -215,6 +219,7 @@
         repeatable=repeatable,
         excluded=excluded,
         must=must,
+        cached_at=cached_at,
     )
 
 
