--- a/bench/decisions/rivals.py
+++ b/bench/decisions/rivals.py
@@ -65,6 +65,9 @@
     patience: float = 0.03
 
 
+ALL_COMPARED = "reports, all compared"
+"""The rival of which each decision looks at all endpoints."""
+
 Rival = Reports | Predicted | Probes | Owners
 
 
@@ -73,7 +76,7 @@
     reports = Reports()
     return {
         "reports": reports,
-        "reports, all compared": Reports(sampled=10_000),
+        ALL_COMPARED: Reports(sampled=10_000),
         "predicted": Predicted(reports=reports),
         "two probes": Probes(reports=reports),
         "four probes": Probes(reports=reports, asked=4),
