Give what an endpoint is wanted for a type of its own; test messages

A question was made by a function of eight arguments that was handed around with the last two open. No change of what is decided; the datagram is the same.

--- a/dotterelpaddle/owners/asking.py
+++ b/dotterelpaddle/owners/asking.py
@@ -18,11 +18,10 @@
 )
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
-
     from dotterelpaddle.address import Address
     from dotterelpaddle.clock import Clock
     from dotterelpaddle.ids import FailureDomain
+    from dotterelpaddle.owners.messages import Wanted
     from dotterelpaddle.owners.owner import Owner
     from dotterelpaddle.owners.telling import OpenQuestion, OwnRequests
     from dotterelpaddle.peers.datagrams import Datagrams
@@ -85,14 +84,12 @@
                 await anyio.sleep(NOTICE_PAUSE)
             await self._tell(domains | self._requests.take_untold())
 
-    async def ask(
-        self, *, owner: PeerName, question: Callable[[int, Held], Question]
-    ) -> OpenQuestion | None:
-        """Ask an owner.
+    async def ask(self, *, owner: PeerName, wanted: Wanted) -> OpenQuestion | None:
+        """Ask an owner for an endpoint.
 
         Args:
             owner: The owner.
-            question: Makes the question, given its number and what is in flight.
+            wanted: What the endpoint is wanted for.
 
         Returns:
             The question with its answer, None if none came in time. The request must
@@ -101,16 +98,18 @@
         """
         asked = self._requests.open()
         try:
-            message = question(
-                asked.number, self._requests.held(domain=owner.failure_domain)
+            question = Question(
+                number=asked.number,
+                held=self._requests.held(domain=owner.failure_domain),
+                wanted=wanted,
             )
             if owner.router == self._directory.own.router:
-                self._requests.answered(grant=self._owner.answer(question=message))
+                self._requests.answered(grant=self._owner.answer(question=question))
                 return asked
             if self._clock() < self._silent_until.get(owner.address, 0.0):
                 self._requests.give_up(question=asked)
                 return None
-            await self._send(encode(message=message), owner.address)
+            await self._send(encode(message=question), owner.address)
             with anyio.move_on_after(ASK_TIME):
                 await asked.answered.wait()
         except BaseException:
--- a/dotterelpaddle/owners/messages.py
+++ b/dotterelpaddle/owners/messages.py
@@ -49,12 +49,10 @@
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
-class Question:
-    """Asks where a request should go; read by the placer like a request.
+class Wanted:
+    """What an endpoint is wanted for; a placer reads it like a request.
 
     Attributes:
-        number: Names the question to its sender.
-        held: What the sender has in flight.
         service: The service that the request is for.
         shard: Failure domain whose endpoints may be chosen, None for all.
         model: Model that the request is for, empty for none.
@@ -65,8 +63,6 @@
         cached_at: Endpoint of another shard that has the shared parts, None if none.
     """
 
-    number: int
-    held: Held
     service: ServiceName
     shard: FailureDomain | None
     model: ModelId
@@ -77,6 +73,21 @@
     cached_at: EndpointId | None = None
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Question:
+    """Asks where a request should go.
+
+    Attributes:
+        number: Names the question to its sender.
+        held: What the sender has in flight.
+        wanted: What the endpoint is wanted for.
+    """
+
+    number: int
+    held: Held
+    wanted: Wanted
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Grant:
     """The owner's answer.
@@ -109,20 +120,20 @@
 def encode(*, message: Message) -> bytes:
     """Turn a message into a datagram."""
     match message:
-        case Question():
+        case Question(number=number, held=held, wanted=wanted):
             return orjson.dumps(
                 [
                     QUESTION,
-                    message.number,
-                    _held_fields(message.held),
-                    message.service,
-                    message.shard,
-                    message.model,
-                    [[part.part, part.tokens] for part in message.prompt],
-                    message.repeatable,
-                    sorted(message.excluded),
-                    message.must,
-                    message.cached_at,
+                    number,
+                    _held_fields(held),
+                    wanted.service,
+                    wanted.shard,
+                    wanted.model,
+                    [[part.part, part.tokens] for part in wanted.prompt],
+                    wanted.repeatable,
+                    sorted(wanted.excluded),
+                    wanted.must,
+                    wanted.cached_at,
                 ]
             )
         case Grant():
@@ -170,37 +181,45 @@
 
 
 def _question(fields: Any) -> Question:
-    shard, cached_at = fields[4], fields[10]
     return Question(
-        number=int(fields[1]),
-        held=_held(fields[2]),
-        service=ServiceName(str(fields[3])),
+        number=int(fields[1]), held=_held(fields[2]), wanted=_wanted(fields[3:])
+    )
+
+
+def _wanted(fields: Any) -> Wanted:
+    service, shard, model, prompt, repeatable, excluded, must, cached_at = fields
+    return Wanted(
+        service=ServiceName(str(service)),
         shard=None if shard is None else FailureDomain(str(shard)),
-        model=ModelId(str(fields[5])),
+        model=ModelId(str(model)),
         prompt=tuple(
-            PromptPart(part=str(part), tokens=int(tokens)) for part, tokens in fields[6]
+            PromptPart(part=str(part), tokens=int(tokens)) for part, tokens in prompt
         ),
-        repeatable=bool(fields[7]),
-        excluded=frozenset(EndpointId(str(each)) for each in fields[8]),
-        must=bool(fields[9]),
-        cached_at=None if cached_at is None else EndpointId(str(cached_at)),
+        repeatable=bool(repeatable),
+        excluded=frozenset(EndpointId(str(each)) for each in excluded),
+        must=bool(must),
+        cached_at=_endpoint(cached_at),
     )
 
 
 def _grant(fields: Any) -> Grant:
-    endpoint, source = fields[2], fields[3]
+    _, number, endpoint, source, reason, load, mean_load, missing, work = fields
     return Grant(
-        number=int(fields[1]),
-        endpoint=None if endpoint is None else EndpointId(str(endpoint)),
-        fetch_from=None if source is None else EndpointId(str(source)),
-        reason=str(fields[4]),
-        load=int(fields[5]),
-        mean_load=float(fields[6]),
-        missing=int(fields[7]),
-        work=int(fields[8]),
+        number=int(number),
+        endpoint=_endpoint(endpoint),
+        fetch_from=_endpoint(source),
+        reason=str(reason),
+        load=int(load),
+        mean_load=float(mean_load),
+        missing=int(missing),
+        work=int(work),
     )
 
 
+def _endpoint(field: Any) -> EndpointId | None:
+    return None if field is None else EndpointId(str(field))
+
+
 def _held_fields(held: Held) -> list[Any]:
     return [
         held.router,
--- a/dotterelpaddle/owners/owner.py
+++ b/dotterelpaddle/owners/owner.py
@@ -22,7 +22,7 @@
     from dotterelpaddle.forwarding.view import FleetView
     from dotterelpaddle.ids import EndpointId, RouterId
     from dotterelpaddle.owners.counts import ShardCounts
-    from dotterelpaddle.owners.messages import Held, Question
+    from dotterelpaddle.owners.messages import Held, Question, Wanted
 
 log = get_logger(name=__name__)
 
@@ -61,22 +61,23 @@
     def answer(self, *, question: Question) -> Grant:
         """Decide where a request goes, and count it there."""
         self.hear(held=question.held)
+        wanted = question.wanted
         try:
             choice = self._placer.choose_in_shard(
-                service=question.service,
-                shard=question.shard,
-                request=question,
-                repeatable=question.repeatable,
-                excluded=question.excluded,
-                loads=self._current_loads(question=question),
-                must=question.must,
-                cached_at=question.cached_at,
+                service=wanted.service,
+                shard=wanted.shard,
+                request=wanted,
+                repeatable=wanted.repeatable,
+                excluded=wanted.excluded,
+                loads=self._current_loads(wanted=wanted),
+                must=wanted.must,
+                cached_at=wanted.cached_at,
             )
         except NoEndpoint as error:
             log.info("grant_refused", router=question.held.router, cause=error.message)
             return Grant(number=question.number)
         if choice is None:
-            holder = self._placer.holder(service=question.service, request=question)
+            holder = self._placer.holder(service=wanted.service, request=wanted)
             return Grant(number=question.number, fetch_from=holder)
         endpoint = choice.entry.endpoint
         self._counts.granted(
@@ -94,7 +95,7 @@
             work=choice.work,
         )
 
-    def _current_loads(self, *, question: Question) -> Counter[EndpointId]:
+    def _current_loads(self, *, wanted: Wanted) -> Counter[EndpointId]:
         """Counts of the shard as routers tell them here, of the others by reports.
 
         Reports are a few tenths of a second old. The greater count goes while some
@@ -103,7 +104,7 @@
         loads = self._loads.loads()
         counted = self._counts.loads
         for entry in shard_entries(
-            entries=self._view.ready(service=question.service), shard=question.shard
+            entries=self._view.ready(service=wanted.service), shard=wanted.shard
         ):
             endpoint = entry.endpoint
             load = counted.get(endpoint, 0) + self._loads.own.get(endpoint, 0)
--- a/dotterelpaddle/owners/placing.py
+++ b/dotterelpaddle/owners/placing.py
@@ -2,12 +2,11 @@
 
 from __future__ import annotations
 
-from functools import partial
 from typing import TYPE_CHECKING
 
 from dotterelpaddle.forwarding.caches import part_tag, shared_parts
 from dotterelpaddle.forwarding.choice import Choice, ChoiceReason
-from dotterelpaddle.owners.messages import Held, Question
+from dotterelpaddle.owners.messages import Wanted
 from dotterelpaddle.owners.shards import ranked_shards, shard_entries
 from dotterelpaddle.placement.rendezvous import digest
 
@@ -131,11 +130,11 @@
                 return None
             answered = await self._exchange.ask(
                 owner=owner,
-                question=partial(
-                    _question,
+                wanted=Wanted(
                     service=service,
                     shard=shard,
-                    request=request,
+                    model=request.model,
+                    prompt=request.prompt,
                     repeatable=repeatable,
                     excluded=unusable,
                     must=shard == ranked[-1],
@@ -197,32 +196,6 @@
         return self._placer.noted(choice=choice, request=request)
 
 
-def _question(
-    number: int,
-    held: Held,
-    *,
-    service: ServiceName,
-    shard: FailureDomain | None,
-    request: Prompted,
-    repeatable: bool,
-    excluded: frozenset[EndpointId],
-    must: bool,
-    cached_at: EndpointId | None,
-) -> Question:
-    return Question(
-        number=number,
-        held=held,
-        service=service,
-        shard=shard,
-        model=request.model,
-        prompt=request.prompt,
-        repeatable=repeatable,
-        excluded=excluded,
-        must=must,
-        cached_at=cached_at,
-    )
-
-
 def _key(*, service: ServiceName, request: Prompted) -> int:
     """What decides the shard: the deepest part of the prompt that others share."""
     parts = shared_parts(request=request)
--- /dev/null
+++ b/dotterelpaddle/tests/owners/test_messages.py
@@ -0,0 +1,87 @@
+"""Messages between routers and owners as datagrams."""
+
+from __future__ import annotations
+
+import pytest
+
+from dotterelpaddle.exceptions import ControlError
+from dotterelpaddle.forwarding.interface import PromptPart
+from dotterelpaddle.ids import (
+    EndpointId,
+    FailureDomain,
+    ModelId,
+    RouterId,
+    ServiceName,
+)
+from dotterelpaddle.owners.messages import (
+    START,
+    Grant,
+    Held,
+    Message,
+    Question,
+    Wanted,
+    decode,
+    encode,
+)
+
+A, B = EndpointId("a@17"), EndpointId("b")
+HELD = Held(
+    router=RouterId("router-1"),
+    incarnation=7,
+    sequence=12,
+    loads={A: 2, B: 1},
+    open=frozenset({3, 4}),
+)
+WANTED = Wanted(
+    service=ServiceName("engines"),
+    shard=FailureDomain("here"),
+    model=ModelId("m"),
+    prompt=(PromptPart(part="5c1e", tokens=800), PromptPart(part="e4", tokens=20)),
+    repeatable=True,
+    excluded=frozenset({B}),
+    must=False,
+    cached_at=A,
+)
+
+
+@pytest.mark.parametrize(
+    "message",
+    [
+        HELD,
+        Question(number=4, held=HELD, wanted=WANTED),
+        Grant(number=4),
+        Grant(
+            number=4,
+            endpoint=A,
+            fetch_from=B,
+            reason="cached",
+            load=3,
+            mean_load=2.5,
+            missing=100,
+            work=90,
+        ),
+    ],
+)
+def test_message_comes_back_as_it_was(message: Message) -> None:
+    datagram = encode(message=message)
+
+    assert datagram.startswith(START)
+    assert decode(datagram=datagram) == message
+
+
+@pytest.mark.parametrize(
+    "datagram",
+    [
+        b"",
+        b'["',
+        b'["other",1]',
+        b'["held",[1]]',
+        b'["question",1]',
+        b'["grant",1,2]',
+        b'["held",["r",1,2,[],[]]]',
+        b'["grant","x",null,null,"",0,0,0,0]',
+    ],
+)
+def test_what_is_no_message_is_refused(datagram: bytes) -> None:
+    with pytest.raises(ControlError):
+        decode(datagram=datagram)
--- a/dotterelpaddle/tests/owners/test_owner.py
+++ b/dotterelpaddle/tests/owners/test_owner.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 from collections import Counter
-from dataclasses import replace
 
 from dotterelpaddle.forwarding.herding import load_bound
 from dotterelpaddle.forwarding.interface import EndpointsRead
@@ -88,9 +87,8 @@
 def test_endpoint_that_the_asking_router_can_not_use_is_not_chosen() -> None:
     world = World(endpoints=2)
     (router,) = _routers(world, 1)
-    asked, question = router.question()
-    excluded = frozenset({world.endpoints[0]})
-    grant = world.owner.answer(question=replace(question, excluded=excluded))
+    _, question = router.question(excluded=frozenset({world.endpoints[0]}))
+    grant = world.owner.answer(question=question)
     assert grant.endpoint == world.endpoints[1]
 
 
@@ -163,10 +161,8 @@
     )
     _, question = router.question(must=False)
     refusal = first.owner.answer(question=question)
-    _, question = router.question(must=True)
-    grant = second.owner.answer(
-        question=replace(question, cached_at=refusal.fetch_from)
-    )
+    _, question = router.question(must=True, cached_at=refusal.fetch_from)
+    grant = second.owner.answer(question=question)
 
     assert refusal.endpoint is None
     assert refusal.fetch_from == holder
--- a/dotterelpaddle/tests/owners/world.py
+++ b/dotterelpaddle/tests/owners/world.py
@@ -24,7 +24,7 @@
     ServiceName,
 )
 from dotterelpaddle.owners.counts import ShardCounts
-from dotterelpaddle.owners.messages import Question
+from dotterelpaddle.owners.messages import Question, Wanted
 from dotterelpaddle.owners.owner import Owner
 from dotterelpaddle.owners.shards import ShardMap
 from dotterelpaddle.owners.telling import OwnRequests
@@ -102,20 +102,28 @@
         return self.requests.held(domain=HERE)
 
     def question(
-        self, *, request: ForwardRequest = PROMPT, must: bool = False
+        self,
+        *,
+        request: ForwardRequest = PROMPT,
+        must: bool = False,
+        excluded: frozenset[EndpointId] = frozenset(),
+        cached_at: EndpointId | None = None,
     ) -> tuple[OpenQuestion, Question]:
         """Begin a question."""
         asked = self.requests.open()
         question = Question(
             number=asked.number,
             held=self.held(),
-            service=SERVICE,
-            shard=HERE,
-            model=ModelId("m"),
-            prompt=request.prompt,
-            repeatable=True,
-            excluded=frozenset(),
-            must=must,
+            wanted=Wanted(
+                service=SERVICE,
+                shard=HERE,
+                model=ModelId("m"),
+                prompt=request.prompt,
+                repeatable=True,
+                excluded=excluded,
+                must=must,
+                cached_at=cached_at,
+            ),
         )
         return asked, question
 
