Forget news of parts that nobody is told; let small fleets tell no owners

Cause, found on reading: in a large fleet the queue of uses to be told was never taken from, so that it grew with each new prompt for as long as a router lives. And routers of small fleets woke 20 ms after each end of a request to tell owners that they do not have.

Before: the test's queue holds uses after three seconds (shown); after: empty.

--- a/dotterelpaddle/owners/asking.py
+++ b/dotterelpaddle/owners/asking.py
@@ -75,6 +75,10 @@
         """
         self._datagrams = datagrams
         while True:
+            if not self._directory.owners():
+                self._requests.take_untold()
+                await anyio.sleep(TELL_TIME)
+                continue
             domains: set[FailureDomain] = set()
             with anyio.move_on_after(TELL_TIME) as waiting:
                 await self._requests.wait_changed()
--- a/dotterelpaddle/peers/exchange.py
+++ b/dotterelpaddle/peers/exchange.py
@@ -132,8 +132,9 @@
             control=control,
             names=self._names() if self._rounds % PEERS_EVERY == 1 else (),
         )
+        news = self._caches.news()
         # Where owners decide, they know where parts are, and nobody else needs to.
-        uses = self._caches.news() if self._plan.in_mesh else []
+        uses = news if self._plan.in_mesh else []
         written: dict[tuple[Scope, Ask], bytes] = {}
         for recipient in recipients:
             # Only an aggregate for one router differs from recipient to recipient.
--- a/dotterelpaddle/tests/peers/test_plan.py
+++ b/dotterelpaddle/tests/peers/test_plan.py
@@ -145,6 +145,7 @@
     await fleet.run(3.0)
 
     assert {node.caches.parts for node in fleet.nodes} == {1}
+    assert not any(node.caches.news() for node in fleet.nodes)
 
 
 async def test_each_failure_domain_has_one_owner_that_all_know() -> None:
