--- a/bench/decisions/model.py
+++ b/bench/decisions/model.py
@@ -73,6 +73,21 @@
     endpoint: int = field(compare=False)
 
 
+@dataclass(frozen=True, slots=True)
+class _Decision:
+    """Where a request goes.
+
+    Attributes:
+        endpoint: Number of the endpoint.
+        added: Seconds that the decision took.
+        age: Seconds that what is known of prompts is old; the mean of reports.
+    """
+
+    endpoint: int
+    added: float = 0.0
+    age: float = 0.4
+
+
 class Play:
     """One play.
 
@@ -119,22 +134,23 @@
 
     def _arrive(self, now: float) -> None:
         subject = self._dice.choices(self._subjects, cum_weights=self._weights)[0]
-        endpoint, added = self._decide(now, subject)
-        self._begin(now, subject, endpoint, added)
+        self._begin(now, subject, self._decide(now, subject))
 
-    def _decide(self, now: float, subject: int) -> tuple[int, float]:
+    def _decide(self, now: float, subject: int) -> _Decision:
         match self._rival:
             case Reports() as reports:
-                return self._by_reports(now, subject, reports), 0.0
+                return _Decision(self._by_reports(now, subject, reports))
             case Predicted(reports=reports, forget_time=forget_time):
-                return self._by_reports(now, subject, reports, forget_time), 0.0
+                return _Decision(self._by_reports(now, subject, reports, forget_time))
             case Probes(reports=reports, asked=asked, round_trip=round_trip):
-                return self._by_probes(now, subject, reports, asked), round_trip
+                choice = self._by_probes(now, subject, reports, asked)
+                return _Decision(choice, added=round_trip)
             case Owners() as owners:
                 if self._dice.random() < owners.lost:
                     choice = self._by_reports(now, subject, owners.reports)
-                    return choice, owners.patience
-                return self._by_owner(subject), 2 * owners.one_way
+                    return _Decision(choice, added=owners.patience)
+                choice = self._by_owner(subject)
+                return _Decision(choice, added=2 * owners.one_way, age=0.0)
 
     def _by_reports(
         self,
@@ -224,15 +240,14 @@
     def _dice_of(self, subject: int) -> random.Random:
         return random.Random(subject)
 
-    def _begin(self, now: float, subject: int, endpoint: int, added: float) -> None:
+    def _begin(self, now: float, subject: int, decision: _Decision) -> None:
+        endpoint, added = decision.endpoint, decision.added
         holders = self._holders.setdefault(subject, {})
         reading = 0.0
         counted = now >= WARM_UP
         result = self.result
         if endpoint not in holders:
-            # Who decides on old news does not know of the other endpoints.
-            age = 0.0 if isinstance(self._rival, Owners) else 0.4
-            known = self._known_holders(subject, now - age)
+            known = self._known_holders(subject, now - decision.age)
             reading = PROMPT_TOKENS / (FETCH_SPEED if known else READING_SPEED)
             if counted and known:
                 result.fetched += PROMPT_TOKENS
