Tell an owner again of what goes on there, whatever ends elsewhere

Cause, found on reading: a router told owners again only after half a second in which nothing of its own began or ended anywhere. A long stream in one failure domain beside short requests in another was forgotten by its owner after 1.6 s, which then counted too little there. The test shows it with the old rule (only what ended is told): ten seconds without a word.

Change: each owner hears at least every 0.75 s from a router that has requests there. A grant with a reason of another release is dropped like any message that can't be read, and the router decides by itself.

--- a/dotterelpaddle/forwarding/parts.py
+++ b/dotterelpaddle/forwarding/parts.py
@@ -183,7 +183,9 @@
         generator=generator,
     )
     shards = ShardMap(view=knowledge.view)
-    requests = OwnRequests(router=settings.router, loads=knowledge.loads, shards=shards)
+    requests = OwnRequests(
+        router=settings.router, loads=knowledge.loads, shards=shards, clock=clock
+    )
     owners = OwnerExchange(
         directory=directory,
         requests=requests,
--- a/dotterelpaddle/owners/asking.py
+++ b/dotterelpaddle/owners/asking.py
@@ -76,17 +76,13 @@
         self._datagrams = datagrams
         while True:
             if not self._directory.owners():
-                self._requests.take_untold()
+                self._requests.take_due()
                 await anyio.sleep(TELL_TIME)
                 continue
-            domains: set[FailureDomain] = set()
-            with anyio.move_on_after(TELL_TIME) as waiting:
+            with anyio.move_on_after(TELL_TIME / 2):
                 await self._requests.wait_changed()
-            if waiting.cancelled_caught:
-                domains = self._requests.in_flight()
-            else:
                 await anyio.sleep(NOTICE_PAUSE)
-            await self._tell(domains | self._requests.take_untold())
+            await self._tell(self._requests.take_due())
 
     async def ask(self, *, owner: PeerName, wanted: Wanted) -> OpenQuestion | None:
         """Ask an owner for an endpoint.
--- a/dotterelpaddle/owners/messages.py
+++ b/dotterelpaddle/owners/messages.py
@@ -8,6 +8,7 @@
 import orjson
 
 from dotterelpaddle.exceptions import ControlError
+from dotterelpaddle.forwarding.choice import ChoiceReason
 from dotterelpaddle.forwarding.interface import PromptPart
 from dotterelpaddle.ids import (
     EndpointId,
@@ -107,7 +108,7 @@
     number: int
     endpoint: EndpointId | None = None
     fetch_from: EndpointId | None = None
-    reason: str = ""
+    reason: ChoiceReason = ChoiceReason.LEAST_LOADED
     load: int = 0
     mean_load: float = 0.0
     missing: int = 0
@@ -143,7 +144,7 @@
                     message.number,
                     message.endpoint,
                     message.fetch_from,
-                    message.reason,
+                    message.reason.value,
                     message.load,
                     message.mean_load,
                     message.missing,
@@ -208,7 +209,7 @@
         number=int(number),
         endpoint=_endpoint(endpoint),
         fetch_from=_endpoint(source),
-        reason=str(reason),
+        reason=ChoiceReason(reason),
         load=int(load),
         mean_load=float(mean_load),
         missing=int(missing),
--- a/dotterelpaddle/owners/owner.py
+++ b/dotterelpaddle/owners/owner.py
@@ -88,7 +88,7 @@
             number=question.number,
             endpoint=endpoint,
             fetch_from=source.endpoint if source is not None else None,
-            reason=choice.reason.value,
+            reason=choice.reason,
             load=choice.load,
             mean_load=round(choice.mean_load, 2),
             missing=choice.missing,
--- a/dotterelpaddle/owners/placing.py
+++ b/dotterelpaddle/owners/placing.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING
 
 from dotterelpaddle.forwarding.caches import part_tag, shared_parts
-from dotterelpaddle.forwarding.choice import Choice, ChoiceReason
+from dotterelpaddle.forwarding.choice import Choice
 from dotterelpaddle.owners.messages import Wanted
 from dotterelpaddle.owners.shards import ranked_shards, shard_entries
 from dotterelpaddle.placement.rendezvous import digest
@@ -176,7 +176,7 @@
         parts = shared_parts(request=request)
         choice = Choice(
             entry=entry,
-            reason=ChoiceReason(grant.reason),
+            reason=grant.reason,
             load=grant.load,
             mean_load=grant.mean_load,
             candidates=len(usable),
--- a/dotterelpaddle/owners/telling.py
+++ b/dotterelpaddle/owners/telling.py
@@ -9,9 +9,11 @@
 
 import anyio
 
+from dotterelpaddle.owners.counts import TELL_TIME
 from dotterelpaddle.owners.messages import Grant, Held
 
 if TYPE_CHECKING:
+    from dotterelpaddle.clock import Clock
     from dotterelpaddle.forwarding.loads import LoadBook
     from dotterelpaddle.ids import EndpointId, FailureDomain, RouterId
     from dotterelpaddle.owners.shards import ShardMap
@@ -39,9 +41,13 @@
         router: This router.
         loads: Its requests in flight.
         shards: Tells which owner counts what.
+        clock: Monotonic clock.
     """
 
-    def __init__(self, *, router: RouterId, loads: LoadBook, shards: ShardMap) -> None:
+    def __init__(
+        self, *, router: RouterId, loads: LoadBook, shards: ShardMap, clock: Clock
+    ) -> None:
+        self._clock = clock
         self._router = router
         self._loads = loads
         self._shards = shards
@@ -51,6 +57,7 @@
         self._open: dict[int, OpenQuestion] = {}
         self._granted: Counter[EndpointId] = Counter()
         self._untold: set[FailureDomain] = set()
+        self._told_at: dict[FailureDomain, float] = {}
         self._changed = anyio.Event()
         loads.on_change(self._note_change)
 
@@ -58,13 +65,23 @@
         """Wait until an owner must be told of something."""
         await self._changed.wait()
 
-    def take_untold(self) -> set[FailureDomain]:
-        """Failure domains whose owners must be told; they count as told from now."""
-        untold, self._untold = self._untold, set()
+    def take_due(self) -> set[FailureDomain]:
+        """Failure domains whose owners must be told now.
+
+        Those that do not know of an end yet, and those that count requests of this
+        router and have not heard from it for a while: what only goes on somewhere is
+        told again too, whatever happens elsewhere.
+        """
+        oldest = self._clock() - TELL_TIME
+        due, self._untold = self._untold, set()
         self._changed = anyio.Event()
-        return untold
+        return due | {
+            domain
+            for domain in self._in_flight()
+            if self._told_at.get(domain, float("-inf")) <= oldest
+        }
 
-    def in_flight(self) -> set[FailureDomain]:
+    def _in_flight(self) -> set[FailureDomain]:
         """Failure domains whose owners count some of the requests in flight."""
         domains = {
             self._shards.owning_domain(endpoint=each) for each in self._loads.own
@@ -74,6 +91,7 @@
     def held(self, *, domain: FailureDomain) -> Held:
         """Tell the owner of a failure domain all that it counts."""
         self._sequence += 1
+        self._told_at[domain] = self._clock()
         loads = Counter(self._loads.own)
         loads.update(self._granted)
         return Held(
--- a/dotterelpaddle/tests/owners/test_messages.py
+++ b/dotterelpaddle/tests/owners/test_messages.py
@@ -5,6 +5,7 @@
 import pytest
 
 from dotterelpaddle.exceptions import ControlError
+from dotterelpaddle.forwarding.choice import ChoiceReason
 from dotterelpaddle.forwarding.interface import PromptPart
 from dotterelpaddle.ids import (
     EndpointId,
@@ -54,7 +55,7 @@
             number=4,
             endpoint=A,
             fetch_from=B,
-            reason="cached",
+            reason=ChoiceReason.CACHED,
             load=3,
             mean_load=2.5,
             missing=100,
@@ -79,7 +80,8 @@
         b'["question",1]',
         b'["grant",1,2]',
         b'["held",["r",1,2,[],[]]]',
-        b'["grant","x",null,null,"",0,0,0,0]',
+        b'["grant","x",null,null,"cached",0,0,0,0]',
+        b'["grant",1,"a",null,"a reason of a later release",0,0,0,0]',
     ],
 )
 def test_what_is_no_message_is_refused(datagram: bytes) -> None:
--- /dev/null
+++ b/dotterelpaddle/tests/owners/test_telling.py
@@ -0,0 +1,62 @@
+"""When a router tells which owner of its requests in flight.
+
+The pattern: a long stream at an endpoint of one failure domain, beside short requests
+in another one that begin and end all the time.
+"""
+
+from __future__ import annotations
+
+from dotterelpaddle.owners.counts import BELIEVED_TIME, TELL_TIME
+from dotterelpaddle.tests.owners.world import HERE, THERE, AskingRouter, World
+
+PAUSE = 0.1
+"""Seconds between short requests."""
+
+
+def _router() -> tuple[World, AskingRouter]:
+    world = World(endpoints=4, there=4)
+    return world, AskingRouter(name="router", world=world)
+
+
+def test_owner_of_a_long_stream_hears_of_it_whatever_goes_on_elsewhere() -> None:
+    world, router = _router()
+    router.begin(endpoint=world.others[0])
+    last_told, longest = world.now, 0.0
+    for _ in range(100):
+        router.begin(endpoint=world.endpoints[0])
+        router.end(1)
+        world.now += PAUSE
+        for domain in router.requests.take_due():
+            router.requests.held(domain=domain)
+            if domain == THERE:
+                longest = max(longest, world.now - last_told)
+                last_told = world.now
+    longest = max(longest, world.now - last_told)
+
+    assert longest < BELIEVED_TIME / 2
+
+
+def test_owner_that_granted_a_request_need_not_be_told_of_it_at_once() -> None:
+    world, router = _router()
+    asked, question = router.question()
+    router.take_in(asked=asked, grant=world.owner.answer(question=question))
+
+    assert router.requests.take_due() == set()
+
+
+def test_end_of_a_request_is_told_at_once() -> None:
+    world, router = _router()
+    asked, question = router.question()
+    router.take_in(asked=asked, grant=world.owner.answer(question=question))
+    router.end(0)
+
+    assert router.requests.take_due() == {HERE}
+    assert router.requests.take_due() == set()
+
+
+def test_nothing_in_flight_is_not_told_again() -> None:
+    world, router = _router()
+    router.held()
+    world.now += 2 * TELL_TIME
+
+    assert router.requests.take_due() == set()
--- a/dotterelpaddle/tests/owners/world.py
+++ b/dotterelpaddle/tests/owners/world.py
@@ -35,7 +35,7 @@
     from dotterelpaddle.owners.messages import Grant, Held
     from dotterelpaddle.owners.telling import OpenQuestion
 
-HERE = FailureDomain("here")
+HERE, THERE = FailureDomain("here"), FailureDomain("there")
 SERVICE = ServiceName("engines")
 SLOTS = 12
 PROMPT = make_request(("system", 500), ("subject", 9000))
@@ -44,11 +44,18 @@
 class World:
     """What all routers know, the owner, and a clock that tests turn."""
 
-    def __init__(self, *, endpoints: int = 6) -> None:
+    def __init__(self, *, endpoints: int = 6, there: int = 0) -> None:
         self.now = 100.0
         self.endpoints = tuple(EndpointId(f"engine-{n}") for n in range(endpoints))
+        self.others = tuple(EndpointId(f"other-{n}") for n in range(there))
         self.view = FleetView(clock=self.clock)
-        entries = tuple(make_entry(name, slots=SLOTS) for name in self.endpoints)
+        entries = (
+            *(make_entry(name, slots=SLOTS) for name in self.endpoints),
+            *(
+                make_entry(name, slots=SLOTS, failure_domain=THERE)
+                for name in self.others
+            ),
+        )
         self.view.take_endpoints(
             read=EndpointsRead(revision=Revision(1), entries=entries, whole=True)
         )
@@ -95,6 +102,7 @@
             router=RouterId(name),
             loads=self.loads,
             shards=ShardMap(view=world.view),
+            clock=world.clock,
         )
         self.in_flight: list[ExitStack] = []
 
