--- a/bench/decisions/__main__.py
+++ b/bench/decisions/__main__.py
@@ -1,4 +1,4 @@
-"""Compare ways to decide: ``python -m bench.decisions``; prints a table.
+"""Compare ways to decide: ``python -m bench.decisions`` prints and draws a table.
 
 The largest fleet is played with one seed, and without the rival that compares all of
 its thousands of endpoints for each request.
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from bench.decisions.figure import Point, draw
 from bench.decisions.fleets import SIZES
 from bench.decisions.model import WARM_UP, Play
 from bench.decisions.rivals import ALL_COMPARED, datagrams, rivals
@@ -27,6 +28,7 @@
         "| routers | rival | over bound, % | read again / request | ms | datagrams/s |"
     )
     print("| --- | --- | --- | --- | --- | --- |")
+    points: list[Point] = []
     for size in SIZES:
         is_large = size.endpoints >= LARGE
         for name, rival in rivals().items():
@@ -52,6 +54,10 @@
                 f"| {sent:.0f} |",
                 flush=True,
             )
+            points.append(
+                Point(rival=name, routers=size.routers, over=over, reads=reads)
+            )
+    draw(points=points)
 
 
 if __name__ == "__main__":
