Log which router decides for a failure domain, when that changes

On-call engineers could see who had decided (placed) and who was silent, but not since when another router owns a failure domain. One line for each change; no change of what is decided.

--- a/dotterelpaddle/peers/directory.py
+++ b/dotterelpaddle/peers/directory.py
@@ -171,8 +171,7 @@
             for peer in self.alive
             if peer.name.failure_domain == domain and peer.name not in aggregators
         ]
-        owner = min(members, key=_rank, default=aggregators[0])
-        self._owners[domain] = _Named(name=owner, at=self._clock())
+        self._note_owner(min(members, key=_rank, default=aggregators[0]))
 
     def ask(self, *, routers: frozenset[RouterId]) -> None:
         """Note which routers are expected to report from now on."""
@@ -209,7 +208,7 @@
             if name.router != self._own.router:
                 self._named[name.router] = _Named(name=name, at=now)
         for name in report.owners:
-            self._owners[name.failure_domain] = _Named(name=name, at=now)
+            self._note_owner(name)
         return True
 
     def knows(self, *, report: PeerReport) -> bool:
@@ -248,6 +247,17 @@
         for router in self._asked.keys() - self._peers.keys() - self._named.keys():
             del self._asked[router]
 
+    def _note_owner(self, name: PeerName) -> None:
+        known = self._owners.get(name.failure_domain)
+        if known is None or known.name != name:
+            log.info(
+                "owner_named",
+                failure_domain=name.failure_domain,
+                router=name.router,
+                before=known.name.router if known is not None else "",
+            )
+        self._owners[name.failure_domain] = _Named(name=name, at=self._clock())
+
     def _due(self, addresses: Iterable[Address]) -> list[Address]:
         now = self._clock()
         due = [
