Tell uses of parts again in large fleets

Cause: owners alone knew where prompts are. When routers lose power an owner's knowledge is gone, its successor and the routers that decide by themselves meanwhile read prompts again.

Change: the passing on of uses by aggregators is back as it was, with its tests; what a full shard tells of a holder stays.

--- a/dotterelpaddle/forwarding/caches.py
+++ b/dotterelpaddle/forwarding/caches.py
@@ -9,11 +9,12 @@
 from __future__ import annotations
 
 from collections import OrderedDict
+from enum import Enum
 from typing import TYPE_CHECKING
 
 import anyio
 
-from dotterelpaddle.forwarding.uses import UseQueue
+from dotterelpaddle.forwarding.uses import MOST_USES_PASSED_ON, UseQueue
 from dotterelpaddle.placement.rendezvous import tag
 
 if TYPE_CHECKING:
@@ -39,6 +40,14 @@
 they forget it after six times that."""
 
 
+class Origin(Enum):
+    """Where a use was heard of, which decides who is told of it."""
+
+    OWN = "own"
+    NEAR = "near"
+    FAR = "far"
+
+
 class CacheMap:
     """Where parts of prompts are.
 
@@ -49,7 +58,11 @@
     def __init__(self, *, clock: Clock) -> None:
         self._clock = clock
         self._holders: OrderedDict[PartTag, dict[EndpointId, float]] = OrderedDict()
-        self._news = UseQueue()
+        self._news = {
+            Origin.OWN: UseQueue(),
+            Origin.NEAR: UseQueue(most=MOST_USES_PASSED_ON),
+            Origin.FAR: UseQueue(most=MOST_USES_PASSED_ON),
+        }
         self._told: dict[Use, float] = {}
         self._known = anyio.Event()
 
@@ -120,21 +133,26 @@
             self._holders.get(part, {}).pop(endpoint, None)
             use = (part, endpoint)
             self._told.pop(use, None)
-            self._news.discard(use=use)
+            self._news[Origin.OWN].discard(use=use)
 
     def note_part(self, *, endpoint: EndpointId, part: PartTag) -> None:
         """Note that an endpoint has a part, and tell other routers."""
-        self._take_in((part, endpoint), self._clock(), is_own=True)
+        self._take_in((part, endpoint), Origin.OWN, self._clock())
 
-    def hear(self, *, uses: Iterable[Use]) -> None:
-        """Take in where another router sent requests."""
+    def hear(self, *, uses: Iterable[Use], pass_on: Origin | None = None) -> None:
+        """Take in where another router sent requests.
+
+        Args:
+            uses: What it told.
+            pass_on: Where it is, if others hear of it through this router.
+        """
         now = self._clock()
         for use in uses:
-            self._take_in(use, now, is_own=False)
+            self._take_in(use, pass_on, now)
 
-    def news(self) -> list[Use]:
-        """The next uses to tell the others; each is told a few times."""
-        return self._news.take()
+    def news(self, *, origin: Origin = Origin.OWN) -> list[Use]:
+        """The next uses of an origin to tell the others; each is told a few times."""
+        return self._news[origin].take()
 
     def uses(self) -> list[Use]:
         """All that is known, for a router that has just started."""
@@ -144,14 +162,14 @@
             for endpoint in holders
         ]
 
-    def _take_in(self, use: Use, now: float, *, is_own: bool) -> None:
+    def _take_in(self, use: Use, origin: Origin | None, now: float) -> None:
         """Note a use, and let others be told unless they have been of late."""
         part, endpoint = use
         is_new = endpoint not in self._holders.get(part, ())
         if is_new or now - self._told.get(use, float("-inf")) >= RETELL_TIME:
             self._told[use] = now
-            if is_own:
-                self._news.put(use=use)
+            if origin is not None:
+                self._news[origin].put(use=use)
         self._hold(part, endpoint, now)
 
     def _hold(self, held: PartTag, endpoint: EndpointId, now: float) -> None:
--- a/dotterelpaddle/forwarding/uses.py
+++ b/dotterelpaddle/forwarding/uses.py
@@ -15,6 +15,10 @@
 MOST_USES_TOLD = 48
 """Uses of a router's own in one report, so that it stays in one packet or two."""
 
+MOST_USES_PASSED_ON = 160
+"""Uses of other routers in one report, 4 KB: after a start twenty of them place some
+hundred prompts a second that nobody has read yet."""
+
 PartTag = int
 """32 bits of a part's digest and its model's name."""
 
@@ -23,9 +27,14 @@
 
 
 class UseQueue:
-    """Uses that are still to be told."""
+    """Uses that are still to be told.
+
+    Args:
+        most: Uses that are told in one report.
+    """
 
-    def __init__(self) -> None:
+    def __init__(self, *, most: int = MOST_USES_TOLD) -> None:
+        self._most = most
         self._left: OrderedDict[Use, int] = OrderedDict()
 
     def put(self, *, use: Use) -> None:
@@ -39,7 +48,7 @@
 
     def take(self) -> list[Use]:
         """The uses for the next reports; each is told a few times."""
-        told = list(islice(self._left, MOST_USES_TOLD))
+        told = list(islice(self._left, self._most))
         for use in told:
             left = self._left.pop(use) - 1
             if left:
--- a/dotterelpaddle/peers/exchange.py
+++ b/dotterelpaddle/peers/exchange.py
@@ -10,6 +10,7 @@
 
 from dotterelpaddle.address import Address
 from dotterelpaddle.exceptions import ControlError
+from dotterelpaddle.forwarding.caches import Origin
 from dotterelpaddle.forwarding.shares import Ask, Scope, Share
 from dotterelpaddle.ids import Revision
 from dotterelpaddle.logs import get_logger
@@ -23,7 +24,7 @@
 
 if TYPE_CHECKING:
     import random
-    from collections.abc import Sequence
+    from collections.abc import Mapping
 
     from dotterelpaddle.forwarding.caches import CacheMap
     from dotterelpaddle.forwarding.follower import Follower
@@ -53,6 +54,14 @@
 FIRST_TOLD = 4
 """Routers with the best ranks that are named each time; the others take turns."""
 
+TOLD_BY_SCOPE = {
+    Scope.ROUTER: (Origin.OWN,),
+    Scope.DOMAIN: (Origin.OWN, Origin.NEAR),
+    Scope.OTHERS: (Origin.OWN, Origin.NEAR, Origin.FAR),
+}
+"""Whose uses of parts go with a report: those that its recipient hears of nowhere
+else."""
+
 UNKNOWN = Revision(-1)
 """Revision of a router that knows no endpoints yet."""
 
@@ -132,9 +141,7 @@
             control=control,
             names=self._names() if self._rounds % PEERS_EVERY == 1 else (),
         )
-        news = self._caches.news()
-        # Where owners decide, they know where parts are, and nobody else needs to.
-        uses = news if self._plan.in_mesh else []
+        uses = {origin: self._caches.news(origin=origin) for origin in Origin}
         written: dict[tuple[Scope, Ask], bytes] = {}
         for recipient in recipients:
             # Only an aggregate for one router differs from recipient to recipient.
@@ -152,7 +159,7 @@
         *,
         report: PeerReport,
         recipient: Recipient,
-        uses: Sequence[Use],
+        uses: Mapping[Origin, list[Use]],
     ) -> PeerReport:
         """Fill in what differs from recipient to recipient."""
         return replace(
@@ -160,7 +167,9 @@
             ask=recipient.ask,
             share=self._share(own=report.share, recipient=recipient),
             owners=self._owners_told(recipient=recipient),
-            uses=tuple(uses),
+            uses=tuple(
+                use for origin in TOLD_BY_SCOPE[recipient.scope] for use in uses[origin]
+            ),
         )
 
     def _report(self, *, control: Address, names: tuple[PeerName, ...]) -> PeerReport:
@@ -271,5 +280,13 @@
             share=report.share,
             ask=report.ask,
         )
-        self._caches.hear(uses=report.uses)
+        self._caches.hear(uses=report.uses, pass_on=self._origin(report=report))
         return not known or report.ask is Ask.ANSWER
+
+    def _origin(self, *, report: PeerReport) -> Origin | None:
+        """Tell for whom a report's uses are news that this router passes on."""
+        if report.ask is Ask.AGGREGATE:
+            return Origin.NEAR
+        if report.share.scope is Scope.DOMAIN:
+            return Origin.FAR
+        return None
--- a/dotterelpaddle/tests/forwarding/test_caches.py
+++ b/dotterelpaddle/tests/forwarding/test_caches.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dotterelpaddle.forwarding.caches import RETELL_TIME, CacheMap
+from dotterelpaddle.forwarding.caches import RETELL_TIME, CacheMap, Origin
 from dotterelpaddle.forwarding.uses import MOST_USES_TOLD, TIMES_TOLD
 from dotterelpaddle.ids import EndpointId
 from dotterelpaddle.tests.forwarding.entries import make_request
@@ -56,3 +56,14 @@
 
     assert at_once == []
     assert caches.news() == [(1, A)]
+
+
+def test_use_is_passed_on_as_news_of_its_origin() -> None:
+    caches = CacheMap(clock=lambda: 0.0)
+
+    caches.hear(uses=[(1, A)], pass_on=Origin.NEAR)
+    caches.hear(uses=[(2, A)])
+
+    assert caches.news(origin=Origin.NEAR) == [(1, A)]
+    assert caches.news(origin=Origin.FAR) == []
+    assert caches.news() == []
