Tell in logs and metrics why no owner decided where a request went

Cause: three hypotheses of the incident differ in who decided and why. Placed lines told the first, but of the window none were kept; no metric told either. A router that went alone did not say whether its owner was silent, unknown or had nothing to grant.

Change: placed lines hold alone_because, and choices_total counts by it; it comes early on the metrics page, of which monitoring kept the first 4 KB.

Measured: tests of owners, forwarding and peers, docs and style pass.

Conclusion: no decision changes.

--- a/dotterelpaddle/forwarding/attempts.py
+++ b/dotterelpaddle/forwarding/attempts.py
@@ -162,6 +162,7 @@
         assert route is not None
         entry = choice.entry
         self._log_choice(exchange=exchange, choice=choice)
+        self._metrics.chosen(choice=choice)
         attempt = exchange.attempts.begin(idempotent=route.repeatable)
         exchange.last_endpoint = entry.endpoint
         progress = _Progress(attempt=attempt, clock=self._clock)
@@ -275,6 +276,7 @@
             revision=choice.entry.revision,
             reason=choice.reason.value,
             decided_by=choice.decided_by or "",
+            alone_because=choice.alone.value if choice.alone is not None else "",
             load=choice.load,
             mean_load=round(choice.mean_load, 2),
             candidates=choice.candidates,
--- a/dotterelpaddle/forwarding/choice.py
+++ b/dotterelpaddle/forwarding/choice.py
@@ -20,6 +20,15 @@
     LEAST_LOADED = "least_loaded"
 
 
+class AloneBecause(Enum):
+    """Why a router chose by itself, on reports, instead of an owner."""
+
+    FEW_ENDPOINTS = "few_endpoints"
+    NO_OWNER = "no_owner"
+    OWNER_SILENT = "owner_silent"
+    NOTHING_GRANTED = "nothing_granted"
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Choice:
     """An endpoint chosen for a request, with the reasons.
@@ -37,6 +46,7 @@
             has more of them.
         noted: Parts that it was not known to have before this choice.
         decided_by: The owner that chose it, None for this router itself.
+        alone: Why this router chose it itself, None where an owner did.
     """
 
     entry: EndpointEntry
@@ -50,3 +60,4 @@
     fetch_from: EndpointEntry | None = None
     noted: tuple[PartTag, ...] = ()
     decided_by: RouterId | None = None
+    alone: AloneBecause | None = None
--- a/dotterelpaddle/forwarding/metrics.py
+++ b/dotterelpaddle/forwarding/metrics.py
@@ -11,6 +11,7 @@
 from dotterelpaddle.metrics import Metrics
 
 if TYPE_CHECKING:
+    from dotterelpaddle.forwarding.choice import Choice
     from dotterelpaddle.forwarding.exchange import ForwardExchange
     from dotterelpaddle.forwarding.follower import Follower
     from dotterelpaddle.forwarding.loads import LoadBook
@@ -47,6 +48,10 @@
             name="first_byte_seconds",
             doc="Seconds from an attempt's begin to its answer's, by service.",
         )
+        self._choices = counter(
+            name="choices_total",
+            doc="Endpoints chosen by an owner (''), or here and why, by service.",
+        )
         self._failures = counter(
             name="attempts_failed_total",
             doc="Attempts that brought no answer, by service and error.",
@@ -76,6 +81,11 @@
         """Count an answer that began."""
         self._begins.observe({"service": service}, seconds)
 
+    def chosen(self, *, choice: Choice) -> None:
+        """Count an endpoint that was chosen, by why this router chose it itself."""
+        alone = choice.alone.value if choice.alone is not None else ""
+        self._choices.inc({"service": choice.entry.service, "alone_because": alone})
+
     def failed(self, *, service: str, error: str) -> None:
         """Count an attempt that brought no answer."""
         self._failures.inc({"service": service, "error": error})
--- a/dotterelpaddle/forwarding/parts.py
+++ b/dotterelpaddle/forwarding/parts.py
@@ -104,6 +104,7 @@
     Attributes:
         knowledge: What they share.
         app: Serves callers.
+        placer: Chooses endpoints.
         client: Client of endpoints.
         follower: Reads from the source.
         reachability: Tries connections to endpoints that could not be reached.
@@ -116,6 +117,7 @@
 
     knowledge: Knowledge
     app: ForwardApp
+    placer: OwnersPlacer
     client: ForwardClient
     follower: Follower
     reachability: Reachability
@@ -198,15 +200,16 @@
         ),
         clock=clock,
     )
+    owners_placer = OwnersPlacer(
+        view=knowledge.view,
+        placer=placer,
+        shards=shards,
+        directory=directory,
+        exchange=owners,
+        requests=requests,
+    )
     attempts = Attempts(
-        placer=OwnersPlacer(
-            view=knowledge.view,
-            placer=placer,
-            shards=shards,
-            directory=directory,
-            exchange=owners,
-            requests=requests,
-        ),
+        placer=owners_placer,
         loads=knowledge.loads,
         health=knowledge.health,
         reachability=reachability,
@@ -231,6 +234,7 @@
             metrics=metrics,
             clock=clock,
         ),
+        placer=owners_placer,
         client=client,
         follower=follower,
         reachability=reachability,
--- a/dotterelpaddle/owners/placing.py
+++ b/dotterelpaddle/owners/placing.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 from dotterelpaddle.forwarding.caches import part_tag, shared_parts
-from dotterelpaddle.forwarding.choice import Choice
+from dotterelpaddle.forwarding.choice import AloneBecause, Choice
 from dotterelpaddle.owners.messages import Wanted
 from dotterelpaddle.owners.shards import ranked_shards, shard_entries
 from dotterelpaddle.placement.rendezvous import digest
@@ -83,35 +84,35 @@
         Raises:
             NoEndpoint: If there is none that takes work.
         """
-        owners = self._directory.owners()
-        if owners:
-            choice = await self._choose_by_owners(
-                owners=owners,
-                service=service,
-                request=request,
-                repeatable=repeatable,
-                excluded=excluded,
-            )
-            if choice is not None:
-                return choice
-        return self._placer.choose(
+        decided = await self._choose_by_owners(
+            service=service,
+            request=request,
+            repeatable=repeatable,
+            excluded=excluded,
+        )
+        if isinstance(decided, Choice):
+            return decided
+        choice = self._placer.choose(
             service=service, request=request, repeatable=repeatable, excluded=excluded
         )
+        return replace(choice, alone=decided)
 
     async def _choose_by_owners(
         self,
         *,
-        owners: dict[FailureDomain, PeerName],
         service: ServiceName,
         request: Prompted,
         repeatable: bool,
         excluded: frozenset[EndpointId],
-    ) -> Choice | None:
+    ) -> Choice | AloneBecause:
+        owners = self._directory.owners()
+        if not owners:
+            return AloneBecause.NO_OWNER
         usable = self._placer.usable(
             service=service, request=request, excluded=excluded
         )
         if len(usable) < LEAST_TO_CHOOSE:
-            return None
+            return AloneBecause.FEW_ENDPOINTS
         names = frozenset(entry.endpoint for entry in usable)
         unusable = frozenset(
             entry.endpoint
@@ -127,7 +128,7 @@
         for shard in ranked:
             owner = self._owner(owners=owners, entries=usable, shard=shard)
             if owner is None:
-                return None
+                return AloneBecause.NO_OWNER
             answered = await self._exchange.ask(
                 owner=owner,
                 wanted=Wanted(
@@ -142,7 +143,7 @@
                 ),
             )
             if answered is None or answered.grant is None:
-                return None
+                return AloneBecause.OWNER_SILENT
             grant = answered.grant
             if grant.endpoint in names:
                 return self._choice(
@@ -150,7 +151,7 @@
                 )
             self._requests.give_up(question=answered)
             cached_at = grant.fetch_from
-        return None
+        return AloneBecause.NOTHING_GRANTED
 
     def _owner(
         self,
--- a/dotterelpaddle/tests/forwarding/test_metrics.py
+++ b/dotterelpaddle/tests/forwarding/test_metrics.py
@@ -40,6 +40,15 @@
     assert page['dotterelpaddle_request_seconds_count{kind="idempotent"}'] == 2
 
 
+async def test_choices_are_counted_by_why_no_owner_made_them() -> None:
+    async with run_fleet(runners=2) as fleet:
+        await fleet.call("/safe/")
+        page = await _page(fleet)
+
+    labels = f'{{alone_because="no_owner",service="{SERVICE}"}}'
+    assert page[f"dotterelpaddle_choices_total{labels}"] == 1
+
+
 async def test_failed_attempts_are_counted_by_error() -> None:
     async with run_fleet(runners=2) as fleet:
         for runner in fleet.runners.values():
