Let a test in virtual time overload endpoints where two owners answer late

What was seen: endpoints held more than twice the mean of their service and three more.

Reproduced: 88 real routers with 30 engines, their load and a rolling replacement, in memory. Worst five seconds, requests in 100 over the bound:

- no router hears of an owner, as on the release of the incident: over 3 (asserted)

Ruled out: that endpoints that come and go suffice.

--- /dev/null
+++ b/dotterelpaddle/tests/owners/fleet.py
@@ -0,0 +1,373 @@
+"""A large fleet whose owners decide, with its load, in virtual time and in memory.
+
+Routers are the real ones, from reports and owners to the choice of an endpoint; hosts,
+network, endpoints and callers are stood in for.
+"""
+
+from __future__ import annotations
+
+import bisect
+import itertools
+import random
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Any
+
+import anyio
+
+from dotterelpaddle.forwarding.interface import EndpointsRead
+from dotterelpaddle.forwarding.model import EndpointEntry, EndpointState
+from dotterelpaddle.ids import (
+    EndpointId,
+    ModelId,
+    Revision,
+    ServiceName,
+)
+from dotterelpaddle.placement.rendezvous import digest
+from dotterelpaddle.tests.forwarding.entries import make_entry, make_request
+from dotterelpaddle.tests.owners.arrivals import (
+    BOUND_ALLOWANCE,
+    BOUND_MULTIPLE,
+    Arrival,
+)
+from dotterelpaddle.tests.owners.hosts import (
+    BETTER_LINK,
+    DOMAINS,
+    FAR,
+    LINK,
+    NEAR,
+    HostDatagrams,
+    Router,
+    build_router,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Coroutine, Sequence
+
+    from anyio.abc import TaskGroup
+
+    from dotterelpaddle.address import Address
+    from dotterelpaddle.forwarding.choice import Choice
+    from dotterelpaddle.forwarding.interface import ForwardRequest
+    from dotterelpaddle.forwarding.parts import Parts
+    from dotterelpaddle.ids import FailureDomain
+
+SERVICE = ServiceName("engines")
+SLOTS = 12
+NEWS_TIME = (0.1, 0.9)
+"""Seconds until a router knows of a change of an endpoint, at least and at most."""
+
+DRAIN_TIME = 3.0
+"""Seconds that an endpoint serves on after it has said that it leaves."""
+
+RESTART_TIME = 0.5
+"""Seconds between the end of a router's process and the next one's start."""
+
+RATE = 580.0
+"""Requests a second, of CLIENTS callers."""
+
+CLIENTS = 116
+SUBJECTS, ZIPF = 900, 0.6
+SYSTEM_TOKENS, SUBJECT_TOKENS = 500, 5500
+READING_SPEED, FETCH_SPEED = 80_000.0, 500_000.0
+"""Prompt tokens that an endpoint reads or fetches in a second."""
+
+ANSWER_TIME, SLOWING = 0.2, 0.04
+"""Seconds of an answer alone, and the part of it that each other one adds."""
+
+
+@dataclass(kw_only=True, eq=False)
+class Endpoint:
+    """An endpoint and what it works on."""
+
+    entry: EndpointEntry
+    load: int = 0
+
+    @property
+    def name(self) -> EndpointId:
+        return self.entry.endpoint
+
+
+class OwnedFleet:
+    """Routers, endpoints and callers.
+
+    Args:
+        routers: How many routers.
+        endpoints: How many endpoints.
+        seed: Of all that is drawn.
+        leave_time: Seconds that a stopping router serves on.
+        decide_alone: Whether no router ever hears of an owner.
+    """
+
+    def __init__(
+        self,
+        *,
+        routers: int = 88,
+        endpoints: int = 30,
+        seed: int = 1,
+        leave_time: float = 2.6,
+        decide_alone: bool = False,
+    ) -> None:
+        self.dice = random.Random(seed)
+        self._decide_alone = decide_alone
+        self._leave_time = leave_time
+        self.revision = 0
+        self.routers = [
+            Router(
+                number=number,
+                domain=DOMAINS[number % len(DOMAINS)],
+                link=BETTER_LINK if number < 2 * len(DOMAINS) else LINK,
+            )
+            for number in range(routers)
+        ]
+        self._by_address = {router.address: router for router in self.routers}
+        self.endpoints: dict[EndpointId, Endpoint] = {}
+        self._numbers = itertools.count()
+        for number in range(endpoints):
+            self._new_endpoint(domain=DOMAINS[number % len(DOMAINS)])
+        self.arrivals: list[Arrival] = []
+        self.unplaced = 0
+        weights = [(rank + 1) ** -ZIPF for rank in range(SUBJECTS)]
+        self._weights = list(itertools.accumulate(weights))
+        self._orders = [self._order(client=client) for client in range(CLIENTS)]
+        self.tasks: TaskGroup
+
+    # What operators do.
+
+    async def start_routers(self) -> None:
+        """Start all routers at once, and let them learn of each other."""
+        for router in self.routers:
+            self.tasks.start_soon(self._live, router)
+        await anyio.sleep(6.0)
+
+    async def replace_endpoints(self, *, count: int, pause: float) -> None:
+        """Let one leave and start another one, again and again."""
+        for _ in range(count):
+            leaving = self.dice.choice(
+                [
+                    each
+                    for each in self.endpoints.values()
+                    if each.entry.state is EndpointState.READY
+                ]
+            )
+            self.tasks.start_soon(self._drain, leaving)
+            await anyio.sleep(pause / 3)
+            started = self._new_endpoint(domain=leaving.entry.failure_domain)
+            self._announce(entries=(started.entry,))
+            await anyio.sleep(2 * pause / 3)
+
+    async def restart_routers(self, *, routers: Sequence[Router], pause: float) -> None:
+        """Stop some in turn and start each again once it has ended."""
+        for router in routers:
+            router.stopping_since = anyio.current_time()
+            router.stopping.set()
+            await anyio.sleep(self.dice.uniform(0.2, 1.8) * pause)
+
+    async def add_endpoints(self, *, count: int) -> None:
+        """Start some more, a tenth of a second after each other."""
+        for number in range(count):
+            added = self._new_endpoint(domain=DOMAINS[number % len(DOMAINS)])
+            self._announce(entries=(added.entry,))
+            await anyio.sleep(0.1)
+
+    def owners(self) -> dict[FailureDomain, Router]:
+        """Who owns what, as the first router that runs knows it."""
+        parts = next(each.parts for each in self.routers if each.parts is not None)
+        return {
+            domain: self._by_address[name.address]
+            for domain, name in parts.knowledge.directory.owners().items()
+        }
+
+    # What callers do.
+
+    async def send_requests(self, *, seconds: float) -> None:
+        """Send requests as they come."""
+        until = anyio.current_time() + seconds
+        while anyio.current_time() < until:
+            await anyio.sleep(self.dice.expovariate(RATE))
+            client = self.dice.randrange(CLIENTS)
+            router = next(
+                (each for each in self._orders[client] if each.takes_callers), None
+            )
+            if router is not None:
+                self.tasks.start_soon(self._request, router)
+
+    async def _request(self, router: Router) -> None:
+        parts = router.parts
+        assert parts is not None
+        router.in_flight += 1
+        try:
+            choice = await parts.placer.choose(
+                service=SERVICE,
+                request=self._prompt(),
+                repeatable=False,
+                excluded=frozenset(),
+            )
+            endpoint = choice.entry.endpoint
+            with parts.knowledge.loads.hold(endpoint=endpoint, work=choice.work):
+                await anyio.sleep(self._travel(router, choice.entry.failure_domain))
+                await self._serve(endpoint=endpoint, choice=choice)
+                await anyio.sleep(self._travel(router, choice.entry.failure_domain))
+        finally:
+            router.in_flight -= 1
+
+    def _order(self, *, client: int) -> list[Router]:
+        """Routers to which a caller's connection goes: the first that takes callers."""
+        return sorted(
+            self.routers, key=lambda router: digest(text=f"{client}/{router.name}")
+        )
+
+    def _prompt(self) -> ForwardRequest:
+        drawn = self.dice.random() * self._weights[-1]
+        subject = bisect.bisect(self._weights, drawn)
+        return make_request(
+            ("system", SYSTEM_TOKENS), (f"subject-{subject}", SUBJECT_TOKENS)
+        )
+
+    async def _serve(self, *, endpoint: EndpointId, choice: Choice) -> None:
+        at = self.endpoints.get(endpoint)
+        if at is None:
+            self.unplaced += 1
+            return
+        loads = [each.load for each in self.endpoints.values()]
+        mean = sum(loads) / len(loads)
+        self.arrivals.append(
+            Arrival(
+                at=anyio.current_time(),
+                endpoint=endpoint,
+                over=at.load > BOUND_MULTIPLE * mean + BOUND_ALLOWANCE,
+                load=at.load,
+                mean=mean,
+                choice=choice,
+            )
+        )
+        speed = READING_SPEED if choice.fetch_from is None else FETCH_SPEED
+        reading = choice.missing / speed
+        busy, queued = min(at.load, SLOTS), max(0, at.load + 1 - SLOTS)
+        answer = ANSWER_TIME * (1 + SLOWING * busy) * self.dice.uniform(0.5, 1.5)
+        at.load += 1
+        await anyio.sleep(reading + answer + queued * ANSWER_TIME / SLOTS)
+        at.load -= 1
+
+    # Hosts and network.
+
+    def _fly(self, datagram: bytes, sender: Router, target: Address) -> None:
+        router = self._by_address.get(target)
+        if router is not None:
+            self.tasks.start_soon(self._deliver, datagram, sender, router)
+
+    async def _deliver(self, datagram: bytes, sender: Router, target: Router) -> None:
+        await anyio.sleep(self._travel(sender, target.domain))
+        if target.datagrams is not None:
+            await target.datagrams.arrive(datagram=datagram, sender=sender.address)
+
+    def _travel(self, router: Router, domain: FailureDomain) -> float:
+        least = NEAR if router.domain == domain else FAR
+        return least * self.dice.uniform(1.0, 1.5)
+
+    async def _live(self, router: Router) -> None:
+        """Run a router's processes, one after the other."""
+        while True:
+            parts = build_router(router=router, leave_time=self._leave_time)
+            datagrams: Any = HostDatagrams(router=router, send=self._fly)
+            router.parts, router.datagrams = parts, datagrams
+            if self._decide_alone:
+                parts.knowledge.directory.owners = dict  # type: ignore[method-assign]
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(parts.exchange.run, datagrams, router.address)
+                tasks.start_soon(parts.owners.run, datagrams)
+                await anyio.sleep(0.05)
+                self._tell_all(parts)
+                await router.stopping.wait()
+                parts.app.announce_leaving()
+                await anyio.sleep(self._leave_time)
+                while router.in_flight:
+                    await anyio.sleep(0.01)
+                tasks.cancel_scope.cancel()
+            router.parts, router.datagrams = None, None
+            router.stopping, router.stopping_since = anyio.Event(), float("inf")
+            await anyio.sleep(RESTART_TIME)
+
+    # Endpoints.
+
+    def _new_endpoint(self, *, domain: FailureDomain) -> Endpoint:
+        self.revision += 1
+        endpoint = Endpoint(
+            entry=make_entry(
+                f"engine-{next(self._numbers)}",
+                service=SERVICE,
+                slots=SLOTS,
+                failure_domain=domain,
+                models=frozenset({ModelId("m")}),
+                revision=Revision(self.revision),
+            )
+        )
+        self.endpoints[endpoint.name] = endpoint
+        return endpoint
+
+    async def _drain(self, endpoint: Endpoint) -> None:
+        self.revision += 1
+        entry = make_entry(
+            endpoint.name,
+            service=SERVICE,
+            slots=SLOTS,
+            failure_domain=endpoint.entry.failure_domain,
+            models=endpoint.entry.models,
+            state=EndpointState.DRAINING,
+            revision=Revision(self.revision),
+        )
+        endpoint.entry = entry
+        self._announce(entries=(entry,))
+        await anyio.sleep(DRAIN_TIME)
+        while endpoint.load:
+            await anyio.sleep(0.01)
+        del self.endpoints[endpoint.name]
+        self.revision += 1
+        self._announce(removed={entry.name: Revision(self.revision)})
+
+    def _announce(self, **fields: Any) -> None:
+        read = EndpointsRead(
+            **{
+                "revision": Revision(self.revision),
+                "entries": (),
+                "whole": False,
+                **fields,
+            }
+        )
+        for router in self.routers:
+            self.tasks.start_soon(self._tell_late, router, read)
+
+    async def _tell_late(self, router: Router, read: EndpointsRead) -> None:
+        parts = router.parts
+        await anyio.sleep(self.dice.uniform(*NEWS_TIME))
+        if parts is not None:
+            parts.knowledge.view.take_endpoints(read=read)
+
+    def _tell_all(self, parts: Parts) -> None:
+        parts.knowledge.view.take_endpoints(
+            read=EndpointsRead(
+                revision=Revision(self.revision),
+                entries=tuple(each.entry for each in self.endpoints.values()),
+                whole=True,
+            )
+        )
+
+
+async def play(
+    *,
+    fleet: OwnedFleet,
+    script: Callable[[OwnedFleet], Coroutine[Any, Any, None]],
+    seconds: float,
+) -> None:
+    """Start a fleet, and send it requests while a script goes on.
+
+    Args:
+        fleet: The fleet.
+        script: What operators do, and what befalls it.
+        seconds: How long requests come.
+    """
+    async with anyio.create_task_group() as tasks:
+        fleet.tasks = tasks
+        await fleet.start_routers()
+        tasks.start_soon(script, fleet)
+        await fleet.send_requests(seconds=seconds)
+        tasks.cancel_scope.cancel()
--- /dev/null
+++ b/dotterelpaddle/tests/owners/hosts.py
@@ -0,0 +1,131 @@
+"""Hosts with real routers, and datagrams between them, in memory.
+
+From reports and owners to the choice of an endpoint all is as in production; sockets
+and the time that a host spends on a datagram are stood in for.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Any
+
+import anyio
+
+from dotterelpaddle.address import Address
+from dotterelpaddle.forwarding.parts import Parts, Surroundings, build_parts
+from dotterelpaddle.forwarding.repeats import RepeatLimits
+from dotterelpaddle.forwarding.settings import ForwardSettings
+from dotterelpaddle.ids import FailureDomain, RouterId
+from dotterelpaddle.links import Links
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator, Callable
+
+DOMAINS = tuple(FailureDomain(name) for name in ("a", "b", "c"))
+SEEDS = 3
+LINK, BETTER_LINK = 10, 200
+"""Mbit/s; the first two routers of each failure domain have the better ones."""
+
+FAR, NEAR = 0.0014, 0.0002
+"""Seconds that a packet takes between two failure domains, and within one."""
+
+PROCESSING = 0.0006
+"""Seconds that a host of half a core spends on a datagram."""
+
+BALANCER_TIME = 1.5
+"""Seconds until callers no longer come to a router that has said that it stops."""
+
+
+SEED_ADDRESSES = tuple(Address(host=f"10.0.0.{seed}", port=1) for seed in range(SEEDS))
+
+
+class HostDatagrams:
+    """A socket of one process, as routers use it."""
+
+    def __init__(
+        self, *, router: Router, send: Callable[[bytes, Router, Address], None]
+    ) -> None:
+        self._send = send
+        self._router = router
+        self._incoming, self._received = anyio.create_memory_object_stream[
+            tuple[bytes, tuple[str, int]]
+        ](float("inf"))
+        self._busy_until = 0.0
+
+    @property
+    def socket(self) -> AsyncIterator[tuple[bytes, tuple[str, int]]]:
+        return self._received
+
+    async def send(self, datagram: bytes, target: Address) -> None:
+        self._send(datagram, self._router, target)
+
+    async def arrive(self, *, datagram: bytes, sender: Address) -> None:
+        """Hand a datagram to the process when its host has come to it."""
+        now = anyio.current_time()
+        spent = PROCESSING * self._router.slowness
+        self._busy_until = max(self._busy_until, now) + spent
+        await anyio.sleep_until(self._busy_until)
+        self._incoming.send_nowait((datagram, (sender.host, sender.port)))
+
+
+@dataclass(kw_only=True, eq=False)
+class Router:
+    """A host with a router, which may stop and start again.
+
+    Attributes:
+        slowness: Times as long as others its host takes for a datagram.
+    """
+
+    number: int
+    domain: FailureDomain
+    link: int
+    parts: Parts | None = None
+    datagrams: HostDatagrams | None = None
+    stopping: anyio.Event = field(default_factory=anyio.Event)
+    stopping_since: float = float("inf")
+    in_flight: int = 0
+    slowness: float = 1.0
+
+    @property
+    def name(self) -> RouterId:
+        return RouterId(f"router-{self.number}")
+
+    @property
+    def address(self) -> Address:
+        return Address(host=f"10.0.0.{self.number}", port=1)
+
+    @property
+    def takes_callers(self) -> bool:
+        """Whether the balancer sends callers there."""
+        if self.parts is None or not self.parts.knowledge.view.entries:
+            return False
+        return anyio.current_time() < self.stopping_since + BALANCER_TIME
+
+
+def build_router(*, router: Router, leave_time: float) -> Parts:
+    """Put a router's parts together for a new process of a host."""
+    unused: Any = None
+    return build_parts(
+        settings=ForwardSettings(
+            router=router.name,
+            failure_domain=router.domain,
+            callers=router.address,
+            readiness=router.address,
+            control=router.address,
+            peers=router.address,
+            seeds=SEED_ADDRESSES,
+            store=router.address,
+            shutdown=8.0,
+            repeats=RepeatLimits(share=0.2, allowance=50.0, window=10.0),
+            link=router.link,
+            leave_time=leave_time,
+        ),
+        surroundings=Surroundings(
+            source=unused,
+            protocols=unused,
+            documents=unused,
+            caches_reader=unused,
+            links=Links(),
+            clock=anyio.current_time,
+        ),
+    )
--- /dev/null
+++ b/dotterelpaddle/tests/owners/test_incident.py
@@ -0,0 +1,93 @@
+"""Endpoints over their bound: a fleet of 88 routers and 30 engines of 12 slots.
+
+What was seen: while endpoints were replaced one after the other, and twelve had just
+been added, 3 in 100 requests of five seconds reached engines that held more than twice
+the mean of their service and three more.
+
+The load is that of the incident: 580 requests a second for 900 prompts, about five in
+flight at each engine. Users allow 3 in 100 over the bound; 1 in 100 is the aim, so that
+one unlucky day does not break it.
+"""
+
+from __future__ import annotations
+
+import anyio
+import pytest
+
+from dotterelpaddle.tests.owners.arrivals import Arrival, decided_alone, worst_share
+from dotterelpaddle.tests.owners.fleet import OwnedFleet, play
+from dotterelpaddle.tests.virtual_time import run_in_virtual_time
+
+ALLOWED = 0.03
+AIM = 0.01
+"""Share of the requests of any five seconds that reach endpoints over the bound."""
+
+START_TIME = 6.0
+"""Seconds until the routers know each other."""
+
+WARM_UP = 4.0
+"""Seconds of load until most prompts have been read."""
+
+SLOW_HOST = 5.5
+"""Times as long as usual that a slow host takes, as users' hosts have done."""
+
+SECONDS = 11.0
+
+
+def _play(script, **fields) -> tuple[Arrival, ...]:
+    async def main() -> tuple[Arrival, ...]:
+        fleet = OwnedFleet(**fields)
+        await play(fleet=fleet, script=script, seconds=SECONDS)
+        return tuple(fleet.arrivals)
+
+    return run_in_virtual_time(main)
+
+
+async def _endpoints_come_and_go(fleet: OwnedFleet) -> None:
+    await fleet.add_endpoints(count=12)
+    await anyio.sleep(2.0)
+    await fleet.replace_endpoints(count=8, pause=1.5)
+
+
+async def _routers_stop_in_turn(fleet: OwnedFleet) -> None:
+    """All of them, owners and aggregators too, while endpoints are replaced."""
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(lambda: fleet.replace_endpoints(count=8, pause=1.5))
+        await anyio.sleep(1.0)
+        routers = list(fleet.routers)
+        fleet.dice.shuffle(routers)
+        await fleet.restart_routers(routers=routers, pause=0.08)
+
+
+async def _two_owners_are_slow(fleet: OwnedFleet) -> None:
+    await anyio.sleep(WARM_UP)
+    for router in list(fleet.owners().values())[:2]:
+        router.slowness = SLOW_HOST
+
+
+def test_routers_that_all_go_by_old_counts_overload_endpoints() -> None:
+    """The incident itself: no router hears of an owner."""
+    arrivals = _play(_endpoints_come_and_go, decide_alone=True)
+
+    assert worst_share(arrivals=arrivals, since=START_TIME + WARM_UP) > ALLOWED
+
+
+def test_owners_keep_the_bound_while_endpoints_come_and_go() -> None:
+    arrivals = _play(_endpoints_come_and_go)
+
+    assert worst_share(arrivals=arrivals, since=START_TIME + WARM_UP) <= AIM
+    assert decided_alone(arrivals=arrivals) < AIM
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+def test_bound_is_kept_while_routers_are_stopped_in_turn(seed: int) -> None:
+    arrivals = _play(_routers_stop_in_turn, seed=seed)
+
+    assert worst_share(arrivals=arrivals, since=START_TIME) <= AIM
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+def test_bound_is_kept_while_two_owners_answer_late(seed: int) -> None:
+    arrivals = _play(_two_owners_are_slow, seed=seed)
+
+    assert worst_share(arrivals=arrivals, since=START_TIME + WARM_UP) <= AIM
