Hand over what a router does for others before it ends

What callers saw: while routers were stopped in waves, requests went by old counts, and endpoints held more than users allow.

Cause: a stopping router answered as owner and aggregator until its process ended, and was followed only when it had been silent for 1.2 s. With the owners of all failure domains stopped at the same moment no successor was left for that time.

Ruled out: a message of its own to a chosen successor; reports reach all that name owners within 0.2 s, and a stopping router serves on for 2.6 s.

Change: reports say that their sender is stopping. Those that stay are named owners and asked to aggregate while it still answers; where all stop, all go on.

--- a/dotterelpaddle/forwarding/parts.py
+++ b/dotterelpaddle/forwarding/parts.py
@@ -127,6 +127,11 @@
     fetcher: Fetcher
     metrics: MetricsPage
 
+    def announce_leaving(self) -> None:
+        """Let callers go elsewhere, and other routers take over."""
+        self.app.announce_leaving()
+        self.knowledge.directory.announce_leaving()
+
 
 def build_parts(*, settings: ForwardSettings, surroundings: Surroundings) -> Parts:
     """Put the parts of a router together.
--- a/dotterelpaddle/forwarding/router.py
+++ b/dotterelpaddle/forwarding/router.py
@@ -120,7 +120,7 @@
             ),
         )
         log.info("router_stopping", in_flight=app.in_flight)
-        app.announce_leaving()
+        parts.announce_leaving()
         await anyio.sleep(settings.leave_time)
         # Callers' server ends first: it takes no new connection, closes idle ones,
         # and waits for the requests that it has.
--- a/dotterelpaddle/peers/directory.py
+++ b/dotterelpaddle/peers/directory.py
@@ -93,6 +93,12 @@
         self._tried: dict[Address, float] = {}
         self._asked: dict[RouterId, float] = {}
         self._owners: dict[FailureDomain, _Named] = {}
+        self._leaving = False
+
+    @property
+    def leaving(self) -> bool:
+        """Whether this router is stopping."""
+        return self._leaving
 
     @property
     def own(self) -> PeerName:
@@ -109,6 +115,10 @@
         """Routers known of within the last half minute, this one included."""
         return 1 + len(self._peers.keys() | self._named.keys())
 
+    def announce_leaving(self) -> None:
+        """Let others take over what this router does for them, while it still does."""
+        self._leaving = True
+
     def just_heard(self) -> tuple[Peer, ...]:
         """Routers of which a report has just come."""
         oldest = self._clock() - HEARD_TIME
@@ -138,13 +148,15 @@
     def aggregators(self, *, failure_domain: FailureDomain) -> tuple[PeerName, ...]:
         """The routers of a failure domain that aggregate for the others of it.
 
-        Those that were asked to, and have been silent since, are left out.
+        Those that were asked to, and have been silent since, are left out, and those
+        that are stopping while there are others.
         """
         names = [name for name in self._all() if name.failure_domain == failure_domain]
         if failure_domain == self._own.failure_domain:
             names.append(self._own)
         answering = [name for name in names if not self._is_silent(name.router)]
-        return tuple(sorted(answering, key=_rank)[:AGGREGATORS])
+        staying = [name for name in answering if not self._is_leaving(name.router)]
+        return tuple(sorted(staying or answering, key=_rank)[:AGGREGATORS])
 
     def owners(self) -> dict[FailureDomain, PeerName]:
         """Which router counts what is in flight in each failure domain.
@@ -162,14 +174,17 @@
         """Name the owner of the own failure domain, for those that aggregate in it.
 
         It is the first of the routers that don't aggregate: both aggregators hear all
-        of them, so that both name the same one, and the work is spread.
+        of them, so that both name the same one, and the work is spread. One that is
+        stopping is followed by the next while it still answers.
         """
         domain = self._own.failure_domain
         aggregators = self.aggregators(failure_domain=domain)
         members = [
             peer.name
             for peer in self.alive
-            if peer.name.failure_domain == domain and peer.name not in aggregators
+            if peer.name.failure_domain == domain
+            and peer.name not in aggregators
+            and not peer.report.leaving
         ]
         self._note_owner(min(members, key=_rank, default=aggregators[0]))
 
@@ -281,6 +296,12 @@
         named = self._named.get(router)
         return named.name if named is not None else self._own
 
+    def _is_leaving(self, router: RouterId) -> bool:
+        if router == self._own.router:
+            return self._leaving
+        peer = self._peers.get(router)
+        return peer is not None and peer.alive and peer.report.leaving
+
     def _is_silent(self, router: RouterId) -> bool:
         """Tell whether a router has not reported since it was asked to."""
         asked_at = self._asked.get(router)
--- a/dotterelpaddle/peers/messages.py
+++ b/dotterelpaddle/peers/messages.py
@@ -39,6 +39,9 @@
 OWNERS = 21
 """Place of the owners of shards, which earlier releases lack as well."""
 
+LEAVING = 22
+"""Place of whether the sender is stopping, which earlier releases lack as well."""
+
 MOST_PEERS_TOLD = 16
 """Routers named in one report, so that it stays in one packet."""
 
@@ -86,6 +89,7 @@
             learning what was there before it began.
         peers: Routers that it hears.
         owners: Routers that count what is in flight, one for a failure domain.
+        leaving: Whether it is stopping, and others should take over what it does.
     """
 
     router: RouterId
@@ -107,6 +111,7 @@
     parts: int = 0
     peers: tuple[PeerName, ...] = ()
     owners: tuple[PeerName, ...] = ()
+    leaving: bool = False
 
 
 def encode_report(*, report: PeerReport) -> bytes:
@@ -163,6 +168,7 @@
                 if (name := told.name(endpoint=endpoint)) is not None
             },
             [_peer_fields(owner) for owner in report.owners],
+            report.leaving,
         ]
     )
 
@@ -218,6 +224,7 @@
             parts=int(fields[17]),
             peers=tuple(_peer(peer) for peer in fields[18]),
             owners=tuple(_peer(owner) for owner in owners),
+            leaving=len(fields) > LEAVING and bool(fields[LEAVING]),
         )
     except (
         orjson.JSONDecodeError,
--- a/dotterelpaddle/tests/owners/fleet.py
+++ b/dotterelpaddle/tests/owners/fleet.py
@@ -278,7 +278,7 @@
                 await anyio.sleep(0.05)
                 self._tell_all(parts)
                 await router.stopping.wait()
-                parts.app.announce_leaving()
+                parts.announce_leaving()
                 await anyio.sleep(self._leave_time)
                 while router.in_flight:
                     await anyio.sleep(0.01)
--- a/dotterelpaddle/tests/owners/test_incident.py
+++ b/dotterelpaddle/tests/owners/test_incident.py
@@ -75,6 +75,14 @@
         router.slowness = SLOW_HOST
 
 
+async def _owners_stop_at_once(fleet: OwnedFleet) -> None:
+    """Those of all failure domains, and later those that follow them."""
+    await anyio.sleep(2.0)
+    await fleet.restart_routers(routers=list(fleet.owners().values()), pause=0.0)
+    await anyio.sleep(4.0)
+    await fleet.restart_routers(routers=list(fleet.owners().values()), pause=0.0)
+
+
 def test_routers_that_all_go_by_old_counts_overload_endpoints() -> None:
     """The incident itself: no router hears of an owner."""
     arrivals = _play(_endpoints_come_and_go, decide_alone=True)
@@ -101,3 +109,11 @@
     arrivals = _play(_two_owners_are_slow, seed=seed)
 
     assert worst_share(arrivals=arrivals, since=START_TIME + WARM_UP) <= AIM
+
+
+def test_owners_that_stop_hand_over_before_they_end() -> None:
+    """A planned stop leaves no request without an owner that decides."""
+    arrivals = _play(_owners_stop_at_once)
+
+    assert worst_share(arrivals=arrivals, since=START_TIME) <= AIM
+    assert decided_alone(arrivals=arrivals) <= AIM
--- a/dotterelpaddle/tests/peers/test_messages.py
+++ b/dotterelpaddle/tests/peers/test_messages.py
@@ -66,6 +66,7 @@
                 repeats={ServiceName("s"): RepeatCounts(requests=4, repeats=1)},
             ),
             "ask": Ask.AGGREGATE,
+            "leaving": True,
             "routers": 5,
             "domains": (FailureDomain("here"),),
             "uses": ((5, EndpointId("a")),),
--- a/dotterelpaddle/tests/peers/test_plan.py
+++ b/dotterelpaddle/tests/peers/test_plan.py
@@ -165,6 +165,54 @@
     assert before.router not in after
 
 
+HANDOVER_TIME = 0.6
+"""Seconds, three reports, within which all ask another router than one that stops."""
+
+
+async def test_owner_that_stops_is_replaced_while_it_still_answers() -> None:
+    fleet = _fleet(routers=58)
+    await fleet.run(START_TIME)
+    before = fleet.nodes[0].directory.owners()[DOMAINS[0]]
+    stopping = next(node for node in fleet.nodes if node.name == before)
+    stopping.directory.announce_leaving()
+
+    await fleet.run(HANDOVER_TIME)
+
+    after = {node.directory.owners()[DOMAINS[0]].router for node in fleet.nodes}
+    assert len(after) == 1
+    assert before.router not in after
+
+
+async def test_aggregators_that_stop_are_replaced_while_they_still_answer() -> None:
+    fleet = _fleet(routers=58)
+    _hold(fleet)
+    await fleet.run(START_TIME)
+    stopping = [node for node in fleet.nodes if node.shares.aggregates]
+    for node in stopping:
+        node.directory.announce_leaving()
+    await fleet.run(3 * HANDOVER_TIME)
+    fleet.down.update(node.name.address for node in stopping)
+
+    staying = [node for node in fleet.nodes if node not in stopping]
+    held = sum(node.loads.own[A] for node in staying)
+    for _ in range(10):
+        await fleet.run(0.2)
+        assert all(node.directory.owners().keys() == set(DOMAINS) for node in staying)
+        assert all(node.load(A) >= 0.9 * held for node in staying)
+    await fleet.run(ALIVE_TIME)
+    assert {node.load(A) for node in staying} == {held}
+
+
+async def test_routers_that_all_stop_go_on_until_they_end() -> None:
+    fleet = _fleet(routers=30)
+    await fleet.run(START_TIME)
+    for node in fleet.nodes:
+        node.directory.announce_leaving()
+    await fleet.run(1.0)
+
+    assert all(node.directory.owners().keys() == set(DOMAINS) for node in fleet.nodes)
+
+
 async def test_small_fleet_names_no_owners() -> None:
     fleet = _fleet(routers=MOST_IN_MESH)
     await fleet.run(START_TIME)
