Name routers in each report for the first rounds after a start

What callers saw: for two to three seconds after all routers had lost power, most streams were late.

Cause: two owners at once, and more. The first report, of eight that name routers one, goes out before its sender knows any. So routers learnt of each other 1.6 s later, and until then each aggregator named the first of those that it knew: 8 to 16 routers of 88 took themselves for the owner of their failure domain, each asking its engines for their caches and deciding for a part of the routers.

Change: the first eight reports name routers.

--- a/dotterelpaddle/peers/exchange.py
+++ b/dotterelpaddle/peers/exchange.py
@@ -137,10 +137,8 @@
     async def _report_to_all(self, datagrams: Datagrams, control: Address) -> None:
         self._rounds += 1
         recipients = self._plan.recipients()
-        base = self._report(
-            control=control,
-            names=self._names() if self._rounds % PEERS_EVERY == 1 else (),
-        )
+        names_due = self._rounds <= PEERS_EVERY or self._rounds % PEERS_EVERY == 1
+        base = self._report(control=control, names=self._names() if names_due else ())
         uses = {origin: self._caches.news(origin=origin) for origin in Origin}
         written: dict[tuple[Scope, Ask], bytes] = {}
         for recipient in recipients:
