Try an address a second time soon after a start

Cause: the first report to a seed may come before the seed has started; the next one came a second later. 13 of 88 routers knew nobody until then.

Change: the second report to an address that does not answer goes out after 0.3 s, within which hosts that start together have started; later ones once a second, as before.

--- a/dotterelpaddle/peers/directory.py
+++ b/dotterelpaddle/peers/directory.py
@@ -34,6 +34,10 @@
 SEED_TIME = 1.0
 """Seconds between reports to addresses that do not answer."""
 
+SECOND_TRY_TIME = 0.3
+"""Seconds until the second report to such an address: hosts that are started together
+are so within this time, and the first report may have come before its recipient."""
+
 OWNER_TIME = 2.0
 """Seconds that a router is believed to own the shards of a failure domain without
 being named again, ten reports: aggregators may change meanwhile."""
@@ -73,6 +77,24 @@
     at: float
 
 
+@dataclass(kw_only=True, slots=True)
+class _Tries:
+    """Reports to an address that has not answered.
+
+    Attributes:
+        at: When the last one went out, seconds on the monotonic clock.
+        pause: Seconds until the next one.
+    """
+
+    at: float = 0.0
+    pause: float = 0.0
+
+    def count(self, *, at: float) -> None:
+        """Note one more."""
+        self.at = at
+        self.pause = SEED_TIME if self.pause else SECOND_TRY_TIME
+
+
 class PeerDirectory:
     """The other routers.
 
@@ -90,7 +112,7 @@
         self._seeds = frozenset(seeds) - {own.address}
         self._peers: dict[RouterId, Peer] = {}
         self._named: dict[RouterId, _Named] = {}
-        self._tried: dict[Address, float] = {}
+        self._tries: dict[Address, _Tries] = {}
         self._asked: dict[RouterId, float] = {}
         self._owners: dict[FailureDomain, _Named] = {}
         self._leaving = False
@@ -255,7 +277,7 @@
             if silent > FORGET_TIME:
                 del self._peers[router]
                 self._named.pop(router, None)
-                self._tried.pop(peer.address, None)
+                self._tries.pop(peer.address, None)
         for router, named in tuple(self._named.items()):
             if now - named.at > FORGET_TIME:
                 del self._named[router]
@@ -274,15 +296,15 @@
         self._owners[name.failure_domain] = _Named(name=name, at=self._clock())
 
     def _due(self, addresses: Iterable[Address]) -> list[Address]:
-        now = self._clock()
-        due = [
-            address
-            for address in sorted(addresses)
-            if now - self._tried.get(address, -SEED_TIME) >= SEED_TIME
-        ]
-        self._tried.update(dict.fromkeys(due, now))
+        due = [address for address in sorted(addresses) if self._is_due(address)]
+        for address in due:
+            self._tries.setdefault(address, _Tries()).count(at=self._clock())
         return due
 
+    def _is_due(self, address: Address) -> bool:
+        tries = self._tries.get(address)
+        return tries is None or self._clock() - tries.at >= tries.pause
+
     def _all(self) -> list[PeerName]:
         """All other routers that are known of."""
         named = {router: each.name for router, each in self._named.items()}
--- a/dotterelpaddle/tests/owners/fleet.py
+++ b/dotterelpaddle/tests/owners/fleet.py
@@ -136,7 +136,7 @@
     async def start_routers(self) -> None:
         """Start all routers at once, and let them learn of each other."""
         for router in self.routers:
-            self.tasks.start_soon(self._live, router)
+            self.tasks.start_soon(self.run_host, router)
         await anyio.sleep(6.0)
 
     async def replace_endpoints(self, *, count: int, pause: float) -> None:
@@ -264,7 +264,7 @@
         least = NEAR if router.domain == domain else FAR
         return least * self.dice.uniform(1.0, 1.5)
 
-    async def _live(self, router: Router) -> None:
+    async def run_host(self, router: Router) -> None:
         """Run a router's processes, one after the other."""
         while True:
             parts = build_router(router=router, leave_time=self._leave_time)
--- /dev/null
+++ b/dotterelpaddle/tests/owners/test_starts.py
@@ -0,0 +1,63 @@
+"""All routers of a large fleet start at once, as after a loss of power.
+
+The pattern: 88 hosts that start within 0.3 s of each other, and know three seeds. Until
+all name the same owner of a failure domain, several decide there, each on a part of the
+requests, and each asks the engines for their caches. All are to agree within the time
+in which an owner that has ended is followed.
+"""
+
+from __future__ import annotations
+
+import anyio
+import pytest
+
+from dotterelpaddle.peers.directory import ALIVE_TIME
+from dotterelpaddle.tests.owners.fleet import OwnedFleet
+from dotterelpaddle.tests.owners.hosts import DOMAINS, Router
+from dotterelpaddle.tests.virtual_time import run_in_virtual_time
+
+SPREAD = 0.3
+"""Seconds within which hosts start."""
+
+LOOK_PAUSE = 0.05
+SECONDS = 4.0
+
+
+async def _start_late(fleet: OwnedFleet, router: Router) -> None:
+    await anyio.sleep(fleet.dice.uniform(0.0, SPREAD))
+    await fleet.run_host(router)
+
+
+def _agree(fleet: OwnedFleet) -> bool:
+    """Whether all routers name the same owner of each failure domain."""
+    owners = []
+    for router in fleet.routers:
+        if router.parts is None:
+            return False
+        named = router.parts.knowledge.directory.owners()
+        owners.append({domain: name.router for domain, name in named.items()})
+    return owners[0].keys() == set(DOMAINS) and all(
+        each == owners[0] for each in owners
+    )
+
+
+async def _agreed_at(fleet: OwnedFleet) -> float:
+    """Seconds after which they no longer differ."""
+    differed_at = 0.0
+    async with anyio.create_task_group() as tasks:
+        fleet.tasks = tasks
+        for router in fleet.routers:
+            tasks.start_soon(_start_late, fleet, router)
+        while anyio.current_time() < SECONDS:
+            await anyio.sleep(LOOK_PAUSE)
+            if not _agree(fleet):
+                differed_at = anyio.current_time()
+        tasks.cancel_scope.cancel()
+    return differed_at
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3, 4])
+def test_routers_that_start_at_once_soon_agree_on_owners(seed: int) -> None:
+    fleet = OwnedFleet(seed=seed)
+
+    assert run_in_virtual_time(lambda: _agreed_at(fleet)) <= SPREAD + ALIVE_TIME
--- a/dotterelpaddle/tests/peers/test_messages.py
+++ b/dotterelpaddle/tests/peers/test_messages.py
@@ -20,6 +20,7 @@
     ALIVE_TIME,
     FORGET_TIME,
     HEARD_TIME,
+    SECOND_TRY_TIME,
     SEED_TIME,
     PeerDirectory,
 )
@@ -188,6 +189,17 @@
     assert later == [OTHER]
 
 
+def test_address_that_does_not_answer_is_tried_again_soon_but_once() -> None:
+    """It may belong to a host that was started a moment later."""
+    world = _World()
+    tried = []
+    for now in (0.0, SECOND_TRY_TIME, 2 * SECOND_TRY_TIME, 3 * SECOND_TRY_TIME):
+        world.now = now
+        tried.append(bool(world.directory.quiet_targets()))
+
+    assert tried == [True, True, False, False]
+
+
 def test_routers_that_others_name_are_tried() -> None:
     world = _World()
     world.directory.hear(report=_report(), address=OTHER)
