Tell a silent owner of requests too, beside who stands in for it

Cause: a router that missed one answer told only the successor what it had in flight. An owner that still answers others went on counting what had ended there, for 0.4 s.

Change: what is in flight is told to all in charge up to the first that answers.

--- a/dotterelpaddle/owners/asking.py
+++ b/dotterelpaddle/owners/asking.py
@@ -19,6 +19,8 @@
 from dotterelpaddle.owners.successors import in_charge
 
 if TYPE_CHECKING:
+    from collections.abc import Iterator
+
     from dotterelpaddle.address import Address
     from dotterelpaddle.clock import Clock
     from dotterelpaddle.ids import FailureDomain
@@ -99,7 +101,9 @@
             be counted in the turn of the loop in which this returns, or the question
             given up.
         """
-        for owner in self._in_charge(domain=domain):
+        for owner in in_charge(domain=domain, owners=self._directory.owners()):
+            if self._is_silent(owner):
+                continue
             answered = await self._ask_one(owner=owner, domain=domain, wanted=wanted)
             if answered is not None:
                 return answered
@@ -147,25 +151,25 @@
             case Held():
                 self._owner.hear(held=message)
 
-    def _in_charge(self, *, domain: FailureDomain) -> list[PeerName]:
-        """Those that decide for a failure domain, the silent ones left out."""
-        now = self._clock()
-        return [
-            owner
-            for owner in in_charge(domain=domain, owners=self._directory.owners())
-            if now >= self._silent_until.get(owner.address, 0.0)
-        ]
+    def _is_silent(self, owner: PeerName) -> bool:
+        return self._clock() < self._silent_until.get(owner.address, 0.0)
 
     async def _tell(self, domains: set[FailureDomain]) -> None:
-        own = self._directory.own
-        told = {own.router}
+        told = {self._directory.own.router}
         for domain in sorted(domains):
             held = self._requests.held(domain=domain)
-            for owner in self._in_charge(domain=domain)[:1]:
+            for owner in self._counting(domain=domain):
                 if owner.router not in told:
                     told.add(owner.router)
                     await self._send(encode(message=held), owner.address)
 
+    def _counting(self, *, domain: FailureDomain) -> Iterator[PeerName]:
+        """Those that count for a failure domain: a silent owner may answer others."""
+        for owner in in_charge(domain=domain, owners=self._directory.owners()):
+            yield owner
+            if not self._is_silent(owner):
+                return
+
     async def _send(self, message: bytes, target: Address) -> None:
         if self._datagrams is not None:
             await self._datagrams.send(message, target)
