Let two test fleets build their routers in one place

The fleet that tests reports put a router's parts together by hand, beside the one that tests owners; both take the real ones now. No product code changes.

--- a/dotterelpaddle/tests/owners/fleet.py
+++ b/dotterelpaddle/tests/owners/fleet.py
@@ -267,7 +267,14 @@
     async def run_host(self, router: Router) -> None:
         """Run a router's processes, one after the other."""
         while True:
-            parts = build_router(router=router, leave_time=self._leave_time)
+            parts = build_router(
+                router=router.name,
+                failure_domain=router.domain,
+                address=router.address,
+                link=router.link,
+                clock=anyio.current_time,
+                leave_time=self._leave_time,
+            )
             datagrams: Any = HostDatagrams(router=router, send=self._fly)
             router.parts, router.datagrams = parts, datagrams
             if self._decide_alone:
--- a/dotterelpaddle/tests/owners/hosts.py
+++ b/dotterelpaddle/tests/owners/hosts.py
@@ -21,6 +21,8 @@
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Callable
 
+    from dotterelpaddle.clock import Clock
+
 DOMAINS = tuple(FailureDomain(name) for name in ("a", "b", "c"))
 SEEDS = 3
 LINK, BETTER_LINK = 10, 200
@@ -102,22 +104,39 @@
         return anyio.current_time() < self.stopping_since + BALANCER_TIME
 
 
-def build_router(*, router: Router, leave_time: float) -> Parts:
-    """Put a router's parts together for a new process of a host."""
+def build_router(
+    *,
+    router: RouterId,
+    failure_domain: FailureDomain,
+    address: Address,
+    link: int,
+    clock: Clock,
+    leave_time: float = 0.0,
+) -> Parts:
+    """Put a router's parts together, without a platform or endpoints.
+
+    Args:
+        router: Its name.
+        failure_domain: Where it is.
+        address: Where it exchanges datagrams; nothing is opened.
+        link: Bandwidth of its host's link, Mbit/s.
+        clock: Monotonic clock.
+        leave_time: Seconds that it serves on when it is stopped.
+    """
     unused: Any = None
     return build_parts(
         settings=ForwardSettings(
-            router=router.name,
-            failure_domain=router.domain,
-            callers=router.address,
-            readiness=router.address,
-            control=router.address,
-            peers=router.address,
+            router=router,
+            failure_domain=failure_domain,
+            callers=address,
+            readiness=address,
+            control=address,
+            peers=address,
             seeds=SEED_ADDRESSES,
-            store=router.address,
+            store=address,
             shutdown=8.0,
             repeats=RepeatLimits(share=0.2, allowance=50.0, window=10.0),
-            link=router.link,
+            link=link,
             leave_time=leave_time,
         ),
         surroundings=Surroundings(
@@ -126,6 +145,6 @@
             documents=unused,
             caches_reader=unused,
             links=Links(),
-            clock=anyio.current_time,
+            clock=clock,
         ),
     )
--- a/dotterelpaddle/tests/peers/fleet.py
+++ b/dotterelpaddle/tests/peers/fleet.py
@@ -7,24 +7,24 @@
 from contextlib import ExitStack
 from dataclasses import dataclass, field
 from types import SimpleNamespace
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from dotterelpaddle.address import Address
-from dotterelpaddle.forwarding.caches import CacheMap
-from dotterelpaddle.forwarding.loads import LoadBook
-from dotterelpaddle.forwarding.repeats import RepeatLimits, SharedRepeats
-from dotterelpaddle.forwarding.shares import ShareBook
-from dotterelpaddle.forwarding.view import FleetView
 from dotterelpaddle.ids import EndpointId, FailureDomain, RouterId
-from dotterelpaddle.links import Links
-from dotterelpaddle.peers.directory import PeerDirectory
-from dotterelpaddle.peers.exchange import REPORT_PAUSE, PeerExchange
+from dotterelpaddle.peers.exchange import REPORT_PAUSE
 from dotterelpaddle.peers.messages import PeerName, decode_report
-from dotterelpaddle.peers.plan import ReportPlan
-from dotterelpaddle.peers.word import PeersWord
+from dotterelpaddle.tests.owners.hosts import build_router
+
+if TYPE_CHECKING:
+    from dotterelpaddle.forwarding.caches import CacheMap
+    from dotterelpaddle.forwarding.loads import LoadBook
+    from dotterelpaddle.forwarding.repeats import SharedRepeats
+    from dotterelpaddle.forwarding.shares import ShareBook
+    from dotterelpaddle.peers.directory import PeerDirectory
+    from dotterelpaddle.peers.plan import ReportPlan
+    from dotterelpaddle.peers.word import PeersWord
 
 CONTROL = Address(host="10.9.9.9", port=9)
-NEVER = float("inf")
 
 
 @dataclass(kw_only=True)
@@ -72,52 +72,25 @@
 
     def add(self, number: int, *, domain: str, link: int = 10) -> Node:
         """Start a router that knows the first three as seeds."""
-        own = PeerName(
+        address = Address(host=f"10.0.0.{number}", port=1)
+        parts = build_router(
             router=RouterId(f"router-{number}"),
             failure_domain=FailureDomain(domain),
-            address=Address(host=f"10.0.0.{number}", port=1),
+            address=address,
             link=link,
-        )
-        seeds = tuple(Address(host=f"10.0.0.{seed}", port=1) for seed in range(3))
-        directory = PeerDirectory(own=own, seeds=seeds, clock=self.clock)
-        shares = ShareBook(failure_domain=own.failure_domain, clock=self.clock)
-        loads = LoadBook(shares=shares)
-        repeats = SharedRepeats(
-            limits=RepeatLimits(share=0.2, allowance=50, window=10),
-            shares=shares,
-            routers=lambda: directory.count,
             clock=self.clock,
         )
-        caches = CacheMap(clock=self.clock)
-        view = FleetView(clock=self.clock)
-        plan = ReportPlan(directory=directory, shares=shares)
-        word = PeersWord(
-            view=view, directory=directory, shares=shares, clock=self.clock
-        )
-        follower = SimpleNamespace(configuration_age=NEVER, endpoints_age=NEVER)
-        exchange = PeerExchange(
-            view=view,
-            loads=loads,
-            repeats=repeats,
-            shares=shares,
-            caches=caches,
-            directory=directory,
-            plan=plan,
-            word=word,
-            follower=follower,  # type: ignore[arg-type]
-            owners=None,  # type: ignore[arg-type]
-            links=Links(),
-            generator=self.dice,
-        )
+        knowledge, exchange = parts.knowledge, parts.exchange
+        exchange._generator = self.dice
         node = Node(
-            name=own,
-            directory=directory,
-            shares=shares,
-            loads=loads,
-            repeats=repeats,
-            caches=caches,
-            plan=plan,
-            word=word,
+            name=knowledge.directory.own,
+            directory=knowledge.directory,
+            shares=knowledge.shares,
+            loads=knowledge.loads,
+            repeats=knowledge.repeats,
+            caches=knowledge.caches,
+            plan=exchange._plan,
+            word=exchange._word,
             exchange=exchange,
         )
         self.nodes.append(node)
