--- a/dotterelpaddle/owners/asking.py
+++ b/dotterelpaddle/owners/asking.py
@@ -34,8 +34,9 @@
 log = get_logger(name=__name__)
 
 ASK_TIME = 0.03
-"""Seconds until a router decides by itself. An answer takes 3 ms between failure
-domains, ten times that on a busy host; callers expect answers within 0.12 s or more."""
+"""Seconds that an owner has to answer before the next is asked. An answer takes 3 ms
+between failure domains, ten times that on a busy host; callers expect answers within
+0.12 s or more."""
 
 SILENT_TIME = 0.4
 """Seconds that an owner is not asked after it did not answer. Its aggregators name
--- a/dotterelpaddle/tests/owners/hosts.py
+++ b/dotterelpaddle/tests/owners/hosts.py
@@ -37,7 +37,6 @@
 BALANCER_TIME = 1.5
 """Seconds until callers no longer come to a router that has said that it stops."""
 
-
 SEED_ADDRESSES = tuple(Address(host=f"10.0.0.{seed}", port=1) for seed in range(SEEDS))
 
 
