--- a/dotterelpaddle/tests/owners/test_incident.py
+++ b/dotterelpaddle/tests/owners/test_incident.py
@@ -26,6 +26,7 @@
 
 from dotterelpaddle.tests.owners.arrivals import Arrival, decided_alone, worst_share
 from dotterelpaddle.tests.owners.fleet import OwnedFleet, play
+from dotterelpaddle.tests.owners.hosts import DOMAINS
 from dotterelpaddle.tests.virtual_time import run_in_virtual_time
 
 ALLOWED = 0.03
@@ -70,8 +71,16 @@
 
 
 async def _two_owners_are_slow(fleet: OwnedFleet) -> None:
+    await _owners_are_slow(fleet, count=2)
+
+
+async def _all_owners_are_slow(fleet: OwnedFleet) -> None:
+    await _owners_are_slow(fleet, count=len(DOMAINS))
+
+
+async def _owners_are_slow(fleet: OwnedFleet, *, count: int) -> None:
     await anyio.sleep(WARM_UP)
-    for router in list(fleet.owners().values())[:2]:
+    for router in list(fleet.owners().values())[:count]:
         router.slowness = SLOW_HOST
 
 
@@ -111,6 +120,12 @@
     assert worst_share(arrivals=arrivals, since=START_TIME + WARM_UP) <= AIM
 
 
+def test_bound_is_kept_while_all_owners_answer_late() -> None:
+    arrivals = _play(_all_owners_are_slow)
+
+    assert worst_share(arrivals=arrivals, since=START_TIME + WARM_UP) <= AIM
+
+
 def test_owners_that_stop_hand_over_before_they_end() -> None:
     """A planned stop leaves no request without an owner that decides."""
     arrivals = _play(_owners_stop_at_once)
