--- a/dotterelpaddle/tests/owners/fleet.py
+++ b/dotterelpaddle/tests/owners/fleet.py
@@ -125,7 +125,6 @@
         for number in range(endpoints):
             self._new_endpoint(domain=DOMAINS[number % len(DOMAINS)])
         self.arrivals: list[Arrival] = []
-        self.unplaced = 0
         weights = [(rank + 1) ** -ZIPF for rank in range(SUBJECTS)]
         self._weights = list(itertools.accumulate(weights))
         self._orders = [self._order(client=client) for client in range(CLIENTS)]
@@ -226,7 +225,6 @@
     async def _serve(self, *, endpoint: EndpointId, choice: Choice) -> None:
         at = self.endpoints.get(endpoint)
         if at is None:
-            self.unplaced += 1
             return
         loads = [each.load for each in self.endpoints.values()]
         mean = sum(loads) / len(loads)
