Recognize a caller's tries in the log as one request

Change: a digest of method, host, path, query, client account and body, told by request_ended and attempt_failed. Ruled out: the prompt's parts, which plain services lack.

--- a/dotterelpaddle/forwarding/app.py
+++ b/dotterelpaddle/forwarding/app.py
@@ -232,6 +232,7 @@
             "request_ended",
             keep=refused and route is not None and not route.repeatable,
             request_id=exchange.request.request_id,
+            fingerprint=exchange.fingerprint or "",
             route=route.name if route else "",
             kind=route.kind.value if route else "",
             objective=route.objective if route else 0.0,
--- a/dotterelpaddle/forwarding/attempts.py
+++ b/dotterelpaddle/forwarding/attempts.py
@@ -317,6 +317,7 @@
         log.warning(
             "attempt_failed",
             request_id=exchange.request.request_id,
+            fingerprint=exchange.fingerprint or "",
             endpoint=entry.endpoint,
             attempt=exchange.attempts.count,
             state=progress.attempt.state.value,
--- a/dotterelpaddle/forwarding/exchange.py
+++ b/dotterelpaddle/forwarding/exchange.py
@@ -11,7 +11,7 @@
     from dotterelpaddle.forwarding.interface import AnswerHead, ForwardRequest
     from dotterelpaddle.forwarding.model import ForwardRoute, KeyHolder
     from dotterelpaddle.forwarding.reply import ForwardReply
-    from dotterelpaddle.ids import ServiceName
+    from dotterelpaddle.ids import Fingerprint, ServiceName
 
 
 @dataclass(kw_only=True, slots=True)
@@ -29,6 +29,8 @@
         route: Its route, once found.
         service: The service that serves it, once chosen.
         account: Its client account, None on public routes.
+        fingerprint: What the same request of the same caller always has, None while
+            the account is not known.
         last_endpoint: The endpoint that was tried last, for the log.
         caller_gone: Whether the caller closed its connection before the end.
         error: What the caller was told in place of an answer.
@@ -44,6 +46,7 @@
     route: ForwardRoute | None = None
     service: ServiceName | None = None
     account: KeyHolder | None = None
+    fingerprint: Fingerprint | None = None
     last_endpoint: str = ""
     caller_gone: bool = False
     error: RequestError | None = None
--- a/dotterelpaddle/forwarding/filters.py
+++ b/dotterelpaddle/forwarding/filters.py
@@ -15,6 +15,7 @@
 )
 from dotterelpaddle.forwarding.exceptions import FailedAnswer
 from dotterelpaddle.forwarding.exchange import Streamed, WholeAnswer
+from dotterelpaddle.forwarding.fingerprints import fingerprint_of
 from dotterelpaddle.forwarding.model import RequestKind
 from dotterelpaddle.forwarding.relays import (
     PROMISES,
@@ -61,7 +62,7 @@
         self._generator = generator
 
     async def __call__(self, exchange: ForwardExchange, rest: Next) -> None:
-        """Set route, service and account, and go on.
+        """Set route, service, account and fingerprint, and go on.
 
         Raises:
             NotAccepting: If no configuration is known here.
@@ -87,6 +88,9 @@
             exchange.account = configuration.key_holders.get(request.key)
             if exchange.account is None:
                 raise NotAuthenticated("the key is missing or unknown")
+        exchange.fingerprint = fingerprint_of(
+            request=request, account=exchange.account, body=exchange.body
+        )
         exchange.service = self._service(route=route)
         await rest(exchange)
 
--- a/dotterelpaddle/ids.py
+++ b/dotterelpaddle/ids.py
@@ -25,6 +25,9 @@
 FailureDomain = NewType("FailureDomain", str)
 """Name of a failure domain."""
 
+Fingerprint = NewType("Fingerprint", str)
+"""Digest of what a caller asks for, equal for each of its tries."""
+
 Incarnation = NewType("Incarnation", int)
 """Start of a process that keeps its name: a later start has a greater number."""
 
