Show a request that crashes endpoints in a small fleet in virtual time

Routers are real from a caller's request to the connection to an endpoint; connections are in memory.

--- /dev/null
+++ b/dotterelpaddle/tests/forwarding/crash_world.py
@@ -0,0 +1,316 @@
+"""A small fleet whose endpoints end under one request, in virtual time and in memory.
+
+Routers are the real ones, from a caller's request to the connection to an endpoint and
+the reports between them. Endpoints are stand-ins that work on a few requests at a time,
+end, and start again at the same address under another name. The store is slow to tell:
+an entry outlives its endpoint by seconds, as heartbeats that stop do not show at once.
+"""
+
+from __future__ import annotations
+
+import itertools
+import random
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Any
+
+import anyio
+import orjson
+
+from dotterelpaddle.address import Address
+from dotterelpaddle.forwarding.interface import EndpointsRead
+from dotterelpaddle.ids import EndpointName, FailureDomain, Revision
+from dotterelpaddle.platform.documents import PlatformDocuments
+from dotterelpaddle.platform.names import Header
+from dotterelpaddle.platform.protocols import PlatformProtocols
+from dotterelpaddle.standins.runner import Behaviour, Received, RunnerStandin, Serve
+from dotterelpaddle.tests.forwarding.harness import SERVICE, configuration
+from dotterelpaddle.tests.memory_network import MemoryNetwork
+from dotterelpaddle.tests.owners.hosts import (
+    DOMAINS,
+    LINK,
+    HostDatagrams,
+    Router,
+    build_router,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Coroutine
+
+    from anyio.abc import TaskGroup
+
+    from dotterelpaddle.forwarding.parts import Parts
+
+CULPRIT = "/stream/again/culprit"
+"""The request under which endpoints end; no other request asks for this."""
+
+SLOTS = 8
+EVENTS, EVENT_TIME = 5, 0.1
+"""Events of a stream, and seconds between two of them."""
+
+BEGIN_TIME = 0.06
+"""Seconds from the begin of a run until its endpoint has ended under it."""
+
+DOWN_TIME = (2.8, 5.0)
+"""Seconds until an endpoint that has ended has started again, at least and at most."""
+
+GONE_NEWS_TIME = 3.6
+"""Seconds until routers hear that the entry of an endpoint that ended is gone."""
+
+START_NEWS_TIME = (0.1, 0.9)
+"""Seconds until routers hear of a start."""
+
+PACKET_TIME = 0.001
+KNOW_TIME = 2.0
+"""Seconds until all routers know each other after a start of the fleet."""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Arrival:
+    """The culprit as it reached an endpoint that did not turn it away.
+
+    Attributes:
+        at: When, on the loop's clock.
+        endpoint: The endpoint's name.
+    """
+
+    at: float
+    endpoint: str
+
+
+class Engine(RunnerStandin):
+    """An endpoint that works on some requests at a time, and ends under the culprit."""
+
+    def __init__(self, *, name: str, address: Address, world: CrashWorld) -> None:
+        super().__init__(name=name, events=EVENTS, pause=EVENT_TIME)
+        self.address = address
+        self._world = world
+        self._slots = anyio.Semaphore(SLOTS)
+
+    async def _answer(
+        self, stream: Any, request: Received, behaviour: Behaviour
+    ) -> bool:
+        if request.headers[Header.EXPECTED_ENDPOINT] != self.name.encode():
+            await stream.send(self._whole(request, status=421, sealed=False))
+            return True
+        culprit = request.target == CULPRIT.encode()
+        if culprit:
+            self._world.note_arrival(engine=self)
+        async with self._slots:
+            if not culprit:
+                return await super()._answer(stream, request, behaviour or Serve())
+            self.runs.append(request)
+            await stream.send(
+                self._head(request, framing=b"transfer-encoding: chunked")
+            )
+            await anyio.sleep(BEGIN_TIME)
+            self._world.end_engine(engine=self, by_culprit=True)
+        return False
+
+
+@dataclass(kw_only=True)
+class CrashWorld:
+    """Routers, endpoints and callers.
+
+    Args:
+        routers: How many routers.
+        engines: How many endpoints.
+        seed: Of all that is drawn.
+    """
+
+    routers: int = 9
+    engines: int = 5
+    seed: int = 1
+    hosts: list[Router] = field(default_factory=list)
+    arrivals: list[Arrival] = field(default_factory=list)
+    ended: list[float] = field(default_factory=list)
+
+    def __post_init__(self) -> None:
+        self.dice = random.Random(self.seed)
+        self.network = MemoryNetwork()
+        self.tasks: TaskGroup
+        self._numbers = itertools.count(1)
+        self._revision = 1
+        self._entries: dict[str, dict[str, Any]] = {}
+        self._live: dict[str, Engine] = {}
+        self._documents = PlatformDocuments()
+        self._configuration = orjson.dumps(configuration())
+        self.hosts = [
+            Router(number=number, domain=DOMAINS[number % len(DOMAINS)], link=LINK)
+            for number in range(self.routers)
+        ]
+        self._by_address = {host.address: host for host in self.hosts}
+
+    @property
+    def live(self) -> list[Engine]:
+        """Endpoints that run."""
+        return list(self._live.values())
+
+    def later_than(self, *, seconds: float) -> int:
+        """Count sends of the culprit some seconds after the third end under it."""
+        if len(self.ended) < 3:
+            return 0
+        return sum(each.at > self.ended[2] + seconds for each in self.arrivals)
+
+    # Endpoints.
+
+    def note_arrival(self, *, engine: Engine) -> None:
+        """Note that the culprit has reached an endpoint."""
+        self.arrivals.append(Arrival(at=anyio.current_time(), endpoint=engine.name))
+
+    def start_engine(self, *, address: Address, domain: FailureDomain) -> Engine:
+        """Start an endpoint and let it register."""
+        name = f"engine-{next(self._numbers)}"
+        engine = Engine(name=name, address=address, world=self)
+        self._live[name] = engine
+        self.network.listen(address=address, handler=engine.handle)
+        self._entries[name] = engine.entry(
+            address=address, service=SERVICE, zone=domain, slots=SLOTS
+        )
+        self._revision += 1
+        self._announce(names=(name,), within=START_NEWS_TIME)
+        return engine
+
+    def end_engine(self, *, engine: Engine, by_culprit: bool = False) -> None:
+        """End an endpoint; it starts again after a while."""
+        if engine.name not in self._live:
+            return
+        del self._live[engine.name]
+        if by_culprit:
+            self.ended.append(anyio.current_time())
+        self.tasks.start_soon(self._start_again, engine)
+        self.network.end(address=engine.address)
+
+    async def _start_again(self, engine: Engine) -> None:
+        domain = FailureDomain(self._entries[engine.name]["zone"])
+        down = self.dice.uniform(*DOWN_TIME)
+        await anyio.sleep(min(down, GONE_NEWS_TIME))
+        if down < GONE_NEWS_TIME:
+            self.start_engine(address=engine.address, domain=domain)
+            await anyio.sleep(GONE_NEWS_TIME - down)
+        del self._entries[engine.name]
+        self._revision += 1
+        self._announce(removed=(engine.name,), within=START_NEWS_TIME)
+        if down >= GONE_NEWS_TIME:
+            await anyio.sleep(down - GONE_NEWS_TIME)
+            self.start_engine(address=engine.address, domain=domain)
+
+    # Routers.
+
+    async def run_host(self, host: Router) -> None:
+        """Run a router's processes, one after the other."""
+        while True:
+            await self._run_process(host)
+            host.parts, host.datagrams = None, None
+            host.stopping = anyio.Event()
+            await anyio.sleep(0.5)
+
+    async def _run_process(self, host: Router) -> None:
+        parts = build_router(
+            router=host.name,
+            failure_domain=host.domain,
+            address=host.address,
+            link=host.link,
+            clock=anyio.current_time,
+            protocols=PlatformProtocols(),
+        )
+        datagrams: Any = HostDatagrams(router=host, send=self._fly)
+        host.parts, host.datagrams = parts, datagrams
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(parts.exchange.run, datagrams, host.address)
+            tasks.start_soon(parts.owners.run, datagrams)
+            tasks.start_soon(parts.reachability.run)
+            self._tell(parts, names=tuple(self._entries), whole=True)
+            parts.knowledge.caches.mark_known()
+            await host.stopping.wait()
+            parts.announce_leaving()
+            while parts.app.in_flight:
+                await anyio.sleep(0.01)
+            tasks.cancel_scope.cancel()
+
+    def _fly(self, datagram: bytes, sender: Router, target: Address) -> None:
+        host = self._by_address.get(target)
+        if host is not None:
+            self.tasks.start_soon(self._deliver, datagram, sender, host)
+
+    async def _deliver(self, datagram: bytes, sender: Router, target: Router) -> None:
+        await anyio.sleep(PACKET_TIME)
+        if target.datagrams is not None and self.reaches(sender, target):
+            await target.datagrams.arrive(datagram=datagram, sender=sender.address)
+
+    def reaches(self, sender: Router, target: Router) -> bool:
+        """Tell whether packets pass between two routers."""
+        return True
+
+    def _announce(
+        self,
+        *,
+        names: tuple[str, ...] = (),
+        removed: tuple[str, ...] = (),
+        within: tuple[float, float],
+    ) -> None:
+        for host in self.hosts:
+            self.tasks.start_soon(
+                self._tell_late, host, names, removed, self.dice.uniform(*within)
+            )
+
+    async def _tell_late(
+        self,
+        host: Router,
+        names: tuple[str, ...],
+        removed: tuple[str, ...],
+        seconds: float,
+    ) -> None:
+        await anyio.sleep(seconds)
+        if host.parts is not None:
+            self._tell(host.parts, names=names, removed=removed)
+
+    def _tell(
+        self,
+        parts: Parts,
+        *,
+        names: tuple[str, ...] = (),
+        removed: tuple[str, ...] = (),
+        whole: bool = False,
+    ) -> None:
+        view = parts.knowledge.view
+        revision = Revision(self._revision)
+        view.take_configuration(
+            configuration=self._documents.configuration(document=self._configuration)
+        )
+        view.take_endpoints(
+            read=EndpointsRead(
+                revision=revision,
+                entries=tuple(
+                    self._documents.endpoint(
+                        name=EndpointName(name),
+                        document=orjson.dumps(self._entries[name]),
+                        revision=revision,
+                    )
+                    for name in names
+                    if name in self._entries
+                ),
+                removed={EndpointName(name): revision for name in removed},
+                whole=whole,
+            )
+        )
+
+
+async def play(
+    *,
+    world: CrashWorld,
+    script: Callable[[CrashWorld], Coroutine[Any, Any, None]],
+) -> None:
+    """Start a fleet, and let a script do what befalls it."""
+    with world.network.installed():
+        async with anyio.create_task_group() as tasks:
+            world.tasks = world.network.tasks = tasks
+            for host in world.hosts:
+                tasks.start_soon(world.run_host, host)
+            for number in range(world.engines):
+                world.start_engine(
+                    address=Address(host=f"10.1.0.{number}", port=80),
+                    domain=DOMAINS[number % len(DOMAINS)],
+                )
+            await anyio.sleep(KNOW_TIME)
+            await script(world)
+            tasks.cancel_scope.cancel()
--- /dev/null
+++ b/dotterelpaddle/tests/memory_network.py
@@ -0,0 +1,187 @@
+"""Connections between routers and endpoints in memory, for tests in virtual time."""
+
+from __future__ import annotations
+
+from contextlib import contextmanager
+from typing import TYPE_CHECKING, Any
+from unittest.mock import patch
+
+import anyio
+import httpcore
+
+from dotterelpaddle.address import Address
+from dotterelpaddle.links import Links
+from dotterelpaddle.network import LinkedBackend, LinkedStream
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable, Iterator
+
+    from anyio.abc import TaskGroup
+    from anyio.streams.memory import (
+        MemoryObjectReceiveStream,
+        MemoryObjectSendStream,
+    )
+
+    Handler = Callable[[Any], Awaitable[None]]
+
+ANY_PEER = Address(host="10.0.0.0", port=1)
+"""Stands for an endpoint where links are never cut."""
+
+TICK = 1e-6
+"""Least seconds that a wait takes; less may leave a virtual clock as it is."""
+
+LATENCY = 0.001
+"""Seconds until a connection stands, or is refused."""
+
+
+class ClientEnd(httpcore.AsyncNetworkStream):
+    """A router's end of a connection."""
+
+    def __init__(
+        self,
+        *,
+        incoming: MemoryObjectReceiveStream[bytes],
+        outgoing: MemoryObjectSendStream[bytes],
+    ) -> None:
+        self._incoming = incoming
+        self._outgoing = outgoing
+
+    async def read(self, max_bytes: int, timeout: float | None = None) -> bytes:
+        """Read what has come, empty at the end."""
+        if timeout is not None:
+            timeout = max(timeout, TICK)
+        try:
+            with anyio.fail_after(timeout):
+                return await self._incoming.receive()
+        except anyio.EndOfStream:
+            return b""
+        except TimeoutError as error:
+            raise httpcore.ReadTimeout from error
+
+    async def write(self, buffer: bytes, timeout: float | None = None) -> None:
+        """Send all bytes at once."""
+        try:
+            await self._outgoing.send(buffer)
+        except (anyio.BrokenResourceError, anyio.ClosedResourceError) as error:
+            raise httpcore.WriteError from error
+
+    async def aclose(self) -> None:
+        """Close both directions."""
+        await self._outgoing.aclose()
+        await self._incoming.aclose()
+
+    def get_extra_info(self, info: str) -> Any:
+        """Tell whether bytes or the end have come."""
+        if info == "is_readable":
+            told = self._incoming.statistics()
+            return told.current_buffer_used > 0 or told.open_send_streams == 0
+        return None
+
+
+class ServerEnd:
+    """An endpoint's end of a connection, as `RunnerStandin` uses it."""
+
+    def __init__(
+        self,
+        *,
+        incoming: MemoryObjectReceiveStream[bytes],
+        outgoing: MemoryObjectSendStream[bytes],
+    ) -> None:
+        self._incoming = incoming
+        self._outgoing = outgoing
+
+    async def __aenter__(self) -> ServerEnd:
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        self.close()
+
+    async def receive(self, max_bytes: int = 65536) -> bytes:
+        """Read what has come.
+
+        Raises:
+            anyio.EndOfStream: At the end.
+        """
+        return await self._incoming.receive()
+
+    async def send(self, item: bytes) -> None:
+        """Send all bytes at once."""
+        try:
+            await self._outgoing.send(item)
+        except anyio.ClosedResourceError as error:
+            raise anyio.BrokenResourceError from error
+
+    def close(self) -> None:
+        """Close both directions."""
+        self._outgoing.close()
+        self._incoming.close()
+
+
+class MemoryNetwork:
+    """Where endpoints listen, and the connections to them."""
+
+    def __init__(self) -> None:
+        self._handlers: dict[tuple[str, int], Handler] = {}
+        self._open: dict[
+            tuple[str, int], list[tuple[anyio.CancelScope, ServerEnd]]
+        ] = {}
+        self.tasks: TaskGroup
+
+    def listen(self, *, address: Address, handler: Handler) -> None:
+        """Let connections to an address be served."""
+        self._handlers[address.host, address.port] = handler
+
+    def end(self, *, address: Address) -> None:
+        """Close all connections to an address, and refuse others."""
+        place = address.host, address.port
+        self._handlers.pop(place, None)
+        for scope, stream in self._open.pop(place, []):
+            stream.close()
+            scope.cancel()
+
+    async def connect(self, host: str, port: int) -> LinkedStream:
+        """Open a connection.
+
+        Raises:
+            httpcore.ConnectError: If nobody listens there.
+        """
+        await anyio.sleep(LATENCY)
+        handler = self._handlers.get((host, port))
+        if handler is None:
+            raise httpcore.ConnectError("Connect call failed")
+        to_server, from_client = anyio.create_memory_object_stream[bytes](float("inf"))
+        to_client, from_server = anyio.create_memory_object_stream[bytes](float("inf"))
+        server = ServerEnd(incoming=from_client, outgoing=to_client)
+        scope = anyio.CancelScope()
+        self._open.setdefault((host, port), []).append((scope, server))
+        self.tasks.start_soon(self._serve, handler, server, scope)
+        return LinkedStream(
+            stream=ClientEnd(incoming=from_server, outgoing=to_server),
+            peer=ANY_PEER,
+            links=Links(),
+        )
+
+    async def _serve(
+        self, handler: Handler, stream: ServerEnd, scope: anyio.CancelScope
+    ) -> None:
+        with scope:
+            try:
+                await handler(stream)
+            except anyio.ClosedResourceError:
+                return
+
+    @contextmanager
+    def installed(self) -> Iterator[None]:
+        """Let all routers of this process connect over it."""
+
+        async def _connect(
+            _: LinkedBackend,
+            host: str,
+            port: int,
+            timeout: float | None = None,
+            **rest: object,
+        ) -> LinkedStream:
+            return await self.connect(host, port)
+
+        with patch.object(LinkedBackend, "connect_tcp", _connect):
+            yield
--- a/dotterelpaddle/tests/owners/hosts.py
+++ b/dotterelpaddle/tests/owners/hosts.py
@@ -111,6 +111,7 @@
     link: int,
     clock: Clock,
     leave_time: float = 0.0,
+    protocols: Any = None,
 ) -> Parts:
     """Put a router's parts together, without a platform or endpoints.
 
@@ -121,6 +122,7 @@
         link: Bandwidth of its host's link, Mbit/s.
         clock: Monotonic clock.
         leave_time: Seconds that it serves on when it is stopped.
+        protocols: Translates requests and answers, where there are any.
     """
     unused: Any = None
     return build_parts(
@@ -140,7 +142,7 @@
         ),
         surroundings=Surroundings(
             source=unused,
-            protocols=unused,
+            protocols=protocols,
             documents=unused,
             caches_reader=unused,
             links=Links(),
