--- a/dotterelpaddle/exceptions.py
+++ b/dotterelpaddle/exceptions.py
@@ -242,6 +242,13 @@
     default_step = Step.CLAIM
 
 
+class RequestBlocked(RequestError):
+    """Endpoints end under this request, so it is sent to none for a while."""
+
+    status = 503
+    default_step = Step.ADMISSION
+
+
 class NoEndpoint(RequestError):
     """The pool has no endpoint that takes work."""
 
--- a/dotterelpaddle/forwarding/attempts.py
+++ b/dotterelpaddle/forwarding/attempts.py
@@ -9,8 +9,6 @@
 
 from typing import TYPE_CHECKING
 
-from dotterelpaddle.dispatch.outcome import AttemptState
-from dotterelpaddle.endpoint.evidence import Evidence
 from dotterelpaddle.exceptions import (
     DeadlineExceeded,
     EndpointError,
@@ -19,6 +17,7 @@
     EndpointUnreachable,
     ForeignAnswer,
     NoEndpoint,
+    RequestBlocked,
 )
 from dotterelpaddle.forwarding.client import ForwardCall
 from dotterelpaddle.forwarding.exceptions import (
@@ -27,17 +26,17 @@
     IdleConnectionLost,
 )
 from dotterelpaddle.forwarding.interface import Delivery
-from dotterelpaddle.forwarding.waits import CONNECT_TIME, SECOND_CONNECT_TIME
+from dotterelpaddle.forwarding.progress import Progress, Tried
 from dotterelpaddle.logs import get_logger
 
 if TYPE_CHECKING:
     from dotterelpaddle.clock import Clock
-    from dotterelpaddle.dispatch.outcome import Attempt
     from dotterelpaddle.forwarding.caches import CacheMap
     from dotterelpaddle.forwarding.choice import Choice
+    from dotterelpaddle.forwarding.crash_guard import CrashGuard
     from dotterelpaddle.forwarding.exchange import ForwardExchange, Result
     from dotterelpaddle.forwarding.health import HealthBook
-    from dotterelpaddle.forwarding.loads import Held, LoadBook
+    from dotterelpaddle.forwarding.loads import LoadBook
     from dotterelpaddle.forwarding.metrics import ForwardMetrics
     from dotterelpaddle.forwarding.reachability import Reachability
     from dotterelpaddle.forwarding.relays import Relay
@@ -68,6 +67,7 @@
         health: Results of requests.
         reachability: Where no connection can be made.
         caches: Where parts of prompts are.
+        guard: Keeps requests that crash endpoints from the next ones.
         repeats: What repeats may cost.
         waits: What was learnt of answers' progress.
         metrics: Counts attempts.
@@ -82,6 +82,7 @@
         health: HealthBook,
         reachability: Reachability,
         caches: CacheMap,
+        guard: CrashGuard,
         repeats: SharedRepeats,
         waits: WaitBook,
         metrics: ForwardMetrics,
@@ -92,6 +93,7 @@
         self._health = health
         self._reachability = reachability
         self._caches = caches
+        self._guard = guard
         self._repeats = repeats
         self._waits = waits
         self._metrics = metrics
@@ -105,12 +107,13 @@
         """
         if exchange.request.prompt:
             await self._caches.wait_known()
-        tried = _Tried()
+        tried = Tried()
         failure: EndpointError | None = None
         while True:
             try:
+                self._guard.check(exchange=exchange)
                 choice = await self._choose(exchange=exchange, tried=tried)
-            except NoEndpoint:
+            except (NoEndpoint, RequestBlocked):
                 if failure is None:
                     raise
                 raise failure from None
@@ -128,7 +131,7 @@
             if not self._may_follow(exchange=exchange, failure=failure):
                 raise failure
 
-    async def _choose(self, *, exchange: ForwardExchange, tried: _Tried) -> Choice:
+    async def _choose(self, *, exchange: ForwardExchange, tried: Tried) -> Choice:
         try:
             return await self._place(exchange=exchange, excluded=tried.excluded)
         except NoEndpoint:
@@ -165,9 +168,13 @@
         self._metrics.chosen(choice=choice)
         attempt = exchange.attempts.begin(idempotent=route.repeatable)
         exchange.last_endpoint = entry.endpoint
-        progress = _Progress(attempt=attempt, clock=self._clock)
+        progress = Progress(attempt=attempt, clock=self._clock)
+        watched = self._guard.watch(
+            exchange=exchange, relay=relay, entry=entry, progress=progress
+        )
+        hold = self._loads.hold(endpoint=entry.endpoint, work=choice.work)
         try:
-            with self._loads.hold(endpoint=entry.endpoint, work=choice.work) as held:
+            with watched, hold as held:
                 progress.held = held
                 result = await relay.send(
                     call=self._call(
@@ -198,7 +205,7 @@
         exchange: ForwardExchange,
         relay: Relay,
         choice: Choice,
-        progress: _Progress,
+        progress: Progress,
         fresh: bool,
         connect_time: float,
     ) -> ForwardCall:
@@ -290,7 +297,7 @@
         *,
         exchange: ForwardExchange,
         choice: Choice,
-        progress: _Progress,
+        progress: Progress,
         error: EndpointError,
     ) -> None:
         route = exchange.route
@@ -326,68 +333,3 @@
             seconds=round(self._clock() - progress.begun_at, 4),
             streaming=exchange.reply.started,
         )
-
-
-class _Tried:
-    """The endpoints that a request was meant for so far."""
-
-    def __init__(self) -> None:
-        self._asked: set[EndpointId] = set()
-        self._unconnected: set[EndpointId] = set()
-
-    @property
-    def asked(self) -> frozenset[EndpointId]:
-        """Those that got it or said no."""
-        return frozenset(self._asked)
-
-    @property
-    def unconnected(self) -> frozenset[EndpointId]:
-        """Those whose connection did not stand in time, asked once each."""
-        return frozenset(self._unconnected)
-
-    @property
-    def excluded(self) -> frozenset[EndpointId]:
-        """All of them."""
-        return self.asked | self.unconnected
-
-    def add(self, *, endpoint: EndpointId, failure: EndpointError) -> None:
-        """Take in how an attempt failed."""
-        match failure:
-            case IdleConnectionLost():
-                pass
-            case EndpointUnreachable(silent=True) if endpoint not in self._unconnected:
-                self._unconnected.add(endpoint)
-            case _:
-                self._asked.add(endpoint)
-                self._unconnected.discard(endpoint)
-
-    def connect_time(self, *, endpoint: EndpointId) -> float:
-        """Seconds until a connection to an endpoint must stand."""
-        return SECOND_CONNECT_TIME if endpoint in self._unconnected else CONNECT_TIME
-
-
-class _Progress:
-    """When things were seen of one attempt.
-
-    Args:
-        attempt: The attempt.
-        clock: Monotonic clock.
-    """
-
-    def __init__(self, *, attempt: Attempt, clock: Clock) -> None:
-        self.attempt = attempt
-        self.begun_at = clock()
-        self.first_byte: float | None = None
-        self.held: Held | None = None
-        self._clock = clock
-
-    def observe(self, evidence: Evidence) -> None:
-        """Take in a piece of evidence."""
-        self.attempt.observe(evidence)
-        if evidence is Evidence.ANSWER_BEGUN and self.attempt.state in (
-            AttemptState.ANSWERING,
-            AttemptState.ANSWERED,
-        ):
-            self.first_byte = self._clock() - self.begun_at
-            if self.held is not None:
-                self.held.begun()
--- /dev/null
+++ b/dotterelpaddle/forwarding/crash_guard.py
@@ -0,0 +1,120 @@
+"""Keeps requests that crash endpoints from going on to the next ones."""
+
+from __future__ import annotations
+
+from contextlib import contextmanager
+from typing import TYPE_CHECKING
+
+from dotterelpaddle.dispatch.outcome import AttemptState
+from dotterelpaddle.exceptions import AnswerBroken, RequestBlocked
+from dotterelpaddle.forwarding.exceptions import FailedAnswer
+from dotterelpaddle.logs import get_logger
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from dotterelpaddle.clock import Clock
+    from dotterelpaddle.forwarding.crashes import CrashBook
+    from dotterelpaddle.forwarding.endings import Endings
+    from dotterelpaddle.forwarding.exchange import ForwardExchange
+    from dotterelpaddle.forwarding.metrics import ForwardMetrics
+    from dotterelpaddle.forwarding.model import EndpointEntry
+    from dotterelpaddle.forwarding.progress import Progress
+    from dotterelpaddle.forwarding.relays import Relay
+
+log = get_logger(name=__name__)
+
+HARMLESS_TIME = 1.0
+"""Seconds of output after which a run is not what ended its endpoint: a request that
+crashes endpoints does so as it begins to run."""
+
+
+class CrashGuard:
+    """Checks requests before they are sent, and watches what becomes of endpoints.
+
+    Args:
+        crashes: Under which requests endpoints ended.
+        endings: Finds out whether endpoints that broke off have ended.
+        metrics: Counts what was blocked.
+        clock: Monotonic clock.
+    """
+
+    def __init__(
+        self,
+        *,
+        crashes: CrashBook,
+        endings: Endings,
+        metrics: ForwardMetrics,
+        clock: Clock,
+    ) -> None:
+        self._crashes = crashes
+        self._endings = endings
+        self._metrics = metrics
+        self._clock = clock
+
+    def check(self, *, exchange: ForwardExchange) -> None:
+        """Let a request pass unless endpoints end under it.
+
+        Raises:
+            RequestBlocked: If it may not be sent to an endpoint now.
+        """
+        assert exchange.fingerprint is not None
+        try:
+            self._crashes.check(fingerprint=exchange.fingerprint)
+        except RequestBlocked as error:
+            log.warning(
+                "request_blocked",
+                request_id=exchange.request.request_id,
+                fingerprint=exchange.fingerprint,
+                service=exchange.service,
+                cause=error.message,
+                retry_after=error.retry_after,
+            )
+            self._metrics.blocked(service=exchange.service or "")
+            raise
+
+    @contextmanager
+    def watch(
+        self,
+        *,
+        exchange: ForwardExchange,
+        relay: Relay,
+        entry: EndpointEntry,
+        progress: Progress,
+    ) -> Iterator[None]:
+        """Watch one attempt at a request while the context lasts."""
+        fingerprint = exchange.fingerprint
+        assert fingerprint is not None
+        crashes, endpoint = self._crashes, entry.endpoint
+        last_event = relay.last_event
+        crashes.begin_try(fingerprint=fingerprint, endpoint=endpoint)
+        try:
+            yield
+        except FailedAnswer:
+            crashes.note_served(fingerprint=fingerprint)
+            raise
+        except AnswerBroken:
+            output = relay.last_event != last_event
+            if self._is_harmless(progress=progress, output=output):
+                crashes.end_try(fingerprint=fingerprint, endpoint=endpoint)
+            else:
+                self._endings.broke_off(
+                    entry=entry,
+                    fingerprint=fingerprint,
+                    begun=progress.attempt.state is not AttemptState.SENT
+                    and not output,
+                )
+            raise
+        except BaseException:
+            crashes.end_try(fingerprint=fingerprint, endpoint=endpoint)
+            raise
+        crashes.note_served(fingerprint=fingerprint)
+
+    def _is_harmless(self, *, progress: Progress, output: bool) -> bool:
+        """Tell whether a run had brought output for so long that it did no harm."""
+        if progress.attempt.proves_not_run:
+            return True
+        if not output or progress.first_byte is None:
+            return False
+        begun_at = progress.begun_at + progress.first_byte
+        return self._clock() - begun_at >= HARMLESS_TIME
--- /dev/null
+++ b/dotterelpaddle/forwarding/crashes.py
@@ -0,0 +1,399 @@
+"""Requests under which endpoints ended, as all routers know them.
+
+A request may crash each endpoint that begins to run it. Its caller sends it again, with
+another id, to any router; so what is known of it is kept by its fingerprint and told to
+all routers. Most requests under which an endpoint ended only happened to be there: they
+are served elsewhere, and a whole answer ends the suspicion everywhere.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import TYPE_CHECKING
+
+from dotterelpaddle.exceptions import RequestBlocked
+from dotterelpaddle.logs import get_logger
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Iterator
+
+    from dotterelpaddle.clock import Clock
+    from dotterelpaddle.ids import EndpointId, Fingerprint
+
+log = get_logger(name=__name__)
+
+MOST_ENDED = 3
+"""Endpoints that may end under one request before it is blocked. One or two end by
+chance under a request that is sent on during a series of crashes; three seldom do."""
+
+FIRST_BLOCK = 60.0
+"""Seconds for which a request is blocked first; then it is tried once more."""
+
+LONGEST_BLOCK = 600.0
+"""Seconds for which it is blocked at most, each time twice as long as before."""
+
+SUSPICION_TIME = 60.0
+"""Seconds after which an end counts no more, unless the request is blocked."""
+
+TRY_TIME = 3.0
+"""Seconds for which a try counts as under way; a stream begins within them or waits."""
+
+TRY_WAIT = 1.0
+"""Seconds after which a caller may come back while its request is tried elsewhere."""
+
+MOST_SUSPECTS = 256
+"""Requests that are remembered, 200 KB: some ends of endpoints with all they ran."""
+
+TIMES_TOLD = 3
+"""Reports in which a note is told, because datagrams get lost."""
+
+RETELL_TIME = 2.0
+"""Seconds until the ends under a request are told again if there are several, to
+routers that were cut off or have just started."""
+
+RARE_RETELL_TIME = 10.0
+"""The same of a single end; most of these are of requests that nobody sends again."""
+
+MOST_TOLD = 12
+"""Notes in one report, 0.7 KB."""
+
+
+class NoteKind(Enum):
+    """What a note tells of a request."""
+
+    ENDED = "ended"
+    TRIED = "tried"
+    SERVED = "served"
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class CrashNote:
+    """One thing that a router has seen of a request, as it tells others.
+
+    Attributes:
+        kind: What.
+        fingerprint: The request.
+        endpoint: The start of an endpoint that ended under it, or is trying it; empty
+            if it was served.
+        age: Seconds since then.
+        begun: Whether its answer had begun there, and had brought nothing yet.
+    """
+
+    kind: NoteKind
+    fingerprint: Fingerprint
+    endpoint: EndpointId | None = None
+    age: float = 0.0
+    begun: bool = False
+
+
+@dataclass(kw_only=True, slots=True)
+class _Seen:
+    """When something was seen, and whether it is still to be told."""
+
+    at: float
+    begun: bool = False
+    left: int = TIMES_TOLD
+    told_at: float = float("-inf")
+
+
+@dataclass(kw_only=True, slots=True)
+class _Suspect:
+    """What is known of one request."""
+
+    ended: dict[EndpointId, _Seen] = field(default_factory=dict)
+    tried: dict[EndpointId, _Seen] = field(default_factory=dict)
+    served: _Seen | None = None
+
+    @property
+    def last_end(self) -> float:
+        """When the last endpoint ended under it."""
+        return max((seen.at for seen in self.ended.values()), default=float("-inf"))
+
+    @property
+    def latest(self) -> float:
+        """When anything was last seen of it."""
+        served = self.served.at if self.served is not None else float("-inf")
+        return max(self.last_end, served)
+
+    @property
+    def guilt(self) -> tuple[int, int]:
+        """How much speaks for it as the cause, to compare it with others."""
+        begun = sum(seen.begun for seen in self.ended.values())
+        return len(self.ended), begun
+
+    def forget_before(self, *, at: float) -> None:
+        """Forget what was seen until a moment."""
+        for seen in (self.ended, self.tried):
+            for endpoint in [each for each in seen if seen[each].at <= at]:
+                del seen[endpoint]
+
+
+class CrashBook:
+    """Remembers under which requests endpoints ended, and blocks the cause of it.
+
+    Args:
+        clock: Monotonic clock.
+    """
+
+    def __init__(self, *, clock: Clock) -> None:
+        self._clock = clock
+        self._suspects: dict[Fingerprint, _Suspect] = {}
+        self._blamed: frozenset[Fingerprint] | None = frozenset()
+
+    @property
+    def suspects(self) -> int:
+        """Requests under which an endpoint ended of late."""
+        return sum(bool(suspect.ended) for suspect in self._suspects.values())
+
+    @property
+    def blocked(self) -> int:
+        """Requests that are blocked, or would be tried once more."""
+        return len(self._causes())
+
+    def check(self, *, fingerprint: Fingerprint) -> None:
+        """Let a request pass unless endpoints end under it.
+
+        Raises:
+            RequestBlocked: If it may not be sent to an endpoint now.
+        """
+        suspect = self._suspects.get(fingerprint)
+        if suspect is None or not suspect.ended:
+            return
+        now = self._clock()
+        tries = self._tries(suspect)
+        if fingerprint in self._causes():
+            left = suspect.last_end + _block_time(ended=len(suspect.ended)) - now
+            if left > 0.0 or tries:
+                raise self._blocked_error(
+                    suspect=suspect, tries=tries, wait=max(left, TRY_WAIT)
+                )
+        elif len(suspect.ended) < MOST_ENDED <= len(suspect.ended) + tries:
+            raise self._blocked_error(suspect=suspect, tries=tries, wait=TRY_WAIT)
+
+    def begin_try(self, *, fingerprint: Fingerprint, endpoint: EndpointId) -> None:
+        """Note that a suspect is sent to an endpoint, for the other routers."""
+        suspect = self._suspects.get(fingerprint)
+        if suspect is not None and suspect.ended:
+            suspect.tried[endpoint] = _Seen(at=self._clock())
+
+    def end_try(self, *, fingerprint: Fingerprint, endpoint: EndpointId) -> None:
+        """Note that a try came to an end, and its endpoint did not."""
+        suspect = self._suspects.get(fingerprint)
+        if suspect is not None:
+            suspect.tried.pop(endpoint, None)
+
+    def note_ended(
+        self, *, fingerprint: Fingerprint, endpoint: EndpointId, at: float, begun: bool
+    ) -> None:
+        """Note that an endpoint ended under a request."""
+        self._take_in_end(fingerprint, endpoint, _Seen(at=at, begun=begun))
+
+    def note_served(self, *, fingerprint: Fingerprint) -> None:
+        """Note that an endpoint answered a request and did not end."""
+        suspect = self._suspects.get(fingerprint)
+        if suspect is not None and suspect.ended:
+            self._acquit(fingerprint, suspect, _Seen(at=self._clock()))
+
+    def hear(self, *, notes: Iterable[CrashNote], pass_on: bool) -> None:
+        """Take in what another router has seen.
+
+        Args:
+            notes: What it told.
+            pass_on: Whether others hear of it through this router.
+        """
+        now = self._clock()
+        left = TIMES_TOLD if pass_on else 0
+        for note in notes:
+            seen = _Seen(at=now - note.age, begun=note.begun, left=left, told_at=now)
+            match note.kind:
+                case NoteKind.ENDED if note.endpoint:
+                    self._take_in_end(note.fingerprint, note.endpoint, seen)
+                case NoteKind.TRIED if note.endpoint:
+                    self._take_in_try(note.fingerprint, note.endpoint, seen)
+                case NoteKind.SERVED:
+                    suspect = self._suspects.get(note.fingerprint)
+                    if suspect is not None:
+                        self._acquit(note.fingerprint, suspect, seen)
+
+    def news(self) -> list[CrashNote]:
+        """What to tell in the next report, what matters most first."""
+        now = self._clock()
+        self._forget(now=now)
+        due = [each for each in self._all_seen() if _is_due(each, now=now)]
+        due.sort(key=lambda each: (each.guilt, each.seen.left), reverse=True)
+        told = due[:MOST_TOLD]
+        for each in told:
+            each.seen.left = max(0, each.seen.left - 1)
+            each.seen.told_at = now
+        return [each.note(now=now) for each in told]
+
+    def _take_in_end(
+        self, fingerprint: Fingerprint, endpoint: EndpointId, seen: _Seen
+    ) -> None:
+        suspect = self._suspects.setdefault(fingerprint, _Suspect())
+        if suspect.served is not None and suspect.served.at >= seen.at:
+            # Whoever still tells of it has not heard of the answer.
+            suspect.served.left = max(suspect.served.left, 1)
+            return
+        if endpoint in suspect.ended:
+            return
+        suspect.ended[endpoint] = seen
+        suspect.tried.pop(endpoint, None)
+        self._blamed = None
+        log.info(
+            "request_suspected",
+            fingerprint=fingerprint,
+            endpoint=endpoint,
+            seconds_ago=round(self._clock() - seen.at, 3),
+            begun=seen.begun,
+            ended=len(suspect.ended),
+        )
+        self._bound()
+
+    def _take_in_try(
+        self, fingerprint: Fingerprint, endpoint: EndpointId, seen: _Seen
+    ) -> None:
+        suspect = self._suspects.setdefault(fingerprint, _Suspect())
+        is_old = suspect.served is not None and suspect.served.at >= seen.at
+        if not is_old and endpoint not in suspect.ended:
+            suspect.tried.setdefault(endpoint, seen)
+
+    def _acquit(self, fingerprint: Fingerprint, suspect: _Suspect, seen: _Seen) -> None:
+        if suspect.served is not None and suspect.served.at >= seen.at:
+            return
+        was_blocked = fingerprint in self._causes()
+        suspect.served = seen
+        suspect.forget_before(at=seen.at)
+        self._blamed = None
+        if was_blocked:
+            log.info("request_block_ended", fingerprint=fingerprint, cause="served")
+
+    def _tries(self, suspect: _Suspect) -> int:
+        oldest = self._clock() - TRY_TIME
+        return sum(
+            seen.at > oldest and endpoint not in suspect.ended
+            for endpoint, seen in suspect.tried.items()
+        )
+
+    def _causes(self) -> frozenset[Fingerprint]:
+        """Requests that ended endpoints, rather than having been there as well.
+
+        The request under which most endpoints ended is the cause of all these ends;
+        what was there too is judged by the other ends only.
+        """
+        if self._blamed is not None:
+            return self._blamed
+        explained: set[EndpointId] = set()
+        blamed = set()
+        ranked = sorted(
+            self._suspects.items(),
+            key=lambda item: (item[1].guilt, item[0]),
+            reverse=True,
+        )
+        for fingerprint, suspect in ranked:
+            if len(suspect.ended) < MOST_ENDED:
+                break
+            if len(suspect.ended.keys() - explained) >= MOST_ENDED:
+                blamed.add(fingerprint)
+                explained |= suspect.ended.keys()
+        self._blamed = frozenset(blamed)
+        return self._blamed
+
+    def _blocked_error(
+        self, *, suspect: _Suspect, tries: int, wait: float
+    ) -> RequestBlocked:
+        now = self._clock()
+        ends = sorted(suspect.ended.items(), key=lambda item: item[1].at)
+        told = ", ".join(f"{name} {now - seen.at:.1f} s ago" for name, seen in ends)
+        return RequestBlocked(
+            f"{len(ends)} endpoints ended under this request ({told}) and {tries} "
+            "are trying it; send another one, or this one later",
+            retry_after=wait,
+        )
+
+    def _all_seen(self) -> Iterator[_Telling]:
+        for fingerprint, suspect in self._suspects.items():
+            for kind, all_seen in (
+                (NoteKind.ENDED, suspect.ended),
+                (NoteKind.TRIED, suspect.tried),
+            ):
+                for endpoint, seen in all_seen.items():
+                    yield _Telling(
+                        kind=kind,
+                        fingerprint=fingerprint,
+                        endpoint=endpoint,
+                        seen=seen,
+                        guilt=len(suspect.ended),
+                    )
+            if suspect.served is not None:
+                yield _Telling(
+                    kind=NoteKind.SERVED,
+                    fingerprint=fingerprint,
+                    endpoint=None,
+                    seen=suspect.served,
+                    guilt=len(suspect.ended),
+                )
+
+    def _forget(self, *, now: float) -> None:
+        causes = self._causes()
+        for fingerprint, suspect in tuple(self._suspects.items()):
+            kept = SUSPICION_TIME
+            if fingerprint in causes:
+                kept += _block_time(ended=len(suspect.ended))
+            suspect.tried = {
+                endpoint: seen
+                for endpoint, seen in suspect.tried.items()
+                if now - seen.at <= TRY_TIME
+            }
+            if now - suspect.latest > kept and not suspect.tried:
+                del self._suspects[fingerprint]
+                self._blamed = None
+
+    def _bound(self) -> None:
+        """Forget the least suspect, oldest first, beyond what may be kept."""
+        while len(self._suspects) > MOST_SUSPECTS:
+            least = min(
+                self._suspects,
+                key=lambda each: (
+                    len(self._suspects[each].ended),
+                    self._suspects[each].latest,
+                ),
+            )
+            del self._suspects[least]
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class _Telling:
+    """Something that may be told, and how much it matters."""
+
+    kind: NoteKind
+    fingerprint: Fingerprint
+    endpoint: EndpointId | None
+    seen: _Seen
+    guilt: int
+
+    def note(self, *, now: float) -> CrashNote:
+        """As other routers are told."""
+        return CrashNote(
+            kind=self.kind,
+            fingerprint=self.fingerprint,
+            endpoint=self.endpoint,
+            age=now - self.seen.at,
+            begun=self.seen.begun,
+        )
+
+
+def _is_due(told: _Telling, *, now: float) -> bool:
+    """Tell whether something is news, or was told a while ago."""
+    if told.seen.left:
+        return True
+    if told.kind is not NoteKind.ENDED:
+        return False
+    pause = RETELL_TIME if told.guilt > 1 else RARE_RETELL_TIME
+    return now - told.seen.told_at >= pause
+
+
+def _block_time(*, ended: int) -> float:
+    """Seconds for which a request is blocked under which some endpoints ended."""
+    return min(FIRST_BLOCK * 2 ** (ended - MOST_ENDED), LONGEST_BLOCK)
--- /dev/null
+++ b/dotterelpaddle/forwarding/endings.py
@@ -0,0 +1,140 @@
+"""Tells endpoints that ended under a request from those that lost one answer.
+
+A connection that breaks says little: answers are lost, connections are reset, and
+links are cut while an endpoint lives. One that has ended refuses the next connection.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+import anyio
+
+from dotterelpaddle.forwarding.model import EndpointState
+from dotterelpaddle.forwarding.reachability import Connecting, try_connection
+from dotterelpaddle.logs import get_logger
+
+if TYPE_CHECKING:
+    from dotterelpaddle.clock import Clock
+    from dotterelpaddle.forwarding.crashes import CrashBook
+    from dotterelpaddle.forwarding.model import EndpointEntry
+    from dotterelpaddle.forwarding.reachability import Reachability
+    from dotterelpaddle.ids import EndpointId, Fingerprint
+    from dotterelpaddle.network import LinkedBackend
+
+log = get_logger(name=__name__)
+
+CONNECT_TIME = 0.15
+"""Seconds in which a connection must stand, or be refused."""
+
+LOOKS = 4
+"""Looks at an endpoint that gives no answer at all, before nothing is concluded."""
+
+LOOK_PAUSE = 0.5
+"""Seconds between them."""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class _Broken:
+    """A request whose connection broke.
+
+    Attributes:
+        fingerprint: The request.
+        at: When, seconds on the monotonic clock.
+        begun: Whether its answer had begun and had brought nothing yet.
+    """
+
+    fingerprint: Fingerprint
+    at: float
+    begun: bool
+
+
+class Endings:
+    """Finds out whether endpoints that broke off have ended.
+
+    Args:
+        backend: Opens connections.
+        reachability: Is told of endpoints that have ended.
+        crashes: Is told under which requests.
+        clock: Monotonic clock.
+    """
+
+    def __init__(
+        self,
+        *,
+        backend: LinkedBackend,
+        reachability: Reachability,
+        crashes: CrashBook,
+        clock: Clock,
+    ) -> None:
+        self._backend = backend
+        self._reachability = reachability
+        self._crashes = crashes
+        self._clock = clock
+        self._waiting: dict[EndpointId, list[_Broken]] = {}
+        self._new: list[EndpointEntry] = []
+        self._news = anyio.Event()
+
+    def broke_off(
+        self, *, entry: EndpointEntry, fingerprint: Fingerprint, begun: bool
+    ) -> None:
+        """Note a request whose connection broke after it had been sent.
+
+        One that is leaving may end beside its last requests, which says nothing.
+        """
+        if entry.state is EndpointState.DRAINING:
+            return
+        broken = _Broken(fingerprint=fingerprint, at=self._clock(), begun=begun)
+        waiting = self._waiting.setdefault(entry.endpoint, [])
+        if not waiting:
+            self._new.append(entry)
+            self._news.set()
+        waiting.append(broken)
+
+    async def run(self) -> None:
+        """Look at endpoints that broke off until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            while True:
+                await self._news.wait()
+                self._news = anyio.Event()
+                new, self._new = self._new, []
+                for entry in new:
+                    tasks.start_soon(self._look, entry)
+
+    async def _look(self, entry: EndpointEntry) -> None:
+        ended = await self._has_ended(entry=entry)
+        broken = self._waiting.pop(entry.endpoint)
+        log.info(
+            "endpoint_looked_at",
+            endpoint=entry.endpoint,
+            ended=ended,
+            requests=len(broken),
+        )
+        if ended:
+            self._reachability.suspect(entry=entry, silent=False)
+        for each in broken:
+            if ended:
+                self._crashes.note_ended(
+                    fingerprint=each.fingerprint,
+                    endpoint=entry.endpoint,
+                    at=each.at,
+                    begun=each.begun,
+                )
+            else:
+                self._crashes.end_try(
+                    fingerprint=each.fingerprint, endpoint=entry.endpoint
+                )
+
+    async def _has_ended(self, *, entry: EndpointEntry) -> bool:
+        for _ in range(LOOKS):
+            tried = await try_connection(
+                backend=self._backend, address=entry.address, seconds=CONNECT_TIME
+            )
+            match tried:
+                case Connecting.REFUSED:
+                    return True
+                case Connecting.STANDS:
+                    return False
+            await anyio.sleep(LOOK_PAUSE)
+        return False
--- a/dotterelpaddle/forwarding/metrics.py
+++ b/dotterelpaddle/forwarding/metrics.py
@@ -12,6 +12,7 @@
 
 if TYPE_CHECKING:
     from dotterelpaddle.forwarding.choice import Choice
+    from dotterelpaddle.forwarding.crashes import CrashBook
     from dotterelpaddle.forwarding.exchange import ForwardExchange
     from dotterelpaddle.forwarding.follower import Follower
     from dotterelpaddle.forwarding.loads import LoadBook
@@ -56,6 +57,10 @@
             name="attempts_failed_total",
             doc="Attempts that brought no answer, by service and error.",
         )
+        self._blocked = counter(
+            name="requests_blocked_total",
+            doc="Requests that were sent to no endpoint as others ended under them.",
+        )
         self._calls = counter(
             name="platform_calls_total",
             doc="Calls to the platform's store, by what was asked and result.",
@@ -90,6 +95,10 @@
         """Count an attempt that brought no answer."""
         self._failures.inc({"service": service, "error": error})
 
+    def blocked(self, *, service: str) -> None:
+        """Count a request that was not sent as endpoints end under it."""
+        self._blocked.inc({"service": service})
+
     def called(self, *, what: str, result: str) -> None:
         """Count a call to the platform."""
         self._calls.inc({"what": what, "result": result})
@@ -103,6 +112,7 @@
         view: Configuration and endpoints in force.
         loads: Requests in flight.
         repeats: What repeats cost.
+        crashes: Under which requests endpoints ended.
         directory: The other routers.
         follower: Knows how long ago the platform was heard from.
     """
@@ -110,6 +120,7 @@
     view: FleetView
     loads: LoadBook
     repeats: SharedRepeats
+    crashes: CrashBook
     directory: PeerDirectory
     follower: Follower
 
@@ -142,6 +153,10 @@
             name="repeats_left",
             doc="Repeats that this router may make now, by service.",
         )
+        self._suspects = gauge(
+            name="requests_suspected",
+            doc="Requests under which an endpoint ended of late, and those blocked.",
+        )
         self._peers = gauge(name="peers", doc="Other routers that are heard.")
         self._memory = gauge(name="memory_bytes", doc="Resident memory.")
 
@@ -156,6 +171,8 @@
         for what, age in ages.items():
             self._age.set({"what": what}, age if math.isfinite(age) else math.nan)
         self._set_endpoints()
+        self._suspects.set({"state": "suspected"}, observed.crashes.suspects)
+        self._suspects.set({"state": "blocked"}, observed.crashes.blocked)
         self._peers.set({}, len(observed.directory.alive))
         self._memory.set({}, _resident_bytes())
         return self._registry.render()
--- a/dotterelpaddle/forwarding/parts.py
+++ b/dotterelpaddle/forwarding/parts.py
@@ -10,6 +10,9 @@
 from dotterelpaddle.forwarding.attempts import Attempts
 from dotterelpaddle.forwarding.caches import CacheMap
 from dotterelpaddle.forwarding.client import ForwardClient
+from dotterelpaddle.forwarding.crash_guard import CrashGuard
+from dotterelpaddle.forwarding.crashes import CrashBook
+from dotterelpaddle.forwarding.endings import Endings
 from dotterelpaddle.forwarding.filters import FindRoute, Forward, KeepDeadline
 from dotterelpaddle.forwarding.follower import Follower
 from dotterelpaddle.forwarding.health import HealthBook
@@ -83,6 +86,7 @@
         health: Results of requests.
         signs: Signs of life of endpoints.
         caches: Where parts of prompts are.
+        crashes: Under which requests endpoints ended.
         repeats: What repeats cost.
         directory: The other routers.
     """
@@ -93,6 +97,7 @@
     health: HealthBook
     signs: EndpointSigns
     caches: CacheMap
+    crashes: CrashBook
     repeats: SharedRepeats
     directory: PeerDirectory
 
@@ -108,6 +113,7 @@
         client: Client of endpoints.
         follower: Reads from the source.
         reachability: Tries connections to endpoints that could not be reached.
+        endings: Finds out whether endpoints that broke off have ended.
         isolation: Tells whether other routers serve callers better.
         exchange: Exchanges reports with other routers.
         owners: Exchanges questions and counts with owners of shards.
@@ -121,6 +127,7 @@
     client: ForwardClient
     follower: Follower
     reachability: Reachability
+    endings: Endings
     isolation: Isolation
     exchange: PeerExchange
     owners: OwnerExchange
@@ -173,6 +180,12 @@
         failure_domain=settings.failure_domain,
         clock=clock,
     )
+    endings = Endings(
+        backend=backend,
+        reachability=reachability,
+        crashes=knowledge.crashes,
+        clock=clock,
+    )
     isolation = Isolation(
         view=knowledge.view,
         reachability=reachability,
@@ -221,6 +234,12 @@
         health=knowledge.health,
         reachability=reachability,
         caches=knowledge.caches,
+        guard=CrashGuard(
+            crashes=knowledge.crashes,
+            endings=endings,
+            metrics=metrics,
+            clock=clock,
+        ),
         repeats=knowledge.repeats,
         waits=WaitBook(),
         metrics=metrics,
@@ -245,6 +264,7 @@
         client=client,
         follower=follower,
         reachability=reachability,
+        endings=endings,
         isolation=isolation,
         exchange=PeerExchange(
             view=knowledge.view,
@@ -252,6 +272,7 @@
             repeats=knowledge.repeats,
             shares=knowledge.shares,
             caches=knowledge.caches,
+            crashes=knowledge.crashes,
             directory=directory,
             plan=ReportPlan(directory=directory, shares=knowledge.shares),
             word=word,
@@ -267,6 +288,7 @@
                 view=knowledge.view,
                 loads=knowledge.loads,
                 repeats=knowledge.repeats,
+                crashes=knowledge.crashes,
                 directory=directory,
                 follower=follower,
             ),
@@ -317,6 +339,7 @@
         health=HealthBook(clock=clock),
         signs=EndpointSigns(clock=clock),
         caches=caches,
+        crashes=CrashBook(clock=clock),
         repeats=SharedRepeats(
             limits=settings.repeats,
             shares=shares,
--- /dev/null
+++ b/dotterelpaddle/forwarding/progress.py
@@ -0,0 +1,83 @@
+"""How far the attempts at one request have got."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from dotterelpaddle.dispatch.outcome import AttemptState
+from dotterelpaddle.endpoint.evidence import Evidence
+from dotterelpaddle.exceptions import EndpointUnreachable
+from dotterelpaddle.forwarding.exceptions import IdleConnectionLost
+from dotterelpaddle.forwarding.waits import CONNECT_TIME, SECOND_CONNECT_TIME
+
+if TYPE_CHECKING:
+    from dotterelpaddle.clock import Clock
+    from dotterelpaddle.dispatch.outcome import Attempt
+    from dotterelpaddle.exceptions import EndpointError
+    from dotterelpaddle.forwarding.loads import Held
+    from dotterelpaddle.ids import EndpointId
+
+
+class Tried:
+    """The endpoints that a request was meant for so far."""
+
+    def __init__(self) -> None:
+        self._asked: set[EndpointId] = set()
+        self._unconnected: set[EndpointId] = set()
+
+    @property
+    def asked(self) -> frozenset[EndpointId]:
+        """Those that got it or said no."""
+        return frozenset(self._asked)
+
+    @property
+    def unconnected(self) -> frozenset[EndpointId]:
+        """Those whose connection did not stand in time, asked once each."""
+        return frozenset(self._unconnected)
+
+    @property
+    def excluded(self) -> frozenset[EndpointId]:
+        """All of them."""
+        return self.asked | self.unconnected
+
+    def add(self, *, endpoint: EndpointId, failure: EndpointError) -> None:
+        """Take in how an attempt failed."""
+        match failure:
+            case IdleConnectionLost():
+                pass
+            case EndpointUnreachable(silent=True) if endpoint not in self._unconnected:
+                self._unconnected.add(endpoint)
+            case _:
+                self._asked.add(endpoint)
+                self._unconnected.discard(endpoint)
+
+    def connect_time(self, *, endpoint: EndpointId) -> float:
+        """Seconds until a connection to an endpoint must stand."""
+        return SECOND_CONNECT_TIME if endpoint in self._unconnected else CONNECT_TIME
+
+
+class Progress:
+    """When things were seen of one attempt.
+
+    Args:
+        attempt: The attempt.
+        clock: Monotonic clock.
+    """
+
+    def __init__(self, *, attempt: Attempt, clock: Clock) -> None:
+        self.attempt = attempt
+        self.begun_at = clock()
+        self.first_byte: float | None = None
+        self.held: Held | None = None
+        self._clock = clock
+
+    def observe(self, evidence: Evidence) -> None:
+        """Take in a piece of evidence."""
+        self.attempt.observe(evidence)
+        if evidence is Evidence.ANSWER_BEGUN and self.attempt.state in (
+            AttemptState.ANSWERING,
+            AttemptState.ANSWERED,
+        ):
+            self.first_byte = self._clock() - self.begun_at
+            if self.held is not None:
+                self.held.begun()
--- a/dotterelpaddle/forwarding/reachability.py
+++ b/dotterelpaddle/forwarding/reachability.py
@@ -9,6 +9,7 @@
 
 from __future__ import annotations
 
+from enum import Enum
 from typing import TYPE_CHECKING
 
 import anyio
@@ -19,6 +20,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
+    from dotterelpaddle.address import Address
     from dotterelpaddle.clock import Clock
     from dotterelpaddle.forwarding.model import EndpointEntry
     from dotterelpaddle.forwarding.view import FleetView
@@ -39,6 +41,14 @@
 """Seconds between two tries of a connection to one endpoint."""
 
 
+class Connecting(Enum):
+    """What became of a try to connect to an endpoint."""
+
+    STANDS = "stands"
+    REFUSED = "refused"
+    SILENT = "silent"
+
+
 class Reachability:
     """Which endpoints can't be reached.
 
@@ -146,12 +156,27 @@
         )
 
     async def _connects(self, *, entry: EndpointEntry, seconds: float) -> bool:
-        address = entry.address
-        try:
-            stream = await self._backend.connect_tcp(
-                address.host, address.port, seconds
-            )
-        except (httpcore.ConnectError, httpcore.ConnectTimeout):
-            return False
-        await stream.aclose()
-        return True
+        tried = await try_connection(
+            backend=self._backend, address=entry.address, seconds=seconds
+        )
+        return tried is Connecting.STANDS
+
+
+async def try_connection(
+    *, backend: LinkedBackend, address: Address, seconds: float
+) -> Connecting:
+    """Open a connection to an endpoint, and close it again.
+
+    Args:
+        backend: Opens connections.
+        address: Where the endpoint listens.
+        seconds: Time in which it must stand.
+    """
+    try:
+        stream = await backend.connect_tcp(address.host, address.port, seconds)
+    except httpcore.ConnectError:
+        return Connecting.REFUSED
+    except httpcore.ConnectTimeout:
+        return Connecting.SILENT
+    await stream.aclose()
+    return Connecting.STANDS
--- a/dotterelpaddle/peers/exchange.py
+++ b/dotterelpaddle/peers/exchange.py
@@ -27,6 +27,7 @@
     from collections.abc import Mapping
 
     from dotterelpaddle.forwarding.caches import CacheMap
+    from dotterelpaddle.forwarding.crashes import CrashBook
     from dotterelpaddle.forwarding.follower import Follower
     from dotterelpaddle.forwarding.loads import LoadBook
     from dotterelpaddle.forwarding.repeats import SharedRepeats
@@ -75,6 +76,7 @@
         repeats: What repeats cost.
         shares: What other routers told of theirs.
         caches: Where parts of prompts are.
+        crashes: Under which requests endpoints ended.
         directory: The other routers.
         plan: Who is told what.
         word: What other routers vouch for.
@@ -92,6 +94,7 @@
         repeats: SharedRepeats,
         shares: ShareBook,
         caches: CacheMap,
+        crashes: CrashBook,
         directory: PeerDirectory,
         plan: ReportPlan,
         word: PeersWord,
@@ -106,6 +109,7 @@
         self._repeats = repeats
         self._shares = shares
         self._caches = caches
+        self._crashes = crashes
         self._directory = directory
         self._plan = plan
         self._word = word
@@ -130,15 +134,23 @@
             tasks.start_soon(self._report_regularly, datagrams, control)
 
     async def _report_regularly(self, datagrams: Datagrams, control: Address) -> None:
-        while True:
-            await self._report_to_all(datagrams, control)
-            await anyio.sleep(REPORT_PAUSE * self._generator.uniform(0.9, 1.1))
+        try:
+            while True:
+                await self._report_to_all(datagrams, control)
+                await anyio.sleep(REPORT_PAUSE * self._generator.uniform(0.9, 1.1))
+        finally:
+            # What was seen since the last report would end with this router.
+            with anyio.CancelScope(shield=True):
+                await self._report_to_all(datagrams, control)
 
     async def _report_to_all(self, datagrams: Datagrams, control: Address) -> None:
         self._rounds += 1
         recipients = self._plan.recipients()
         names_due = self._rounds <= PEERS_EVERY or self._rounds % PEERS_EVERY == 1
-        base = self._report(control=control, names=self._names() if names_due else ())
+        base = replace(
+            self._report(control=control, names=self._names() if names_due else ()),
+            crashes=tuple(self._crashes.news()),
+        )
         uses = {origin: self._caches.news(origin=origin) for origin in Origin}
         written: dict[tuple[Scope, Ask], bytes] = {}
         for recipient in recipients:
@@ -279,7 +291,9 @@
             share=report.share,
             ask=report.ask,
         )
-        self._caches.hear(uses=report.uses, pass_on=self._origin(report=report))
+        origin = self._origin(report=report)
+        self._caches.hear(uses=report.uses, pass_on=origin)
+        self._crashes.hear(notes=report.crashes, pass_on=origin is not None)
         return not known or report.ask is Ask.ANSWER
 
     def _origin(self, *, report: PeerReport) -> Origin | None:
--- a/dotterelpaddle/peers/messages.py
+++ b/dotterelpaddle/peers/messages.py
@@ -19,6 +19,7 @@
     RouterId,
     ServiceName,
 )
+from dotterelpaddle.peers.crash_notes import decode_notes, encode_notes
 from dotterelpaddle.peers.starts import ToldStarts, heard_endpoints
 
 if TYPE_CHECKING:
@@ -26,6 +27,7 @@
     from typing import Any
 
     from dotterelpaddle.forwarding.caches import Use
+    from dotterelpaddle.forwarding.crashes import CrashNote
 
 FORMAT = 3
 """Version of the format; reports of another one are dropped and counted."""
@@ -42,6 +44,9 @@
 LEAVING = 22
 """Place of whether the sender is stopping, which earlier releases lack as well."""
 
+CRASHES = 23
+"""Place of requests under which endpoints ended, which earlier releases lack."""
+
 MOST_PEERS_TOLD = 16
 """Routers named in one report, so that it stays in one packet."""
 
@@ -90,6 +95,7 @@
         peers: Routers that it hears.
         owners: Routers that count what is in flight, one for a failure domain.
         leaving: Whether it is stopping, and others should take over what it does.
+        crashes: Under which requests endpoints ended.
     """
 
     router: RouterId
@@ -112,6 +118,7 @@
     peers: tuple[PeerName, ...] = ()
     owners: tuple[PeerName, ...] = ()
     leaving: bool = False
+    crashes: tuple[CrashNote, ...] = ()
 
 
 def encode_report(*, report: PeerReport) -> bytes:
@@ -169,6 +176,7 @@
             },
             [_peer_fields(owner) for owner in report.owners],
             report.leaving,
+            encode_notes(notes=report.crashes),
         ]
     )
 
@@ -196,6 +204,7 @@
         starts = fields[STARTS] if len(fields) > STARTS else ()
         reading = fields[READING] if len(fields) > READING else {}
         owners = fields[OWNERS] if len(fields) > OWNERS else ()
+        crashes = fields[CRASHES] if len(fields) > CRASHES else ()
         endpoints = heard_endpoints(
             names=[*fields[12][2], *reading, *(name for _, name in uses)],
             starts=starts,
@@ -225,6 +234,7 @@
             peers=tuple(_peer(peer) for peer in fields[18]),
             owners=tuple(_peer(owner) for owner in owners),
             leaving=len(fields) > LEAVING and bool(fields[LEAVING]),
+            crashes=decode_notes(fields=crashes),
         )
     except (
         orjson.JSONDecodeError,
--- a/dotterelpaddle/tests/forwarding/crash_callers.py
+++ b/dotterelpaddle/tests/forwarding/crash_callers.py
@@ -138,15 +138,17 @@
                 return
             await anyio.sleep(min(answer.retry_after or 0.0, PATIENCE / 3))
 
-    async def send_culprit(self, *, pause: float, seconds: float) -> None:
-        """Send the culprit again and again, whatever became of it before."""
+    async def send_culprit(
+        self, *, pause: float, seconds: float, path: str = "/stream/again/"
+    ) -> None:
+        """Send a culprit again and again, whatever became of it before."""
         until = anyio.current_time() + seconds
         while anyio.current_time() < until:
-            self._world.tasks.start_soon(self._culprit)
+            self._world.tasks.start_soon(self._culprit, path + CULPRIT)
             await anyio.sleep(pause)
 
-    async def _culprit(self) -> None:
-        answer = await self.call(CULPRIT, body=b"culprit")
+    async def _culprit(self, path: str) -> None:
+        answer = await self.call(path, body=b"culprit")
         self.statuses[answer.status] += 1
 
 
--- a/dotterelpaddle/tests/forwarding/crash_world.py
+++ b/dotterelpaddle/tests/forwarding/crash_world.py
@@ -22,7 +22,13 @@
 from dotterelpaddle.platform.documents import PlatformDocuments
 from dotterelpaddle.platform.names import Header
 from dotterelpaddle.platform.protocols import PlatformProtocols
-from dotterelpaddle.standins.runner import Behaviour, Received, RunnerStandin, Serve
+from dotterelpaddle.standins.runner import (
+    STREAM_PATH,
+    Behaviour,
+    Received,
+    RunnerStandin,
+    Serve,
+)
 from dotterelpaddle.tests.forwarding.harness import SERVICE, configuration
 from dotterelpaddle.tests.memory_network import MemoryNetwork
 from dotterelpaddle.tests.owners.hosts import (
@@ -40,8 +46,8 @@
 
     from dotterelpaddle.forwarding.parts import Parts
 
-CULPRIT = "/stream/again/culprit"
-"""The request under which endpoints end; no other request asks for this."""
+CULPRIT = "culprit"
+"""How the path of a request ends under which endpoints end."""
 
 SLOTS = 8
 EVENTS, EVENT_TIME = 5, 0.1
@@ -71,10 +77,12 @@
     Attributes:
         at: When, on the loop's clock.
         endpoint: The endpoint's name.
+        target: Its path.
     """
 
     at: float
     endpoint: str
+    target: str
 
 
 class Engine(RunnerStandin):
@@ -92,18 +100,18 @@
         if request.headers[Header.EXPECTED_ENDPOINT] != self.name.encode():
             await stream.send(self._whole(request, status=421, sealed=False))
             return True
-        culprit = request.target == CULPRIT.encode()
+        culprit = request.target.endswith(CULPRIT.encode())
         if culprit:
-            self._world.note_arrival(engine=self)
+            self._world.note_arrival(engine=self, target=request.target.decode())
         async with self._slots:
             if not culprit:
                 return await super()._answer(stream, request, behaviour or Serve())
             self.runs.append(request)
-            await stream.send(
-                self._head(request, framing=b"transfer-encoding: chunked")
-            )
+            if request.target.startswith(STREAM_PATH):
+                head = self._head(request, framing=b"transfer-encoding: chunked")
+                await stream.send(head)
             await anyio.sleep(BEGIN_TIME)
-            self._world.end_engine(engine=self, by_culprit=True)
+            self._world.end_engine(engine=self, under=request.target.decode())
         return False
 
 
@@ -122,9 +130,10 @@
     seed: int = 1
     hosts: list[Router] = field(default_factory=list)
     arrivals: list[Arrival] = field(default_factory=list)
-    ended: list[float] = field(default_factory=list)
+    ended: dict[str, list[float]] = field(default_factory=dict)
 
     def __post_init__(self) -> None:
+        self.cut_off: frozenset[Router] = frozenset()
         self.dice = random.Random(self.seed)
         self.network = MemoryNetwork()
         self.tasks: TaskGroup
@@ -146,16 +155,31 @@
         return list(self._live.values())
 
     def later_than(self, *, seconds: float) -> int:
-        """Count sends of the culprit some seconds after the third end under it."""
-        if len(self.ended) < 3:
+        """Count sends of a culprit some seconds after the third end under it.
+
+        The greatest count, if there are several culprits.
+        """
+        return max(
+            (self._later_than(target, seconds) for target in self.ended if target),
+            default=0,
+        )
+
+    def _later_than(self, target: str, seconds: float) -> int:
+        ends = self.ended[target]
+        if len(ends) < 3:
             return 0
-        return sum(each.at > self.ended[2] + seconds for each in self.arrivals)
+        return sum(
+            each.target == target and each.at > ends[2] + seconds
+            for each in self.arrivals
+        )
 
     # Endpoints.
 
-    def note_arrival(self, *, engine: Engine) -> None:
-        """Note that the culprit has reached an endpoint."""
-        self.arrivals.append(Arrival(at=anyio.current_time(), endpoint=engine.name))
+    def note_arrival(self, *, engine: Engine, target: str) -> None:
+        """Note that a culprit has reached an endpoint."""
+        self.arrivals.append(
+            Arrival(at=anyio.current_time(), endpoint=engine.name, target=target)
+        )
 
     def start_engine(self, *, address: Address, domain: FailureDomain) -> Engine:
         """Start an endpoint and let it register."""
@@ -170,13 +194,12 @@
         self._announce(names=(name,), within=START_NEWS_TIME)
         return engine
 
-    def end_engine(self, *, engine: Engine, by_culprit: bool = False) -> None:
-        """End an endpoint; it starts again after a while."""
+    def end_engine(self, *, engine: Engine, under: str = "") -> None:
+        """End an endpoint, alone or under a culprit; it starts again after a while."""
         if engine.name not in self._live:
             return
         del self._live[engine.name]
-        if by_culprit:
-            self.ended.append(anyio.current_time())
+        self.ended.setdefault(under, []).append(anyio.current_time())
         self.tasks.start_soon(self._start_again, engine)
         self.network.end(address=engine.address)
 
@@ -219,6 +242,7 @@
             tasks.start_soon(parts.exchange.run, datagrams, host.address)
             tasks.start_soon(parts.owners.run, datagrams)
             tasks.start_soon(parts.reachability.run)
+            tasks.start_soon(parts.endings.run)
             self._tell(parts, names=tuple(self._entries), whole=True)
             parts.knowledge.caches.mark_known()
             await host.stopping.wait()
@@ -239,7 +263,7 @@
 
     def reaches(self, sender: Router, target: Router) -> bool:
         """Tell whether packets pass between two routers."""
-        return True
+        return (sender in self.cut_off) == (target in self.cut_off)
 
     def _announce(
         self,
--- a/dotterelpaddle/tests/forwarding/test_crash_incident.py
+++ b/dotterelpaddle/tests/forwarding/test_crash_incident.py
@@ -20,7 +20,7 @@
 import pytest
 
 from dotterelpaddle.tests.forwarding.crash_callers import PATIENCE, Callers
-from dotterelpaddle.tests.forwarding.crash_world import CrashWorld, play
+from dotterelpaddle.tests.forwarding.crash_world import KNOW_TIME, CrashWorld, play
 from dotterelpaddle.tests.virtual_time import run_in_virtual_time
 
 SPREAD_TIME = 3.0
@@ -35,9 +35,17 @@
 SECONDS = 30.0
 
 
-async def _comes_again(world: CrashWorld, callers: Callers, *, pause: float) -> None:
+CUT_TIME = 8.0
+"""Seconds for which some routers are cut off from the others."""
+
+CUT_ENDS = KNOW_TIME + CUT_TIME
+
+
+async def _comes_again(
+    world: CrashWorld, callers: Callers, *, pause: float, path: str = "/stream/again/"
+) -> None:
     world.tasks.start_soon(
-        partial(callers.send_culprit, pause=pause, seconds=SECONDS), name="culprit"
+        partial(callers.send_culprit, pause=pause, seconds=SECONDS, path=path)
     )
     await callers.send_others(rate=RATE, seconds=SECONDS)
     await anyio.sleep(PATIENCE)
@@ -64,6 +72,65 @@
     assert world.later_than(seconds=SPREAD_TIME) <= ALLOWED
 
 
+@pytest.mark.parametrize("path", ["/safe/", "/unsafe/", "/stream/"])
+def test_request_of_any_kind_that_crashes_endpoints_soon_gets_to_none(
+    path: str,
+) -> None:
+    """Guards against blame that only streams which may go on elsewhere can get."""
+    world, _ = _play(partial(_comes_again, pause=0.5, path=path), seed=3)
+
+    assert world.later_than(seconds=SPREAD_TIME) <= ALLOWED
+
+
+def test_large_fleet_learns_through_aggregators() -> None:
+    """Guards against news that only a fleet in which all report to all spreads."""
+    script = partial(_comes_again, pause=0.25)
+    world, _ = _play(script, seed=4, routers=30, engines=12)
+
+    assert world.later_than(seconds=SPREAD_TIME) <= ALLOWED
+
+
+def test_routers_that_saw_the_ends_may_stop() -> None:
+    """Guards against knowledge that ends with the routers that gained it."""
+
+    async def _routers_stop(world: CrashWorld, callers: Callers) -> None:
+        world.tasks.start_soon(_stop_in_turn, world)
+        await _comes_again(world, callers, pause=0.25)
+
+    world, _ = _play(_routers_stop, seed=5)
+
+    assert world.later_than(seconds=SPREAD_TIME) <= ALLOWED
+
+
+def test_sides_of_a_cut_agree_after_it() -> None:
+    """Guards against a request that goes on where the ends were not seen."""
+
+    async def _cut(world: CrashWorld, callers: Callers) -> None:
+        world.cut_off = frozenset(world.hosts[:3])
+        world.tasks.start_soon(_heal, world)
+        await _comes_again(world, callers, pause=0.25)
+
+    world, _ = _play(_cut, seed=6)
+
+    late = [each for each in world.arrivals if each.at > CUT_ENDS + SPREAD_TIME]
+    assert len(late) <= ALLOWED
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_nobody_is_blocked_while_endpoints_crash_by_themselves(seed: int) -> None:
+    """Guards against blame for requests that were there when an endpoint crashed."""
+
+    async def _crashes(world: CrashWorld, callers: Callers) -> None:
+        world.tasks.start_soon(_crash_in_series, world)
+        await callers.send_others(rate=RATE, seconds=20.0)
+        await anyio.sleep(PATIENCE)
+
+    world, _ = _play(_crashes, seed=seed, engines=9, routers=3)
+
+    books = [host.parts.knowledge.crashes for host in world.hosts if host.parts]
+    assert [book.blocked for book in books] == [0, 0, 0]
+
+
 def test_nobody_is_refused_while_no_request_crashes_endpoints() -> None:
     async def _calm(world: CrashWorld, callers: Callers) -> None:
         await callers.send_others(rate=RATE, seconds=10.0)
@@ -73,3 +140,23 @@
 
     assert callers.others.share == 1.0
     assert callers.others.refused == 0
+
+
+async def _stop_in_turn(world: CrashWorld) -> None:
+    await anyio.sleep(2.0)
+    for host in world.hosts:
+        host.stopping.set()
+        await anyio.sleep(1.0)
+
+
+async def _heal(world: CrashWorld) -> None:
+    await anyio.sleep(CUT_TIME)
+    world.cut_off = frozenset()
+
+
+async def _crash_in_series(world: CrashWorld) -> None:
+    """Let 25 endpoints crash within 20 seconds, and one live at least."""
+    for _ in range(25):
+        await anyio.sleep(world.dice.expovariate(25 / 20.0))
+        if len(world.live) > 1:
+            world.end_engine(engine=world.dice.choice(world.live))
--- /dev/null
+++ b/dotterelpaddle/tests/forwarding/test_endings.py
@@ -0,0 +1,106 @@
+"""Endpoints that ended are told from those that lost one answer."""
+
+from __future__ import annotations
+
+from contextlib import asynccontextmanager
+from typing import TYPE_CHECKING
+
+import anyio
+import pytest
+from anyio.abc import SocketAttribute
+
+from dotterelpaddle.address import Address
+from dotterelpaddle.clock import monotonic
+from dotterelpaddle.exceptions import RequestBlocked
+from dotterelpaddle.forwarding.crashes import MOST_ENDED, CrashBook
+from dotterelpaddle.forwarding.endings import Endings
+from dotterelpaddle.forwarding.model import EndpointState
+from dotterelpaddle.forwarding.reachability import Reachability
+from dotterelpaddle.forwarding.view import FleetView
+from dotterelpaddle.ids import FailureDomain, Fingerprint
+from dotterelpaddle.links import Links
+from dotterelpaddle.network import LinkedBackend
+from dotterelpaddle.tests.forwarding.entries import make_entry
+from dotterelpaddle.tests.forwarding.harness import until
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+pytestmark = pytest.mark.anyio
+
+CULPRIT = Fingerprint("culprit")
+CLOSED = Address(host="127.0.0.1", port=1)
+
+
+class Looked:
+    """Looks at endpoints, and what came of it."""
+
+    def __init__(self) -> None:
+        backend = LinkedBackend(links=Links())
+        self.crashes = CrashBook(clock=monotonic)
+        self.reachability = Reachability(
+            view=FleetView(clock=monotonic),
+            backend=backend,
+            failure_domain=FailureDomain("here"),
+            clock=monotonic,
+        )
+        self.endings = Endings(
+            backend=backend,
+            reachability=self.reachability,
+            crashes=self.crashes,
+            clock=monotonic,
+        )
+
+    def broke_off(self, *, address: Address, **fields: object) -> None:
+        """Let some endpoints at an address break off under one request."""
+        for number in range(MOST_ENDED):
+            self.endings.broke_off(
+                entry=make_entry(f"engine-{number}", address=address, **fields),
+                fingerprint=CULPRIT,
+                begun=True,
+            )
+
+    @property
+    def is_blocked(self) -> bool:
+        """Whether the request is blocked."""
+        try:
+            self.crashes.check(fingerprint=CULPRIT)
+        except RequestBlocked:
+            return True
+        return False
+
+
+@asynccontextmanager
+async def _looking() -> AsyncIterator[Looked]:
+    looked = Looked()
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(looked.endings.run)
+        yield looked
+        tasks.cancel_scope.cancel()
+
+
+async def test_endpoints_that_refuse_connections_have_ended() -> None:
+    async with _looking() as looked:
+        looked.broke_off(address=CLOSED)
+        await until(lambda: looked.is_blocked)
+
+    entry = make_entry("engine-0", address=CLOSED)
+    assert looked.reachability.reachable(entries=[entry]) == []
+
+
+async def test_endpoints_that_lost_an_answer_have_not() -> None:
+    """Guards against refusals to callers where answers are lost and nothing ends."""
+    async with await anyio.create_tcp_listener(local_host="127.0.0.1") as listener:
+        port = listener.extra(SocketAttribute.local_port)
+        async with _looking() as looked:
+            looked.broke_off(address=Address(host="127.0.0.1", port=port))
+            await until(lambda: not looked.endings._waiting)
+
+    assert looked.crashes.suspects == 0
+
+
+async def test_end_of_an_endpoint_that_was_leaving_says_nothing() -> None:
+    async with _looking() as looked:
+        looked.broke_off(address=CLOSED, state=EndpointState.DRAINING)
+
+        assert not looked.endings._waiting
--- a/dotterelpaddle/tests/peers/test_messages.py
+++ b/dotterelpaddle/tests/peers/test_messages.py
@@ -8,10 +8,12 @@
 
 from dotterelpaddle.address import Address
 from dotterelpaddle.exceptions import ControlError
+from dotterelpaddle.forwarding.crashes import CrashNote, NoteKind
 from dotterelpaddle.forwarding.shares import Ask, RepeatCounts, Scope, Share
 from dotterelpaddle.ids import (
     EndpointId,
     FailureDomain,
+    Fingerprint,
     Revision,
     RouterId,
     ServiceName,
@@ -25,6 +27,7 @@
     PeerDirectory,
 )
 from dotterelpaddle.peers.messages import (
+    CRASHES,
     MOST_PEERS_TOLD,
     STARTS,
     PeerName,
@@ -90,6 +93,44 @@
     assert decode_report(datagram=encode_report(report=_report())) == _report()
 
 
+def test_notes_of_crashes_survive_the_wire() -> None:
+    notes = (
+        CrashNote(
+            kind=NoteKind.ENDED,
+            fingerprint=Fingerprint("f"),
+            endpoint=EndpointId("a@1"),
+            age=1.5,
+            begun=True,
+        ),
+        CrashNote(
+            kind=NoteKind.ENDED,
+            fingerprint=Fingerprint("f"),
+            endpoint=EndpointId("a@2"),
+        ),
+        CrashNote(kind=NoteKind.SERVED, fingerprint=Fingerprint("g")),
+    )
+    report = _report(crashes=notes)
+
+    assert decode_report(datagram=encode_report(report=report)) == report
+
+
+def test_notes_that_only_later_releases_know_are_passed_over() -> None:
+    fields = orjson.loads(encode_report(report=_report()))
+    fields[CRASHES] = [["later", "f", None, 0, False, 1]]
+
+    decoded = decode_report(datagram=orjson.dumps(fields))
+
+    assert decoded == _report()
+
+
+def test_report_of_an_earlier_release_tells_no_crashes() -> None:
+    fields = orjson.loads(encode_report(report=_report()))
+
+    decoded = decode_report(datagram=orjson.dumps(fields[:CRASHES]))
+
+    assert decoded.crashes == ()
+
+
 def test_names_in_a_report_are_bounded() -> None:
     many = tuple(_name("10.0.0.1", port=port) for port in range(1, 100))
 
