Log what endpoints say of themselves beside answers

Change: the header of leaving and the time of Retry-After (seconds, with a fraction, or a date) are decoded in the adapter and told by endpoint_said. Nobody acts on them yet. An answer of another endpoint at the address, or to another request, says nothing of the one that was asked.

--- a/dotterelpaddle/forwarding/client.py
+++ b/dotterelpaddle/forwarding/client.py
@@ -21,6 +21,7 @@
     Step,
 )
 from dotterelpaddle.forwarding.exceptions import EndpointReplaced, IdleConnectionLost
+from dotterelpaddle.logs import get_logger
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -39,6 +40,8 @@
     from dotterelpaddle.ids import EndpointId
     from dotterelpaddle.network import LinkedBackend
 
+log = get_logger(name=__name__)
+
 MAX_ANSWER = 8 * 1024 * 1024
 """Bytes of an answer that is read whole; the largest known take a few KB."""
 
@@ -204,7 +207,9 @@
             head = self._protocols.read_answer(
                 status=response.status, headers=response.headers
             )
-            _check(head=head, call=call, reused=connection.reused)
+            _check_answers(head=head, call=call, reused=connection.reused)
+            self._heed(head=head, call=call)
+            _check_executed(head=head, call=call)
             yield ForwardAnswer(
                 head=head,
                 response=response,
@@ -218,6 +223,18 @@
                     await response.aclose()
                 await _release(pool=pool, connection=connection)
 
+    def _heed(self, *, head: AnswerHead, call: ForwardCall) -> None:
+        """Take in what the endpoint says of itself beside its answer."""
+        if head.leaving or head.retry_after is not None:
+            log.info(
+                "endpoint_said",
+                endpoint=call.entry.endpoint,
+                request_id=call.request.request_id,
+                status=head.status,
+                leaving=head.leaving,
+                retry_after=head.retry_after,
+            )
+
     def _more_time(self, call: ForwardCall, sent_at: float) -> float:
         """Seconds that a request whose time is up waits on, 0 to give it up."""
         if not self._signs.is_slow(endpoint=call.entry.endpoint, sent_at=sent_at):
@@ -298,7 +315,14 @@
         )
 
 
-def _check(*, head: AnswerHead, call: ForwardCall, reused: bool) -> None:
+def _check_answers(*, head: AnswerHead, call: ForwardCall, reused: bool) -> None:
+    """Check that the endpoint that was meant answers the request that it got.
+
+    Raises:
+        IdleConnectionLost: If it is a late answer on a kept connection.
+        ForeignAnswer: If it answers another request.
+        EndpointReplaced: If another endpoint has the address.
+    """
     endpoint = call.entry.endpoint
     refused = head.not_executed or head.wrong_endpoint
     if head.request_id != call.request.request_id and (head.request_id or not refused):
@@ -311,9 +335,19 @@
     if head.wrong_endpoint:
         call.observe(Evidence.REFUSED)
         raise EndpointReplaced("another endpoint has its address", peer=endpoint)
+
+
+def _check_executed(*, head: AnswerHead, call: ForwardCall) -> None:
+    """Note that the answer has begun.
+
+    Raises:
+        EndpointRefused: If the endpoint promised not to run the request.
+    """
     if head.not_executed:
         call.observe(Evidence.REFUSED)
-        raise EndpointRefused(f"refused with status {head.status}", peer=endpoint)
+        raise EndpointRefused(
+            f"refused with status {head.status}", peer=call.entry.endpoint
+        )
     call.observe(Evidence.ANSWER_BEGUN)
 
 
--- a/dotterelpaddle/forwarding/interface.py
+++ b/dotterelpaddle/forwarding/interface.py
@@ -96,6 +96,9 @@
         not_executed: Whether it promises that the request has not run.
         wrong_endpoint: Whether another endpoint than the one meant answered.
         encoded: Whether the body is not as callers asked for it.
+        leaving: Whether the endpoint says that it leaves.
+        retry_after: Seconds for which the endpoint asks to be left alone, None if it
+            does not.
     """
 
     status: int
@@ -105,6 +108,8 @@
     not_executed: bool
     wrong_endpoint: bool
     encoded: bool
+    leaving: bool = False
+    retry_after: float | None = None
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/dotterelpaddle/platform/names.py
+++ b/dotterelpaddle/platform/names.py
@@ -17,6 +17,11 @@
     # Proof that an endpoint made the answer; callers check it, we do not.
     SEAL = b"x-dotterelpaddle-runner-seal"
     NOT_EXECUTED = b"x-dotterelpaddle-not-executed"
+    # Said of the start of the endpoint that answers, not of its service or address.
+    LEAVING = b"server-leaving"
+    # Beside a refusal: how long the endpoint wants nothing from this router at all,
+    # not only when to send this request again.
+    RETRY_AFTER = b"retry-after"
     MODEL = b"x-dotterelpaddle-model"
     PROMPT = b"x-dotterelpaddle-prompt-prefix"
     RANK = b"x-dotterelpaddle-request-priority"
--- a/dotterelpaddle/platform/protocols.py
+++ b/dotterelpaddle/platform/protocols.py
@@ -15,6 +15,7 @@
 )
 from dotterelpaddle.ids import ModelId, RequestId
 from dotterelpaddle.platform.names import HOP_BY_HOP, OURS_ALONE, Header
+from dotterelpaddle.platform.retry_after import decode_retry_after
 
 if TYPE_CHECKING:
     from collections.abc import Mapping, Sequence
@@ -22,6 +23,9 @@
 MISDIRECTED = 421
 LOWEST_RANK = 9
 
+SAID = "1"
+"""Value of a header that says yes."""
+
 _PART = re.compile(r"\s*([0-9a-fA-F]+):(\d+)\s*")
 
 
@@ -94,6 +98,8 @@
             not_executed=Header.NOT_EXECUTED in by_name,
             wrong_endpoint=status == MISDIRECTED,
             encoded=b"content-encoding" in by_name,
+            leaving=_text(by_name, Header.LEAVING) == SAID,
+            retry_after=decode_retry_after(headers=by_name),
         )
 
 
--- a/dotterelpaddle/standins/runner.py
+++ b/dotterelpaddle/standins/runner.py
@@ -41,9 +41,11 @@
 
     Attributes:
         status: The status of its answer.
+        retry_after: The time that it asks to be left alone, empty for none.
     """
 
     status: int = 503
+    retry_after: bytes = b""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -173,6 +175,7 @@
         name: Its name, which its answers hold.
         events: Events of a stream.
         pause: Seconds before each event.
+        leaving: Whether its answers say that it leaves.
         plan: What it does with the next requests; `Serve` afterwards.
         received: All requests that came in.
         runs: Requests that it ran.
@@ -182,6 +185,7 @@
     name: str
     events: int = 5
     pause: float = 0.0
+    leaving: bool = False
     plan: deque[Behaviour] = field(default_factory=deque)
     received: list[Received] = field(default_factory=list)
     runs: list[Received] = field(default_factory=list)
@@ -227,8 +231,10 @@
     ) -> bool:
         """Answer one request; False if the connection ends with it."""
         match behaviour:
-            case Refuse(status=status):
+            case Refuse(status=status, retry_after=retry_after):
                 refusal = {Header.NOT_EXECUTED: b"1"}
+                if retry_after:
+                    refusal[Header.RETRY_AFTER] = retry_after
                 await stream.send(self._whole(request, status=status, extra=refusal))
                 return True
             case WrongEndpoint():
@@ -333,6 +339,8 @@
         echoed = request.request_id if request_id is None else request_id
         if echoed:
             lines.append(Header.REQUEST_ID + b": " + echoed)
+        if self.leaving:
+            lines.append(Header.LEAVING + b": 1")
         if sealed:
             lines.append(Header.SEAL + b": " + SEAL)
         lines += [name + b": " + value for name, value in (extra or {}).items()]
