Heed endpoints that say in answers that they leave, or ask for quiet

What callers saw: nothing in the record; work went to engines for up to 8 s after they had said that they leave, whose streams would have been cut at their end. Cause: the only news of a leaving endpoint was its entry, and the store was away. Retry-After of a refusal was not read at all.

Change: what the head of an answer says is taken for the start of the endpoint that was asked, if the answer is its own. One that leaves is out of the view's endpoints for new work, whatever entries say; routers tell each other in reports, with the age of the news, and owners are told with each question. Where no other is left it still serves until its time is nearly over; then requests are refused at once. One that asks for quiet gets nothing from this router for that time, 300 s at most, requests and lists of caches alike, and no blame; where all do, callers are told the shortest time.

Why it works: the router that has the answer needs nobody else to know it, and nothing that comes later can take it back. Which endpoints may get a request at all is a module of its own now.

--- a/dotterelpaddle/forwarding/attempts.py
+++ b/dotterelpaddle/forwarding/attempts.py
@@ -113,9 +113,11 @@
             try:
                 self._guard.check(exchange=exchange)
                 choice = await self._choose(exchange=exchange, tried=tried)
-            except (NoEndpoint, RequestBlocked):
+            except (NoEndpoint, RequestBlocked) as error:
                 if failure is None:
                     raise
+                if failure.retry_after is None:
+                    failure.retry_after = error.retry_after
                 raise failure from None
             try:
                 return await self._once(
--- /dev/null
+++ b/dotterelpaddle/forwarding/candidates.py
@@ -0,0 +1,132 @@
+"""Which endpoints may get a request at all."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from dotterelpaddle.exceptions import NoEndpoint
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from dotterelpaddle.forwarding.health import HealthBook
+    from dotterelpaddle.forwarding.interface import Prompted
+    from dotterelpaddle.forwarding.model import EndpointEntry
+    from dotterelpaddle.forwarding.quiet import QuietEndpoints
+    from dotterelpaddle.forwarding.reachability import Reachability
+    from dotterelpaddle.forwarding.view import FleetView
+    from dotterelpaddle.ids import EndpointId, ServiceName
+
+NO_ENDPOINT_WAIT = 0.3
+"""Seconds after which a caller may come back when no endpoint is known.
+
+A starting endpoint registers within a second or two, others take over at once.
+"""
+
+
+class Candidates:
+    """Leaves out endpoints that leave, ask for quiet, fail or are out of reach.
+
+    Args:
+        view: The endpoints in force.
+        health: Results of requests.
+        reachability: Where no connection can be made.
+        quiet: Endpoints that want nothing from this router for a while.
+    """
+
+    def __init__(
+        self,
+        *,
+        view: FleetView,
+        health: HealthBook,
+        reachability: Reachability,
+        quiet: QuietEndpoints,
+    ) -> None:
+        self._view = view
+        self._health = health
+        self._reachability = reachability
+        self._quiet = quiet
+
+    def usable(
+        self,
+        *,
+        service: ServiceName,
+        request: Prompted,
+        excluded: frozenset[EndpointId],
+    ) -> list[EndpointEntry]:
+        """Return the endpoints of a service that are not passed over."""
+        fresh = self._fresh(service=service, request=request, excluded=excluded)
+        reachable = self._reachability.reachable(entries=fresh)
+        return self._health.usable(entries=reachable)
+
+    def serving(
+        self, *, service: ServiceName, request: Prompted
+    ) -> list[EndpointEntry]:
+        """Return the endpoints of a service that take a request as far as known."""
+        return [
+            entry
+            for entry in self._view.ready(service=service)
+            if serves(entry=entry, request=request)
+            and not self._health.is_gone(endpoint=entry.endpoint)
+            and not self._quiet.is_quiet(endpoint=entry.endpoint)
+        ]
+
+    def any_left(
+        self,
+        *,
+        service: ServiceName,
+        request: Prompted,
+        excluded: frozenset[EndpointId],
+    ) -> Sequence[EndpointEntry]:
+        """Return the usable endpoints, or what is left where none is.
+
+        Raises:
+            NoEndpoint: If nothing is.
+        """
+        fresh = self._fresh(service=service, request=request, excluded=excluded)
+        reachable = self._reachability.reachable(entries=fresh)
+        usable = self._health.usable(entries=reachable)
+        if usable:
+            return usable
+        # All have failed of late: any of them is better than a refusal.
+        last = [
+            entry
+            for entry in self._view.last_resort(service=service)
+            if entry.endpoint not in excluded
+            and serves(entry=entry, request=request)
+            and not self._quiet.is_quiet(endpoint=entry.endpoint)
+        ]
+        for entries_left in (reachable, fresh, last):
+            remaining = self._reachability.perhaps_reachable(entries=entries_left)
+            if remaining:
+                return remaining
+        raise NoEndpoint(
+            f"service '{service}' has no endpoint that takes this request, "
+            f"{len(fresh)} of its endpoints are out of reach",
+            retry_after=self._return_wait(service=service, fresh=fresh),
+        )
+
+    def _return_wait(
+        self, *, service: ServiceName, fresh: Sequence[EndpointEntry]
+    ) -> float:
+        """Seconds until an endpoint may be there again.
+
+        Where all that are left asked for quiet, it is the end of the shortest.
+        """
+        quiet = self._quiet.shortest(entries=self._view.ready(service=service))
+        return NO_ENDPOINT_WAIT if fresh or quiet is None else quiet
+
+    def _fresh(
+        self,
+        *,
+        service: ServiceName,
+        request: Prompted,
+        excluded: frozenset[EndpointId],
+    ) -> list[EndpointEntry]:
+        entries = self.serving(service=service, request=request)
+        return [entry for entry in entries if entry.endpoint not in excluded]
+
+
+def serves(*, entry: EndpointEntry, request: Prompted) -> bool:
+    """Tell whether an endpoint has the model that a request asks for."""
+    return not request.model or not entry.models or request.model in entry.models
--- a/dotterelpaddle/forwarding/client.py
+++ b/dotterelpaddle/forwarding/client.py
@@ -21,7 +21,6 @@
     Step,
 )
 from dotterelpaddle.forwarding.exceptions import EndpointReplaced, IdleConnectionLost
-from dotterelpaddle.logs import get_logger
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -36,12 +35,11 @@
         Protocols,
     )
     from dotterelpaddle.forwarding.model import EndpointEntry
+    from dotterelpaddle.forwarding.notices import EndpointNotices
     from dotterelpaddle.forwarding.signs import EndpointSigns
     from dotterelpaddle.ids import EndpointId
     from dotterelpaddle.network import LinkedBackend
 
-log = get_logger(name=__name__)
-
 MAX_ANSWER = 8 * 1024 * 1024
 """Bytes of an answer that is read whole; the largest known take a few KB."""
 
@@ -159,6 +157,7 @@
         backend: Opens connections.
         clock: Monotonic clock.
         signs: Signs of life of endpoints.
+        notices: Heeds what endpoints say of themselves.
         limits: Bounds of each endpoint's connections.
     """
 
@@ -169,12 +168,14 @@
         backend: LinkedBackend,
         clock: Clock,
         signs: EndpointSigns,
+        notices: EndpointNotices,
         limits: PoolLimits = POOL_LIMITS,
     ) -> None:
         self._protocols = protocols
         self._backend = backend
         self._clock = clock
         self._signs = signs
+        self._notices = notices
         self._limits = limits
         self._pools: dict[tuple[EndpointId, Address], ConnectionPool] = {}
 
@@ -208,7 +209,11 @@
                 status=response.status, headers=response.headers
             )
             _check_answers(head=head, call=call, reused=connection.reused)
-            self._heed(head=head, call=call)
+            self._notices.heed(
+                endpoint=call.entry.endpoint,
+                head=head,
+                request_id=call.request.request_id,
+            )
             _check_executed(head=head, call=call)
             yield ForwardAnswer(
                 head=head,
@@ -223,18 +228,6 @@
                     await response.aclose()
                 await _release(pool=pool, connection=connection)
 
-    def _heed(self, *, head: AnswerHead, call: ForwardCall) -> None:
-        """Take in what the endpoint says of itself beside its answer."""
-        if head.leaving or head.retry_after is not None:
-            log.info(
-                "endpoint_said",
-                endpoint=call.entry.endpoint,
-                request_id=call.request.request_id,
-                status=head.status,
-                leaving=head.leaving,
-                retry_after=head.retry_after,
-            )
-
     def _more_time(self, call: ForwardCall, sent_at: float) -> float:
         """Seconds that a request whose time is up waits on, 0 to give it up."""
         if not self._signs.is_slow(endpoint=call.entry.endpoint, sent_at=sent_at):
--- a/dotterelpaddle/forwarding/crashes.py
+++ b/dotterelpaddle/forwarding/crashes.py
@@ -13,6 +13,7 @@
 from typing import TYPE_CHECKING
 
 from dotterelpaddle.exceptions import RequestBlocked
+from dotterelpaddle.forwarding.telling import Telling
 from dotterelpaddle.logs import get_logger
 
 if TYPE_CHECKING:
@@ -45,9 +46,6 @@
 MOST_SUSPECTS = 256
 """Requests that are remembered, 200 KB: some ends of endpoints with all they ran."""
 
-TIMES_TOLD = 3
-"""Reports in which a note is told, because datagrams get lost."""
-
 RETELL_TIME = 2.0
 """Seconds until the ends under a request are told again if there are several, to
 routers that were cut off or have just started."""
@@ -93,8 +91,7 @@
 
     at: float
     begun: bool = False
-    left: int = TIMES_TOLD
-    told_at: float = float("-inf")
+    telling: Telling = field(default_factory=Telling)
 
 
 @dataclass(kw_only=True, slots=True)
@@ -203,9 +200,9 @@
             pass_on: Whether others hear of it through this router.
         """
         now = self._clock()
-        left = TIMES_TOLD if pass_on else 0
         for note in notes:
-            seen = _Seen(at=now - note.age, begun=note.begun, left=left, told_at=now)
+            telling = Telling() if pass_on else Telling(left=0, told_at=now)
+            seen = _Seen(at=now - note.age, begun=note.begun, telling=telling)
             match note.kind:
                 case NoteKind.ENDED if note.endpoint:
                     self._take_in_end(note.fingerprint, note.endpoint, seen)
@@ -221,11 +218,10 @@
         now = self._clock()
         self._forget(now=now)
         due = [each for each in self._all_seen() if _is_due(each, now=now)]
-        due.sort(key=lambda each: (each.guilt, each.seen.left), reverse=True)
+        due.sort(key=lambda each: (each.guilt, each.seen.telling.left), reverse=True)
         told = due[:MOST_TOLD]
         for each in told:
-            each.seen.left = max(0, each.seen.left - 1)
-            each.seen.told_at = now
+            each.seen.telling.note_told(now=now)
         return [each.note(now=now) for each in told]
 
     def _take_in_end(
@@ -234,7 +230,7 @@
         suspect = self._suspects.setdefault(fingerprint, _Suspect())
         if suspect.served is not None and suspect.served.at >= seen.at:
             # Whoever still tells of it has not heard of the answer.
-            suspect.served.left = max(suspect.served.left, 1)
+            suspect.served.telling.tell_again()
             return
         if endpoint in suspect.ended:
             return
@@ -312,14 +308,14 @@
             retry_after=wait,
         )
 
-    def _all_seen(self) -> Iterator[_Telling]:
+    def _all_seen(self) -> Iterator[_Tellable]:
         for fingerprint, suspect in self._suspects.items():
             for kind, all_seen in (
                 (NoteKind.ENDED, suspect.ended),
                 (NoteKind.TRIED, suspect.tried),
             ):
                 for endpoint, seen in all_seen.items():
-                    yield _Telling(
+                    yield _Tellable(
                         kind=kind,
                         fingerprint=fingerprint,
                         endpoint=endpoint,
@@ -327,7 +323,7 @@
                         guilt=len(suspect.ended),
                     )
             if suspect.served is not None:
-                yield _Telling(
+                yield _Tellable(
                     kind=NoteKind.SERVED,
                     fingerprint=fingerprint,
                     endpoint=None,
@@ -364,7 +360,7 @@
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
-class _Telling:
+class _Tellable:
     """Something that may be told, and how much it matters."""
 
     kind: NoteKind
@@ -384,14 +380,12 @@
         )
 
 
-def _is_due(told: _Telling, *, now: float) -> bool:
-    """Tell whether something is news, or was told a while ago."""
-    if told.seen.left:
-        return True
-    if told.kind is not NoteKind.ENDED:
-        return False
+def _is_due(told: _Tellable, *, now: float) -> bool:
+    """Tell whether something is news, or an end that was told a while ago."""
     pause = RETELL_TIME if told.guilt > 1 else RARE_RETELL_TIME
-    return now - told.seen.told_at >= pause
+    if told.kind is not NoteKind.ENDED:
+        pause = float("inf")
+    return told.seen.telling.is_due(now=now, pause=pause)
 
 
 def _block_time(*, ended: int) -> float:
--- a/dotterelpaddle/forwarding/interface.py
+++ b/dotterelpaddle/forwarding/interface.py
@@ -213,10 +213,12 @@
         endpoint: The start of it that answered, which may be a later one than that
             whose entry is known.
         parts: Their tags.
+        leaving: Whether that start says that it leaves.
     """
 
     endpoint: EndpointId
     parts: tuple[PartTag, ...]
+    leaving: bool = False
 
 
 class CachesReader(Protocol):
--- a/dotterelpaddle/forwarding/parts.py
+++ b/dotterelpaddle/forwarding/parts.py
@@ -17,9 +17,12 @@
 from dotterelpaddle.forwarding.follower import Follower
 from dotterelpaddle.forwarding.health import HealthBook
 from dotterelpaddle.forwarding.isolation import Isolation
+from dotterelpaddle.forwarding.leaving import LeavingEndpoints
 from dotterelpaddle.forwarding.loads import LoadBook
 from dotterelpaddle.forwarding.metrics import ForwardMetrics, MetricsPage, Observed
+from dotterelpaddle.forwarding.notices import EndpointNotices
 from dotterelpaddle.forwarding.placement import ForwardPlacer
+from dotterelpaddle.forwarding.quiet import QuietEndpoints
 from dotterelpaddle.forwarding.reachability import Reachability
 from dotterelpaddle.forwarding.repeats import SharedRepeats
 from dotterelpaddle.forwarding.shares import ShareBook
@@ -85,6 +88,7 @@
         loads: Requests in flight.
         health: Results of requests.
         signs: Signs of life of endpoints.
+        quiet: Endpoints that want nothing from this router for a while.
         caches: Where parts of prompts are.
         crashes: Under which requests endpoints ended.
         repeats: What repeats cost.
@@ -96,6 +100,7 @@
     loads: LoadBook
     health: HealthBook
     signs: EndpointSigns
+    quiet: QuietEndpoints
     caches: CacheMap
     crashes: CrashBook
     repeats: SharedRepeats
@@ -157,6 +162,7 @@
         backend=backend,
         clock=clock,
         signs=knowledge.signs,
+        notices=EndpointNotices(leaving=knowledge.view.leaving, quiet=knowledge.quiet),
     )
     word = PeersWord(
         view=knowledge.view,
@@ -198,6 +204,7 @@
         loads=knowledge.loads,
         health=knowledge.health,
         reachability=reachability,
+        quiet=knowledge.quiet,
         caches=knowledge.caches,
         failure_domain=settings.failure_domain,
         generator=generator,
@@ -304,6 +311,7 @@
                 caches=knowledge.caches,
                 word=word,
                 shards=shards,
+                quiet=knowledge.quiet,
                 reader=surroundings.caches_reader,
                 failure_domain=settings.failure_domain,
                 clock=clock,
@@ -333,11 +341,15 @@
     )
     shares = ShareBook(failure_domain=settings.failure_domain, clock=clock)
     return Knowledge(
-        view=FleetView(clock=clock),
+        view=FleetView(
+            clock=clock,
+            leaving=LeavingEndpoints(clock=clock, serve_time=settings.leaving_time),
+        ),
         shares=shares,
         loads=LoadBook(shares=shares),
         health=HealthBook(clock=clock),
         signs=EndpointSigns(clock=clock),
+        quiet=QuietEndpoints(clock=clock),
         caches=caches,
         crashes=CrashBook(clock=clock),
         repeats=SharedRepeats(
--- a/dotterelpaddle/forwarding/placement.py
+++ b/dotterelpaddle/forwarding/placement.py
@@ -5,9 +5,9 @@
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
-from dotterelpaddle.exceptions import NoEndpoint
 from dotterelpaddle.forwarding.cached_prompts import CachedPrompts
 from dotterelpaddle.forwarding.caches import part_tag, shared_parts
+from dotterelpaddle.forwarding.candidates import Candidates
 from dotterelpaddle.forwarding.choice import Choice, ChoiceReason
 from dotterelpaddle.forwarding.cost import prompt_cost
 from dotterelpaddle.forwarding.herding import (
@@ -31,6 +31,7 @@
     from dotterelpaddle.forwarding.interface import Prompted
     from dotterelpaddle.forwarding.loads import LoadBook
     from dotterelpaddle.forwarding.model import EndpointEntry
+    from dotterelpaddle.forwarding.quiet import QuietEndpoints
     from dotterelpaddle.forwarding.reachability import Reachability
     from dotterelpaddle.forwarding.view import FleetView
     from dotterelpaddle.ids import EndpointId, FailureDomain, ServiceName
@@ -59,12 +60,6 @@
 REPEATABLE_RISK = 3.0
 """The same for a request that can be repeated at the cost of time."""
 
-NO_ENDPOINT_WAIT = 0.3
-"""Seconds after which a caller may come back when no endpoint is known.
-
-A starting endpoint registers within a second or two, others take over at once.
-"""
-
 
 class ForwardPlacer:
     """Chooses endpoints.
@@ -74,6 +69,7 @@
         loads: Requests in flight.
         health: Results of requests.
         reachability: Where no connection can be made.
+        quiet: Endpoints that want nothing from this router for a while.
         caches: Where parts of prompts are.
         failure_domain: Where this router is.
         generator: Breaks ties.
@@ -86,6 +82,7 @@
         loads: LoadBook,
         health: HealthBook,
         reachability: Reachability,
+        quiet: QuietEndpoints,
         caches: CacheMap,
         failure_domain: FailureDomain,
         generator: random.Random,
@@ -94,6 +91,9 @@
         self._loads = loads
         self._health = health
         self._reachability = reachability
+        self._candidates = Candidates(
+            view=view, health=health, reachability=reachability, quiet=quiet
+        )
         self._caches = caches
         self._cached = CachedPrompts(
             view=view, health=health, reachability=reachability, caches=caches
@@ -120,7 +120,7 @@
         Raises:
             NoEndpoint: If there is none that takes work.
         """
-        candidates = self._candidates(
+        candidates = self._candidates.any_left(
             service=service, request=request, excluded=excluded
         )
         loads = self._loads.loads()
@@ -169,7 +169,7 @@
         Raises:
             NoEndpoint: If there is none that takes work anywhere.
         """
-        candidates = self._candidates(
+        candidates = self._candidates.any_left(
             service=service, request=request, excluded=excluded
         )
         mean = sum(loads[entry.endpoint] for entry in candidates) / len(candidates)
@@ -215,13 +215,9 @@
         excluded: frozenset[EndpointId],
     ) -> list[EndpointEntry]:
         """Return the endpoints of a service that are not passed over."""
-        fresh = [
-            entry
-            for entry in self._serving(service=service, request=request)
-            if entry.endpoint not in excluded
-        ]
-        reachable = self._reachability.reachable(entries=fresh)
-        return self._health.usable(entries=reachable)
+        return self._candidates.usable(
+            service=service, request=request, excluded=excluded
+        )
 
     def noted(self, *, choice: Choice, request: Prompted) -> Choice:
         """Note that a request goes there, before it is sent.
@@ -236,45 +232,6 @@
     def _share(self, entry: EndpointEntry) -> float:
         return self._health.error_share(endpoint=entry.endpoint)
 
-    def _serving(
-        self, *, service: ServiceName, request: Prompted
-    ) -> list[EndpointEntry]:
-        return [
-            entry
-            for entry in self._view.ready(service=service)
-            if _serves(entry=entry, request=request)
-            and not self._health.is_gone(endpoint=entry.endpoint)
-        ]
-
-    def _candidates(
-        self,
-        *,
-        service: ServiceName,
-        request: Prompted,
-        excluded: frozenset[EndpointId],
-    ) -> Sequence[EndpointEntry]:
-        entries = self._serving(service=service, request=request)
-        fresh = [entry for entry in entries if entry.endpoint not in excluded]
-        reachable = self._reachability.reachable(entries=fresh)
-        usable = self._health.usable(entries=reachable)
-        if usable:
-            return usable
-        # All have failed of late: any of them is better than a refusal.
-        last = [
-            entry
-            for entry in self._view.last_resort(service=service)
-            if entry.endpoint not in excluded and _serves(entry=entry, request=request)
-        ]
-        for entries_left in (reachable, fresh, last):
-            remaining = self._reachability.perhaps_reachable(entries=entries_left)
-            if remaining:
-                return remaining
-        raise NoEndpoint(
-            f"service '{service}' has no endpoint that takes this request, "
-            f"{len(fresh)} of its endpoints are out of reach",
-            retry_after=NO_ENDPOINT_WAIT,
-        )
-
     def _least_cost(
         self,
         *,
@@ -393,7 +350,3 @@
             mean_load=mean,
             candidates=len(candidates),
         )
-
-
-def _serves(*, entry: EndpointEntry, request: Prompted) -> bool:
-    return not request.model or not entry.models or request.model in entry.models
--- /dev/null
+++ b/dotterelpaddle/forwarding/telling.py
@@ -0,0 +1,34 @@
+"""How often news is told to other routers."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+TIMES_TOLD = 3
+"""Reports in which news is told, because datagrams get lost."""
+
+
+@dataclass(kw_only=True, slots=True)
+class Telling:
+    """How often something was told, and when last.
+
+    Attributes:
+        left: Times that it is still to be told as news.
+        told_at: When it was told last, seconds on the monotonic clock.
+    """
+
+    left: int = TIMES_TOLD
+    told_at: float = float("-inf")
+
+    def is_due(self, *, now: float, pause: float) -> bool:
+        """Tell whether it is news, or was told some seconds ago or more."""
+        return self.left > 0 or now - self.told_at >= pause
+
+    def note_told(self, *, now: float) -> None:
+        """Note that it is told now."""
+        self.left = max(0, self.left - 1)
+        self.told_at = now
+
+    def tell_again(self) -> None:
+        """Let it be told once more at least."""
+        self.left = max(self.left, 1)
--- a/dotterelpaddle/forwarding/view.py
+++ b/dotterelpaddle/forwarding/view.py
@@ -12,7 +12,9 @@
 
 import anyio
 
+from dotterelpaddle.forwarding.entry_tags import entries_tag, same_but_revision
 from dotterelpaddle.forwarding.interface import EndpointsRead
+from dotterelpaddle.forwarding.leaving import LeavingEndpoints
 from dotterelpaddle.forwarding.model import (
     UNKNOWN_START,
     EndpointState,
@@ -21,11 +23,8 @@
 from dotterelpaddle.forwarding.routes import routes_by_host, used_services
 from dotterelpaddle.ids import Revision
 from dotterelpaddle.logs import get_logger
-from dotterelpaddle.placement.rendezvous import tag
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
-
     from dotterelpaddle.clock import Clock
     from dotterelpaddle.forwarding.model import (
         CallerLimits,
@@ -86,10 +85,14 @@
 
     Args:
         clock: Monotonic clock.
+        leaving: Endpoints that have said in an answer that they leave.
     """
 
-    def __init__(self, *, clock: Clock) -> None:
+    def __init__(
+        self, *, clock: Clock, leaving: LeavingEndpoints | None = None
+    ) -> None:
         self._clock = clock
+        self._leaving = leaving or LeavingEndpoints(clock=clock)
         self._configuration: FleetConfiguration | None = None
         self._routes: dict[str, tuple[ForwardRoute, ...]] = {}
         self._used_services: frozenset[ServiceName] = frozenset()
@@ -98,7 +101,7 @@
         self._removed: dict[EndpointName, _Removed] = {}
         self._ready: dict[ServiceName, tuple[EndpointEntry, ...]] = {}
         self._endpoints_revision: Revision | None = None
-        self._endpoints_tag = _tag(entries=())
+        self._endpoints_tag = entries_tag(entries=())
         self._changes_from = Revision(0)
         self._returned_at = float("-inf")
         self._started_at = clock()
@@ -154,6 +157,11 @@
         """All entries that are there."""
         return tuple(self._entries.values())
 
+    @property
+    def leaving(self) -> LeavingEndpoints:
+        """Endpoints that have said in an answer that they leave."""
+        return self._leaving
+
     @property
     def used_entries(self) -> tuple[EndpointEntry, ...]:
         """Entries of services that the configuration sends requests to.
@@ -211,20 +219,29 @@
                 return route
         return None
 
-    def ready(self, *, service: ServiceName) -> tuple[EndpointEntry, ...]:
-        """Endpoints of a service that take new work."""
+    def listed(self, *, service: ServiceName) -> tuple[EndpointEntry, ...]:
+        """Endpoints of a service that take new work as their entries say."""
         return self._ready.get(service, ())
 
+    def ready(self, *, service: ServiceName) -> tuple[EndpointEntry, ...]:
+        """Endpoints of a service that take new work, as far as anybody has heard."""
+        return self._leaving.without(entries=self.listed(service=service))
+
     def last_resort(self, *, service: ServiceName) -> tuple[EndpointEntry, ...]:
-        """Endpoints whose entries have just gone, and which may still serve."""
+        """Endpoints that may still serve if no other can.
+
+        Their entries have just gone, or an answer has just said that they leave.
+        """
         now = self._clock()
-        return tuple(
+        gone = (
             each.entry
             for each in self._removed.values()
             if each.until > now
             and each.entry.service == service
             and each.entry.state is EndpointState.READY
         )
+        leaving = self._leaving.still_serving(entries=self.listed(service=service))
+        return (*self._leaving.without(entries=gone), *leaving)
 
     def note_return(self) -> None:
         """Note that the platform is back; entries may be missing for a while."""
@@ -308,7 +325,7 @@
                 return False
             del self._removed[name]
         self._entries[name] = entry
-        if known is not None and _same_but_revision(known, entry):
+        if known is not None and same_but_revision(known, entry):
             return False
         self._changed_at[name] = entry.revision
         log.info(
@@ -369,23 +386,8 @@
         for removed in self._removed.values():
             if removed.held:
                 ready.setdefault(removed.entry.service, []).append(removed.entry)
-        self._endpoints_tag = _tag(entries=self._entries.values())
+        self._endpoints_tag = entries_tag(entries=self._entries.values())
         self._ready = {
             service: tuple(sorted(entries, key=lambda entry: entry.endpoint))
             for service, entries in ready.items()
         }
-
-
-def _same_but_revision(one: EndpointEntry, other: EndpointEntry) -> bool:
-    return one.endpoint == other.endpoint and _content(one) == _content(other)
-
-
-def _content(entry: EndpointEntry) -> tuple[object, ...]:
-    """What of an entry matters; the rest changes with each heartbeat."""
-    models = sorted(entry.models)
-    return entry.service, str(entry.address), entry.state.value, entry.slots, models
-
-
-def _tag(*, entries: Iterable[EndpointEntry]) -> int:
-    contents = sorted((entry.endpoint, _content(entry)) for entry in entries)
-    return tag(text=repr(contents))
--- a/dotterelpaddle/owners/placing.py
+++ b/dotterelpaddle/owners/placing.py
@@ -114,7 +114,7 @@
         names = frozenset(entry.endpoint for entry in usable)
         unusable = frozenset(
             entry.endpoint
-            for entry in self._view.ready(service=service)
+            for entry in self._view.listed(service=service)
             if entry.endpoint not in names
         )
         ranked = ranked_shards(
--- a/dotterelpaddle/peers/cache_lists.py
+++ b/dotterelpaddle/peers/cache_lists.py
@@ -21,6 +21,7 @@
     from dotterelpaddle.forwarding.caches import CacheMap
     from dotterelpaddle.forwarding.interface import CachesReader
     from dotterelpaddle.forwarding.model import EndpointEntry
+    from dotterelpaddle.forwarding.quiet import QuietEndpoints
     from dotterelpaddle.forwarding.view import FleetView
     from dotterelpaddle.ids import FailureDomain
     from dotterelpaddle.owners.shards import ShardMap
@@ -90,6 +91,7 @@
         caches: Where parts of prompts are.
         word: Tells what part this router has among the others.
         shards: Tells who decides for which engines.
+        quiet: Engines that want nothing from this router for a while.
         reader: Asks an engine.
         failure_domain: Where this router is.
         clock: Monotonic clock.
@@ -102,6 +104,7 @@
         caches: CacheMap,
         word: PeersWord,
         shards: ShardMap,
+        quiet: QuietEndpoints,
         reader: CachesReader,
         failure_domain: FailureDomain,
         clock: Clock,
@@ -110,6 +113,7 @@
         self._caches = caches
         self._word = word
         self._shards = shards
+        self._quiet = quiet
         self._reader = reader
         self._failure_domain = failure_domain
         self._clock = clock
@@ -159,10 +163,15 @@
         self._caches.mark_known()
 
     async def _read_one(self, entry: EndpointEntry) -> None:
+        if self._quiet.is_quiet(endpoint=entry.endpoint):
+            log.info("cache_unread", endpoint=entry.endpoint, cause="it wants quiet")
+            return
         try:
             cached = await self._reader.cached_parts(entry=entry)
         except EndpointError as error:
             log.warning("cache_unread", endpoint=entry.endpoint, cause=error.message)
             return
+        if cached.leaving:
+            self._view.leaving.note(endpoint=cached.endpoint)
         self._caches.hear(uses=[(part, cached.endpoint) for part in cached.parts])
         log.info("cache_read", endpoint=cached.endpoint, parts=len(cached.parts))
--- a/dotterelpaddle/peers/exchange.py
+++ b/dotterelpaddle/peers/exchange.py
@@ -150,6 +150,7 @@
         base = replace(
             self._report(control=control, names=self._names() if names_due else ()),
             crashes=tuple(self._crashes.news()),
+            leaving_endpoints=self._view.leaving.news(),
         )
         uses = {origin: self._caches.news(origin=origin) for origin in Origin}
         written: dict[tuple[Scope, Ask], bytes] = {}
@@ -294,6 +295,7 @@
         origin = self._origin(report=report)
         self._caches.hear(uses=report.uses, pass_on=origin)
         self._crashes.hear(notes=report.crashes, pass_on=origin is not None)
+        self._view.leaving.hear(notes=report.leaving_endpoints)
         return not known or report.ask is Ask.ANSWER
 
     def _origin(self, *, report: PeerReport) -> Origin | None:
--- a/dotterelpaddle/peers/messages.py
+++ b/dotterelpaddle/peers/messages.py
@@ -10,6 +10,7 @@
 
 from dotterelpaddle.address import Address
 from dotterelpaddle.exceptions import ControlError
+from dotterelpaddle.forwarding.leaving import LeavingNote
 from dotterelpaddle.forwarding.shares import Ask, RepeatCounts, Scope, Share
 from dotterelpaddle.ids import (
     EndpointId,
@@ -47,6 +48,9 @@
 CRASHES = 23
 """Place of requests under which endpoints ended, which earlier releases lack."""
 
+LEAVING_ENDPOINTS = 24
+"""Place of endpoints that said that they leave, which earlier releases lack."""
+
 MOST_PEERS_TOLD = 16
 """Routers named in one report, so that it stays in one packet."""
 
@@ -96,6 +100,7 @@
         owners: Routers that count what is in flight, one for a failure domain.
         leaving: Whether it is stopping, and others should take over what it does.
         crashes: Under which requests endpoints ended.
+        leaving_endpoints: Endpoints that have said in an answer that they leave.
     """
 
     router: RouterId
@@ -119,6 +124,7 @@
     owners: tuple[PeerName, ...] = ()
     leaving: bool = False
     crashes: tuple[CrashNote, ...] = ()
+    leaving_endpoints: tuple[LeavingNote, ...] = ()
 
 
 def encode_report(*, report: PeerReport) -> bytes:
@@ -177,6 +183,10 @@
             [_peer_fields(owner) for owner in report.owners],
             report.leaving,
             encode_notes(notes=report.crashes),
+            [
+                (note.endpoint, round(1000 * note.age))
+                for note in report.leaving_endpoints
+            ],
         ]
     )
 
@@ -205,6 +215,7 @@
         reading = fields[READING] if len(fields) > READING else {}
         owners = fields[OWNERS] if len(fields) > OWNERS else ()
         crashes = fields[CRASHES] if len(fields) > CRASHES else ()
+        leaving = fields[LEAVING_ENDPOINTS] if len(fields) > LEAVING_ENDPOINTS else ()
         endpoints = heard_endpoints(
             names=[*fields[12][2], *reading, *(name for _, name in uses)],
             starts=starts,
@@ -235,6 +246,7 @@
             owners=tuple(_peer(owner) for owner in owners),
             leaving=len(fields) > LEAVING and bool(fields[LEAVING]),
             crashes=decode_notes(fields=crashes),
+            leaving_endpoints=tuple(_leaving(note) for note in leaving),
         )
     except (
         orjson.JSONDecodeError,
@@ -271,6 +283,11 @@
     )
 
 
+def _leaving(fields: Any) -> LeavingNote:
+    endpoint, age = fields
+    return LeavingNote(endpoint=EndpointId(str(endpoint)), age=max(0, int(age)) / 1000)
+
+
 def _peer_fields(peer: PeerName) -> list[Any]:
     return [peer.router, peer.failure_domain, str(peer.address), peer.link]
 
--- a/dotterelpaddle/platform/engines.py
+++ b/dotterelpaddle/platform/engines.py
@@ -16,6 +16,7 @@
 from dotterelpaddle.platform.decoding import parse
 from dotterelpaddle.platform.endpoints import decode_incarnation
 from dotterelpaddle.platform.names import Call
+from dotterelpaddle.platform.protocols import says_it_leaves
 
 if TYPE_CHECKING:
     from dotterelpaddle.forwarding.model import EndpointEntry
@@ -70,15 +71,23 @@
             raise EndpointError(
                 f"answered {response.status} when asked for its cache", peer=peer
             )
-        return read_cached_parts(content=response.content, entry=entry)
+        return read_cached_parts(
+            content=response.content,
+            entry=entry,
+            leaving=says_it_leaves(headers=response.headers),
+        )
 
 
-def read_cached_parts(*, content: bytes, entry: EndpointEntry) -> CachedParts:
+def read_cached_parts(
+    *, content: bytes, entry: EndpointEntry, leaving: bool = False
+) -> CachedParts:
     """Decode a list; each row is an unused text, a part, its tokens, a model.
 
     Args:
         content: The list.
         entry: The endpoint that was asked; another start of it may have answered.
+        leaving: Whether the answer says that its endpoint leaves. One that does not
+            name its start may be another one at the address, and says nothing.
 
     Raises:
         EndpointError: If it can't be read.
@@ -99,4 +108,6 @@
     # An answer that names no start is of the one that was asked.
     start = incarnation or entry.incarnation
     endpoint = endpoint_id(name=entry.name, incarnation=start)
-    return CachedParts(endpoint=endpoint, parts=parts)
+    return CachedParts(
+        endpoint=endpoint, parts=parts, leaving=leaving and bool(incarnation)
+    )
--- a/dotterelpaddle/platform/protocols.py
+++ b/dotterelpaddle/platform/protocols.py
@@ -98,11 +98,17 @@
             not_executed=Header.NOT_EXECUTED in by_name,
             wrong_endpoint=status == MISDIRECTED,
             encoded=b"content-encoding" in by_name,
-            leaving=_text(by_name, Header.LEAVING) == SAID,
+            leaving=says_it_leaves(headers=lowered),
             retry_after=decode_retry_after(headers=by_name),
         )
 
 
+def says_it_leaves(*, headers: Sequence[tuple[bytes, bytes]]) -> bool:
+    """Tell whether an endpoint says in the headers of an answer that it leaves."""
+    by_name = {name.lower(): value for name, value in headers}
+    return _text(by_name, Header.LEAVING) == SAID
+
+
 def _text(headers: Mapping[bytes, bytes], name: bytes) -> str:
     return headers.get(name, b"").decode("latin-1").strip()
 
--- a/dotterelpaddle/tests/forwarding/test_crashes.py
+++ b/dotterelpaddle/tests/forwarding/test_crashes.py
@@ -17,10 +17,10 @@
     RARE_RETELL_TIME,
     RETELL_TIME,
     SUSPICION_TIME,
-    TIMES_TOLD,
     TRY_TIME,
     CrashBook,
 )
+from dotterelpaddle.forwarding.telling import TIMES_TOLD
 from dotterelpaddle.ids import EndpointId, Fingerprint
 
 CULPRIT, OTHER = Fingerprint("culprit"), Fingerprint("other")
--- a/dotterelpaddle/tests/forwarding/test_herding.py
+++ b/dotterelpaddle/tests/forwarding/test_herding.py
@@ -20,6 +20,7 @@
 from dotterelpaddle.forwarding.interface import EndpointsRead
 from dotterelpaddle.forwarding.loads import LoadBook
 from dotterelpaddle.forwarding.placement import ForwardPlacer
+from dotterelpaddle.forwarding.quiet import QuietEndpoints
 from dotterelpaddle.forwarding.reachability import Reachability
 from dotterelpaddle.forwarding.shares import Scope, Share, ShareBook
 from dotterelpaddle.forwarding.view import FleetView
@@ -68,6 +69,7 @@
             failure_domain=HERE,
             clock=lambda: 0.0,
         ),
+        quiet=QuietEndpoints(clock=lambda: 0.0),
         caches=caches,
         failure_domain=HERE,
         generator=random.Random(seed),
--- a/dotterelpaddle/tests/owners/test_routers.py
+++ b/dotterelpaddle/tests/owners/test_routers.py
@@ -7,6 +7,7 @@
 import anyio
 import pytest
 
+from dotterelpaddle.ids import EndpointId
 from dotterelpaddle.peers import plan
 from dotterelpaddle.tests.forwarding.harness import Fleet, run_fleet, until
 
@@ -114,3 +115,19 @@
         with loads.hold(endpoint=endpoint):
             await until(lambda: counts.loads.get(endpoint) == 1)
         await until(lambda: not counts.loads)
+
+
+async def test_owner_that_has_not_heard_is_told_who_leaves() -> None:
+    """Guards against grants of endpoints that only the asking router knows to leave."""
+    async with run_fleet(routers=0) as fleet:
+        heard = await _start(fleet)
+        view = fleet.routers[ASKING].parts.knowledge.view
+        leaving = EndpointId("runner-1")
+        view.leaving.note(endpoint=leaving)
+        await fleet.add_runner("runner-3")
+        await until(lambda: len(view.entries) == 3)
+        answer = await fleet.call("/unsafe/", router=ASKING)
+
+    assert answer.status == 200
+    assert not fleet.runners["runner-1"].runs
+    assert [question.wanted.excluded for question in heard.questions] == [{leaving}]
--- a/dotterelpaddle/tests/owners/world.py
+++ b/dotterelpaddle/tests/owners/world.py
@@ -12,6 +12,7 @@
 from dotterelpaddle.forwarding.interface import EndpointsRead
 from dotterelpaddle.forwarding.loads import LoadBook
 from dotterelpaddle.forwarding.placement import ForwardPlacer
+from dotterelpaddle.forwarding.quiet import QuietEndpoints
 from dotterelpaddle.forwarding.reachability import Reachability
 from dotterelpaddle.forwarding.shares import ShareBook
 from dotterelpaddle.forwarding.view import FleetView
@@ -83,6 +84,7 @@
                     failure_domain=HERE,
                     clock=self.clock,
                 ),
+                quiet=QuietEndpoints(clock=self.clock),
                 caches=self.caches,
                 failure_domain=HERE,
                 generator=random.Random(1),
--- a/dotterelpaddle/tests/peers/test_cache_lists.py
+++ b/dotterelpaddle/tests/peers/test_cache_lists.py
@@ -10,8 +10,9 @@
 
 from dotterelpaddle.forwarding.caches import CacheMap
 from dotterelpaddle.forwarding.interface import CachedParts, EndpointsRead
+from dotterelpaddle.forwarding.quiet import QuietEndpoints
 from dotterelpaddle.forwarding.view import FleetView
-from dotterelpaddle.ids import FailureDomain, ModelId, Revision
+from dotterelpaddle.ids import EndpointId, FailureDomain, ModelId, Revision
 from dotterelpaddle.owners.shards import ShardMap
 from dotterelpaddle.peers.cache_lists import (
     ALONE_AFTER,
@@ -40,6 +41,7 @@
         self.now = 0.0
         self.asked: set[str] = set()
         self.silent: set[str] = set()
+        self.leaving: set[str] = set()
         self.view = FleetView(clock=lambda: self.now)
         entries = tuple(
             make_entry(
@@ -61,11 +63,13 @@
         )
         self.caches = CacheMap(clock=lambda: self.now)
         self.word = SimpleNamespace(reads_first=first, owns=None)
+        self.quiet = QuietEndpoints(clock=lambda: self.now)
         self.lists = CacheLists(
             view=self.view,
             caches=self.caches,
             word=self.word,  # type: ignore[arg-type]
             shards=ShardMap(view=self.view),
+            quiet=self.quiet,
             reader=SimpleNamespace(cached_parts=self._cached),
             failure_domain=FailureDomain("here"),
             clock=lambda: self.now,
@@ -75,7 +79,11 @@
         self.asked.add(entry.endpoint)
         if entry.endpoint in self.silent:
             await anyio.sleep_forever()
-        return CachedParts(endpoint=entry.endpoint, parts=(PART,))
+        return CachedParts(
+            endpoint=entry.endpoint,
+            parts=(PART,),
+            leaving=entry.endpoint in self.leaving,
+        )
 
     async def look(self, at: float) -> None:
         self.now = at
@@ -153,3 +161,22 @@
 
     assert asked == {f"engine-{number}" for number in range(0, 59, 5)}
     assert not world.asked
+
+
+async def test_engine_that_wants_quiet_is_not_asked() -> None:
+    world = World(engines=3, first=True)
+    quiet = EndpointId("engine-1")
+    world.quiet.note(endpoint=quiet, seconds=5.0)
+    await world.look(ALONE_AFTER)
+
+    assert world.asked == {"engine-0", "engine-2"}
+
+
+async def test_engine_whose_list_says_that_it_leaves_gets_no_work() -> None:
+    world = World(engines=3, first=True)
+    world.leaving.add("engine-1")
+    await world.look(ALONE_AFTER)
+    entry = world.view.entries[0]
+
+    ready = world.view.ready(service=entry.service)
+    assert [each.endpoint for each in ready] == ["engine-0", "engine-2"]
--- a/dotterelpaddle/tests/peers/test_messages.py
+++ b/dotterelpaddle/tests/peers/test_messages.py
@@ -9,6 +9,7 @@
 from dotterelpaddle.address import Address
 from dotterelpaddle.exceptions import ControlError
 from dotterelpaddle.forwarding.crashes import CrashNote, NoteKind
+from dotterelpaddle.forwarding.leaving import LeavingNote
 from dotterelpaddle.forwarding.shares import Ask, RepeatCounts, Scope, Share
 from dotterelpaddle.ids import (
     EndpointId,
@@ -131,6 +132,13 @@
     assert decoded.crashes == ()
 
 
+def test_endpoints_that_leave_survive_the_wire() -> None:
+    notes = (LeavingNote(endpoint=EndpointId("a@1"), age=1.5),)
+    report = _report(leaving_endpoints=notes)
+
+    assert decode_report(datagram=encode_report(report=report)) == report
+
+
 def test_names_in_a_report_are_bounded() -> None:
     many = tuple(_name("10.0.0.1", port=port) for port in range(1, 100))
 
