--- a/dotterelpaddle/forwarding/leaving.py
+++ b/dotterelpaddle/forwarding/leaving.py
@@ -84,6 +84,8 @@
 
     def without(self, *, entries: Iterable[EndpointEntry]) -> tuple[EndpointEntry, ...]:
         """Leave out the endpoints that leave."""
+        if not self._heard:
+            return tuple(entries)
         return tuple(each for each in entries if each.endpoint not in self._heard)
 
     def still_serving(
--- a/dotterelpaddle/forwarding/placement.py
+++ b/dotterelpaddle/forwarding/placement.py
@@ -101,6 +101,11 @@
         self._failure_domain = failure_domain
         self._generator = generator
 
+    @property
+    def candidates(self) -> Candidates:
+        """Which endpoints may get a request at all."""
+        return self._candidates
+
     def choose(
         self,
         *,
@@ -207,18 +212,6 @@
             return None
         return cached.holder.endpoint
 
-    def usable(
-        self,
-        *,
-        service: ServiceName,
-        request: Prompted,
-        excluded: frozenset[EndpointId],
-    ) -> list[EndpointEntry]:
-        """Return the endpoints of a service that are not passed over."""
-        return self._candidates.usable(
-            service=service, request=request, excluded=excluded
-        )
-
     def noted(self, *, choice: Choice, request: Prompted) -> Choice:
         """Note that a request goes there, before it is sent.
 
--- a/dotterelpaddle/owners/placing.py
+++ b/dotterelpaddle/owners/placing.py
@@ -106,7 +106,7 @@
     ) -> Choice | AloneBecause:
         if not self._directory.owners():
             return AloneBecause.NO_OWNER
-        usable = self._placer.usable(
+        usable = self._placer.candidates.usable(
             service=service, request=request, excluded=excluded
         )
         if len(usable) < LEAST_TO_CHOOSE:
--- a/dotterelpaddle/tests/memory_network.py
+++ b/dotterelpaddle/tests/memory_network.py
@@ -34,8 +34,8 @@
 """Seconds until a connection stands, or is refused."""
 
 
-class ClientEnd(httpcore.AsyncNetworkStream):
-    """A router's end of a connection."""
+class _End:
+    """One end of a connection."""
 
     def __init__(
         self,
@@ -46,6 +46,10 @@
         self._incoming = incoming
         self._outgoing = outgoing
 
+
+class ClientEnd(_End, httpcore.AsyncNetworkStream):
+    """A router's end of a connection."""
+
     async def read(self, max_bytes: int, timeout: float | None = None) -> bytes:
         """Read what has come, empty at the end."""
         if timeout is not None:
@@ -78,18 +82,9 @@
         return None
 
 
-class ServerEnd:
+class ServerEnd(_End):
     """An endpoint's end of a connection, as `RunnerStandin` uses it."""
 
-    def __init__(
-        self,
-        *,
-        incoming: MemoryObjectReceiveStream[bytes],
-        outgoing: MemoryObjectSendStream[bytes],
-    ) -> None:
-        self._incoming = incoming
-        self._outgoing = outgoing
-
     async def __aenter__(self) -> ServerEnd:
         return self
 
