Name another owner where one answers most routers late

Cause: an owner is replaced when it is silent or stops. One whose host is too busy reports, and answers questions after the 0.03 s that a router waits; its queue only grows, and with all three like that nobody is left to stand in. Change: routers tell in their reports which owners they find silent; aggregators that hear so from more than half of the routers of the failure domain name the next one, and the late one not again for 30 s. Ruled out: a longer wait for the answer, as the queue of such a host grows without end.

--- a/dotterelpaddle/owners/asking.py
+++ b/dotterelpaddle/owners/asking.py
@@ -23,7 +23,7 @@
 
     from dotterelpaddle.address import Address
     from dotterelpaddle.clock import Clock
-    from dotterelpaddle.ids import FailureDomain
+    from dotterelpaddle.ids import FailureDomain, RouterId
     from dotterelpaddle.owners.messages import Wanted
     from dotterelpaddle.owners.owner import Owner
     from dotterelpaddle.owners.telling import OpenQuestion, OwnRequests
@@ -69,7 +69,16 @@
         self._owner = owner
         self._clock = clock
         self._datagrams: Datagrams | None = None
-        self._silent_until: dict[Address, float] = {}
+        self._silent_until: dict[RouterId, float] = {}
+
+    @property
+    def silent(self) -> tuple[RouterId, ...]:
+        """Owners that have just not answered in time."""
+        now = self._clock()
+        self._silent_until = {
+            router: until for router, until in self._silent_until.items() if until > now
+        }
+        return tuple(self._silent_until)
 
     async def run(self, datagrams: Datagrams) -> None:
         """Tell owners what is in flight until cancelled.
@@ -132,7 +141,7 @@
         if asked.grant is not None:
             return asked
         self._requests.give_up(question=asked)
-        self._silent_until[owner.address] = self._clock() + SILENT_TIME
+        self._silent_until[owner.router] = self._clock() + SILENT_TIME
         log.warning("owner_silent", router=owner.router, seconds=ASK_TIME)
         return None
 
@@ -153,7 +162,7 @@
                 self._owner.hear(held=message)
 
     def _is_silent(self, owner: PeerName) -> bool:
-        return self._clock() < self._silent_until.get(owner.address, 0.0)
+        return self._clock() < self._silent_until.get(owner.router, 0.0)
 
     async def _tell(self, domains: set[FailureDomain]) -> None:
         told = {self._directory.own.router}
--- a/dotterelpaddle/peers/directory.py
+++ b/dotterelpaddle/peers/directory.py
@@ -11,7 +11,7 @@
 from dotterelpaddle.placement.rendezvous import digest
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Iterable, Sequence
 
     from dotterelpaddle.address import Address
     from dotterelpaddle.clock import Clock
@@ -42,6 +42,14 @@
 """Seconds that a router is believed to own the shards of a failure domain without
 being named again, ten reports: aggregators may change meanwhile."""
 
+LATE_SHARE = 0.5
+"""Share of the routers of a failure domain above which an owner that they find silent
+is late for all: lost packets make it look silent to a few, a busy host to most."""
+
+LATE_MEMORY = 30.0
+"""Seconds for which an owner that was late for all is not named again. Nobody asks it
+meanwhile, so that nobody can tell whether its host is still busy."""
+
 AGGREGATORS = 2
 """Routers of a failure domain that aggregate for the others of it; while one of them
 has just ended, the other one goes on."""
@@ -115,6 +123,7 @@
         self._tries: dict[Address, _Tries] = {}
         self._asked: dict[RouterId, float] = {}
         self._owners: dict[FailureDomain, _Named] = {}
+        self._late: dict[RouterId, float] = {}
         self._leaving = False
 
     @property
@@ -197,18 +206,37 @@
 
         It is the first of the routers that don't aggregate: both aggregators hear all
         of them, so that both name the same one, and the work is spread. One that is
-        stopping is followed by the next while it still answers.
+        stopping is followed by the next while it still answers, and so is one that
+        answers most of them late.
         """
         domain = self._own.failure_domain
         aggregators = self.aggregators(failure_domain=domain)
+        near = [peer for peer in self.alive if peer.name.failure_domain == domain]
+        self._note_late_owner(near=near)
         members = [
             peer.name
-            for peer in self.alive
-            if peer.name.failure_domain == domain
-            and peer.name not in aggregators
-            and not peer.report.leaving
+            for peer in near
+            if peer.name not in aggregators and not peer.report.leaving
         ]
-        self._note_owner(min(members, key=_rank, default=aggregators[0]))
+        in_time = [name for name in members if name.router not in self._late]
+        self._note_owner(min(in_time or members, key=_rank, default=aggregators[0]))
+
+    def _note_late_owner(self, *, near: Sequence[Peer]) -> None:
+        """Note the owner as late if most routers of its failure domain find it so."""
+        now = self._clock()
+        self._late = {
+            router: at for router, at in self._late.items() if now - at <= LATE_MEMORY
+        }
+        owner = self._owners.get(self._own.failure_domain)
+        if owner is None:
+            return
+        router = owner.name.router
+        finding = sum(router in peer.report.silent_owners for peer in near)
+        if router not in self._late and finding > LATE_SHARE * len(near):
+            self._late[router] = now
+            log.warning(
+                "owner_late", router=router, found_by=finding, routers=len(near)
+            )
 
     def ask(self, *, routers: frozenset[RouterId]) -> None:
         """Note which routers are expected to report from now on."""
--- a/dotterelpaddle/peers/exchange.py
+++ b/dotterelpaddle/peers/exchange.py
@@ -212,6 +212,7 @@
             parts=self._caches.parts if self._caches.known else 0,
             peers=names,
             leaving=self._directory.leaving,
+            silent_owners=self._owners.silent,
         )
 
     def _share(self, *, own: Share, recipient: Recipient) -> Share:
--- a/dotterelpaddle/peers/messages.py
+++ b/dotterelpaddle/peers/messages.py
@@ -51,6 +51,9 @@
 LEAVING_ENDPOINTS = 24
 """Place of endpoints that said that they leave, which earlier releases lack."""
 
+SILENT_OWNERS = 25
+"""Place of owners that did not answer in time, which earlier releases lack."""
+
 MOST_PEERS_TOLD = 16
 """Routers named in one report, so that it stays in one packet."""
 
@@ -101,6 +104,7 @@
         leaving: Whether it is stopping, and others should take over what it does.
         crashes: Under which requests endpoints ended.
         leaving_endpoints: Endpoints that have said in an answer that they leave.
+        silent_owners: Owners that have just not answered the sender in time.
     """
 
     router: RouterId
@@ -125,6 +129,7 @@
     leaving: bool = False
     crashes: tuple[CrashNote, ...] = ()
     leaving_endpoints: tuple[LeavingNote, ...] = ()
+    silent_owners: tuple[RouterId, ...] = ()
 
 
 def encode_report(*, report: PeerReport) -> bytes:
@@ -187,6 +192,7 @@
                 (note.endpoint, round(1000 * note.age))
                 for note in report.leaving_endpoints
             ],
+            report.silent_owners,
         ]
     )
 
@@ -215,6 +221,7 @@
         reading = fields[READING] if len(fields) > READING else {}
         owners = fields[OWNERS] if len(fields) > OWNERS else ()
         crashes = fields[CRASHES] if len(fields) > CRASHES else ()
+        silent = fields[SILENT_OWNERS] if len(fields) > SILENT_OWNERS else ()
         leaving = fields[LEAVING_ENDPOINTS] if len(fields) > LEAVING_ENDPOINTS else ()
         endpoints = heard_endpoints(
             names=[*fields[12][2], *reading, *(name for _, name in uses)],
@@ -247,6 +254,7 @@
             leaving=len(fields) > LEAVING and bool(fields[LEAVING]),
             crashes=decode_notes(fields=crashes),
             leaving_endpoints=tuple(_leaving(note) for note in leaving),
+            silent_owners=tuple(RouterId(str(router)) for router in silent),
         )
     except (
         orjson.JSONDecodeError,
--- a/dotterelpaddle/tests/peers/test_messages.py
+++ b/dotterelpaddle/tests/peers/test_messages.py
@@ -72,6 +72,7 @@
             ),
             "ask": Ask.AGGREGATE,
             "leaving": True,
+            "silent_owners": (RouterId("third"),),
             "routers": 5,
             "domains": (FailureDomain("here"),),
             "uses": ((5, EndpointId("a")),),
@@ -130,6 +131,8 @@
     decoded = decode_report(datagram=orjson.dumps(fields[:CRASHES]))
 
     assert decoded.crashes == ()
+    assert decoded.leaving_endpoints == ()
+    assert decoded.silent_owners == ()
 
 
 def test_endpoints_that_leave_survive_the_wire() -> None:
--- a/dotterelpaddle/tests/peers/test_plan.py
+++ b/dotterelpaddle/tests/peers/test_plan.py
@@ -3,14 +3,18 @@
 from __future__ import annotations
 
 import random
+from typing import TYPE_CHECKING
 
 import pytest
 
 from dotterelpaddle.ids import EndpointId, FailureDomain
-from dotterelpaddle.peers.directory import ALIVE_TIME
+from dotterelpaddle.peers.directory import ALIVE_TIME, LATE_MEMORY
 from dotterelpaddle.peers.plan import MOST_IN_MESH
 from dotterelpaddle.tests.peers.fleet import Fleet
 
+if TYPE_CHECKING:
+    from dotterelpaddle.peers.messages import PeerName
+
 pytestmark = pytest.mark.anyio
 
 DOMAINS = (FailureDomain("a"), FailureDomain("b"), FailureDomain("c"))
@@ -183,6 +187,55 @@
     assert before.router not in after
 
 
+def _find_late(fleet: Fleet, name: PeerName, *, every: int) -> None:
+    """Let some routers of an owner's failure domain get no answer of it in time."""
+    near = [
+        node
+        for node in fleet.nodes
+        if node.name.failure_domain == name.failure_domain and node.name != name
+    ]
+    for node in near[::every]:
+        node.exchange._owners._silent_until[name.router] = fleet.now + LATE_MEMORY
+
+
+async def test_owner_that_answers_late_is_replaced_and_not_named_again_soon() -> None:
+    """Guards against an owner on a busy host, which reports and yet does not answer."""
+    fleet = _fleet(routers=58)
+    await fleet.run(START_TIME)
+    before = fleet.nodes[0].directory.owners()[DOMAINS[0]]
+    _find_late(fleet, before, every=1)
+
+    await fleet.run(HANDOVER_TIME)
+
+    for seconds in (0.0, LATE_MEMORY - 2.0):
+        await fleet.run(seconds)
+        after = {node.directory.owners()[DOMAINS[0]].router for node in fleet.nodes}
+        assert len(after) == 1
+        assert before.router not in after
+
+
+async def test_owner_that_a_few_find_silent_goes_on() -> None:
+    """Guards against owners that change wherever some packets are lost."""
+    fleet = _fleet(routers=58)
+    await fleet.run(START_TIME)
+    before = fleet.nodes[0].directory.owners()[DOMAINS[0]]
+    _find_late(fleet, before, every=3)
+
+    await fleet.run(2 * HANDOVER_TIME)
+
+    assert {node.directory.owners()[DOMAINS[0]] for node in fleet.nodes} == {before}
+
+
+async def test_owners_that_are_all_late_go_on() -> None:
+    fleet = _fleet(routers=58)
+    await fleet.run(START_TIME)
+    for node in fleet.nodes:
+        _find_late(fleet, node.name, every=1)
+    await fleet.run(2 * START_TIME)
+
+    assert all(node.directory.owners().keys() == set(DOMAINS) for node in fleet.nodes)
+
+
 async def test_aggregators_that_stop_are_replaced_while_they_still_answer() -> None:
     fleet = _fleet(routers=58)
     _hold(fleet)
