--- a/dotterelpaddle/forwarding/crashes.py
+++ b/dotterelpaddle/forwarding/crashes.py
@@ -13,6 +13,7 @@
 from typing import TYPE_CHECKING
 
 from dotterelpaddle.exceptions import RequestBlocked
+from dotterelpaddle.forwarding.blame import Suspicion, find_causes
 from dotterelpaddle.forwarding.telling import Telling
 from dotterelpaddle.logs import get_logger
 
@@ -35,7 +36,8 @@
 """Seconds for which it is blocked at most, each time twice as long as before."""
 
 SUSPICION_TIME = 60.0
-"""Seconds after which an end counts no more, unless the request is blocked."""
+"""Seconds after the last end under a request after which none counts any more; a block
+comes on top."""
 
 TRY_TIME = 3.0
 """Seconds for which a try counts as under way; a stream begins within them or waits."""
@@ -114,10 +116,12 @@
         return max(self.last_end, served)
 
     @property
-    def guilt(self) -> tuple[int, int]:
-        """How much speaks for it as the cause, to compare it with others."""
-        begun = sum(seen.begun for seen in self.ended.values())
-        return len(self.ended), begun
+    def suspicion(self) -> Suspicion:
+        """What speaks for it as the cause of the ends."""
+        return Suspicion(
+            ended=frozenset(self.ended),
+            begun=sum(seen.begun for seen in self.ended.values()),
+        )
 
     def forget_before(self, *, at: float) -> None:
         """Forget what was seen until a moment."""
@@ -136,7 +140,7 @@
     def __init__(self, *, clock: Clock) -> None:
         self._clock = clock
         self._suspects: dict[Fingerprint, _Suspect] = {}
-        self._blamed: frozenset[Fingerprint] | None = frozenset()
+        self._known_causes: frozenset[Fingerprint] | None = None
 
     @property
     def suspects(self) -> int:
@@ -218,7 +222,7 @@
         now = self._clock()
         self._forget(now=now)
         due = [each for each in self._all_seen() if _is_due(each, now=now)]
-        due.sort(key=lambda each: (each.guilt, each.seen.telling.left), reverse=True)
+        due.sort(key=lambda each: (each.ends, each.seen.telling.left), reverse=True)
         told = due[:MOST_TOLD]
         for each in told:
             each.seen.telling.note_told(now=now)
@@ -236,7 +240,7 @@
             return
         suspect.ended[endpoint] = seen
         suspect.tried.pop(endpoint, None)
-        self._blamed = None
+        self._known_causes = None
         log.info(
             "request_suspected",
             fingerprint=fingerprint,
@@ -254,6 +258,7 @@
         is_old = suspect.served is not None and suspect.served.at >= seen.at
         if not is_old and endpoint not in suspect.ended:
             suspect.tried.setdefault(endpoint, seen)
+        self._bound()
 
     def _acquit(self, fingerprint: Fingerprint, suspect: _Suspect, seen: _Seen) -> None:
         if suspect.served is not None and suspect.served.at >= seen.at:
@@ -261,7 +266,7 @@
         was_blocked = fingerprint in self._causes()
         suspect.served = seen
         suspect.forget_before(at=seen.at)
-        self._blamed = None
+        self._known_causes = None
         if was_blocked:
             log.info("request_block_ended", fingerprint=fingerprint, cause="served")
 
@@ -273,28 +278,16 @@
         )
 
     def _causes(self) -> frozenset[Fingerprint]:
-        """Requests that ended endpoints, rather than having been there as well.
-
-        The request under which most endpoints ended is the cause of all these ends;
-        what was there too is judged by the other ends only.
-        """
-        if self._blamed is not None:
-            return self._blamed
-        explained: set[EndpointId] = set()
-        blamed = set()
-        ranked = sorted(
-            self._suspects.items(),
-            key=lambda item: (item[1].guilt, item[0]),
-            reverse=True,
-        )
-        for fingerprint, suspect in ranked:
-            if len(suspect.ended) < MOST_ENDED:
-                break
-            if len(suspect.ended.keys() - explained) >= MOST_ENDED:
-                blamed.add(fingerprint)
-                explained |= suspect.ended.keys()
-        self._blamed = frozenset(blamed)
-        return self._blamed
+        """Requests that are blocked, or would be tried once more."""
+        if self._known_causes is None:
+            self._known_causes = find_causes(
+                suspicions={
+                    fingerprint: suspect.suspicion
+                    for fingerprint, suspect in self._suspects.items()
+                },
+                least=MOST_ENDED,
+            )
+        return self._known_causes
 
     def _blocked_error(
         self, *, suspect: _Suspect, tries: int, wait: float
@@ -320,7 +313,7 @@
                         fingerprint=fingerprint,
                         endpoint=endpoint,
                         seen=seen,
-                        guilt=len(suspect.ended),
+                        ends=len(suspect.ended),
                     )
             if suspect.served is not None:
                 yield _Tellable(
@@ -328,7 +321,7 @@
                     fingerprint=fingerprint,
                     endpoint=None,
                     seen=suspect.served,
-                    guilt=len(suspect.ended),
+                    ends=len(suspect.ended),
                 )
 
     def _forget(self, *, now: float) -> None:
@@ -344,7 +337,7 @@
             }
             if now - suspect.latest > kept and not suspect.tried:
                 del self._suspects[fingerprint]
-                self._blamed = None
+                self._known_causes = None
 
     def _bound(self) -> None:
         """Forget the least suspect, oldest first, beyond what may be kept."""
@@ -367,7 +360,7 @@
     fingerprint: Fingerprint
     endpoint: EndpointId | None
     seen: _Seen
-    guilt: int
+    ends: int
 
     def note(self, *, now: float) -> CrashNote:
         """As other routers are told."""
@@ -382,7 +375,7 @@
 
 def _is_due(told: _Tellable, *, now: float) -> bool:
     """Tell whether something is news, or an end that was told a while ago."""
-    pause = RETELL_TIME if told.guilt > 1 else RARE_RETELL_TIME
+    pause = RETELL_TIME if told.ends > 1 else RARE_RETELL_TIME
     if told.kind is not NoteKind.ENDED:
         pause = float("inf")
     return told.seen.telling.is_due(now=now, pause=pause)
