--- a/dotterelpaddle/forwarding/endings.py
+++ b/dotterelpaddle/forwarding/endings.py
@@ -18,6 +18,7 @@
 if TYPE_CHECKING:
     from dotterelpaddle.clock import Clock
     from dotterelpaddle.forwarding.crashes import CrashBook
+    from dotterelpaddle.forwarding.leaving import LeavingEndpoints
     from dotterelpaddle.forwarding.model import EndpointEntry
     from dotterelpaddle.forwarding.reachability import Reachability
     from dotterelpaddle.ids import EndpointId, Fingerprint
@@ -57,6 +58,7 @@
         backend: Opens connections.
         reachability: Is told of endpoints that have ended.
         crashes: Is told under which requests.
+        leaving: Endpoints that have said that they leave.
         clock: Monotonic clock.
     """
 
@@ -66,11 +68,13 @@
         backend: LinkedBackend,
         reachability: Reachability,
         crashes: CrashBook,
+        leaving: LeavingEndpoints,
         clock: Clock,
     ) -> None:
         self._backend = backend
         self._reachability = reachability
         self._crashes = crashes
+        self._leaving = leaving
         self._clock = clock
         self._waiting: dict[EndpointId, list[_Broken]] = {}
         self._new: list[EndpointEntry] = []
@@ -83,7 +87,7 @@
 
         One that is leaving may end beside its last requests, which says nothing.
         """
-        if entry.state is EndpointState.DRAINING:
+        if entry.state is EndpointState.DRAINING or entry.endpoint in self._leaving:
             return
         broken = _Broken(fingerprint=fingerprint, at=self._clock(), begun=begun)
         waiting = self._waiting.setdefault(entry.endpoint, [])
--- a/dotterelpaddle/forwarding/parts.py
+++ b/dotterelpaddle/forwarding/parts.py
@@ -190,6 +190,7 @@
         backend=backend,
         reachability=reachability,
         crashes=knowledge.crashes,
+        leaving=knowledge.view.leaving,
         clock=clock,
     )
     isolation = Isolation(
--- a/dotterelpaddle/tests/forwarding/test_endings.py
+++ b/dotterelpaddle/tests/forwarding/test_endings.py
@@ -17,7 +17,7 @@
 from dotterelpaddle.forwarding.model import EndpointState
 from dotterelpaddle.forwarding.reachability import Reachability
 from dotterelpaddle.forwarding.view import FleetView
-from dotterelpaddle.ids import FailureDomain, Fingerprint
+from dotterelpaddle.ids import EndpointId, FailureDomain, Fingerprint
 from dotterelpaddle.links import Links
 from dotterelpaddle.network import LinkedBackend
 from dotterelpaddle.tests.forwarding.entries import make_entry
@@ -38,8 +38,10 @@
     def __init__(self) -> None:
         backend = LinkedBackend(links=Links())
         self.crashes = CrashBook(clock=monotonic)
+        view = FleetView(clock=monotonic)
+        self.leaving = view.leaving
         self.reachability = Reachability(
-            view=FleetView(clock=monotonic),
+            view=view,
             backend=backend,
             failure_domain=FailureDomain("here"),
             clock=monotonic,
@@ -48,6 +50,7 @@
             backend=backend,
             reachability=self.reachability,
             crashes=self.crashes,
+            leaving=self.leaving,
             clock=monotonic,
         )
 
@@ -99,8 +102,17 @@
     assert looked.crashes.suspects == 0
 
 
-async def test_end_of_an_endpoint_that_was_leaving_says_nothing() -> None:
+async def test_end_of_an_endpoint_whose_entry_says_it_leaves_says_nothing() -> None:
     async with _looking() as looked:
         looked.broke_off(address=CLOSED, state=EndpointState.DRAINING)
 
         assert not looked.endings._waiting
+
+
+async def test_end_of_an_endpoint_whose_answer_said_it_leaves_says_nothing() -> None:
+    async with _looking() as looked:
+        for number in range(MOST_ENDED):
+            looked.leaving.note(endpoint=EndpointId(f"engine-{number}"))
+        looked.broke_off(address=CLOSED)
+
+        assert not looked.endings._waiting
