Let the first router that reaches the platform read for the others

Cause: one router reads for all that hear it, by rank alone. 59 hosts were cut off from the store for eight seconds, that one among them, and it was still heard, so all others went by its word until that was 2.8 s old. Change: routers say whether their own calls fail; the first one by rank whose calls do not reads for the others. The new test failed before.

--- a/dotterelpaddle/forwarding/follower.py
+++ b/dotterelpaddle/forwarding/follower.py
@@ -135,6 +135,11 @@
         """Seconds since it last told the endpoints."""
         return self._clock() - self._endpoints_at
 
+    @property
+    def failing(self) -> bool:
+        """Whether its own calls have failed since the source last answered it."""
+        return self._failing
+
     async def run(self) -> None:
         """Follow both kinds of news."""
         async with anyio.create_task_group() as tasks:
--- a/dotterelpaddle/peers/exchange.py
+++ b/dotterelpaddle/peers/exchange.py
@@ -213,6 +213,7 @@
             peers=names,
             leaving=self._directory.leaving,
             silent_owners=self._owners.silent,
+            platform_lost=self._follower.failing,
         )
 
     def _share(self, *, own: Share, recipient: Recipient) -> Share:
--- a/dotterelpaddle/peers/messages.py
+++ b/dotterelpaddle/peers/messages.py
@@ -54,6 +54,9 @@
 SILENT_OWNERS = 25
 """Place of owners that did not answer in time, which earlier releases lack."""
 
+PLATFORM_LOST = 26
+"""Place of whether the sender reaches the platform, which earlier releases lack."""
+
 MOST_PEERS_TOLD = 16
 """Routers named in one report, so that it stays in one packet."""
 
@@ -105,6 +108,7 @@
         crashes: Under which requests endpoints ended.
         leaving_endpoints: Endpoints that have said in an answer that they leave.
         silent_owners: Owners that have just not answered the sender in time.
+        platform_lost: Whether its own calls to the platform fail.
     """
 
     router: RouterId
@@ -130,6 +134,7 @@
     crashes: tuple[CrashNote, ...] = ()
     leaving_endpoints: tuple[LeavingNote, ...] = ()
     silent_owners: tuple[RouterId, ...] = ()
+    platform_lost: bool = False
 
 
 def encode_report(*, report: PeerReport) -> bytes:
@@ -193,6 +198,7 @@
                 for note in report.leaving_endpoints
             ],
             report.silent_owners,
+            report.platform_lost,
         ]
     )
 
@@ -255,6 +261,7 @@
             crashes=decode_notes(fields=crashes),
             leaving_endpoints=tuple(_leaving(note) for note in leaving),
             silent_owners=tuple(RouterId(str(router)) for router in silent),
+            platform_lost=len(fields) > PLATFORM_LOST and bool(fields[PLATFORM_LOST]),
         )
     except (
         orjson.JSONDecodeError,
--- a/dotterelpaddle/peers/word.py
+++ b/dotterelpaddle/peers/word.py
@@ -47,13 +47,15 @@
     def reads_first(self) -> bool:
         """Whether this router reads from the platform for those that it hears.
 
-        Where two take that part for a moment, or none, only calls are lost: each
-        goes by the age of what the others vouch for.
+        It is the first one by rank that reaches the platform: routers rely on what the
+        others vouch for until it is old, and would all hear news late. Where two take
+        that part for a moment, or none, only calls are lost.
         """
         rank = self._directory.rank
         own = rank(router=self._directory.own.router)
         return all(
-            rank(router=peer.report.router) > own for peer in self._directory.alive
+            peer.report.platform_lost or rank(router=peer.report.router) > own
+            for peer in self._directory.alive
         )
 
     @property
--- a/dotterelpaddle/tests/peers/test_messages.py
+++ b/dotterelpaddle/tests/peers/test_messages.py
@@ -73,6 +73,7 @@
             "ask": Ask.AGGREGATE,
             "leaving": True,
             "silent_owners": (RouterId("third"),),
+            "platform_lost": True,
             "routers": 5,
             "domains": (FailureDomain("here"),),
             "uses": ((5, EndpointId("a")),),
@@ -133,6 +134,7 @@
     assert decoded.crashes == ()
     assert decoded.leaving_endpoints == ()
     assert decoded.silent_owners == ()
+    assert not decoded.platform_lost
 
 
 def test_endpoints_that_leave_survive_the_wire() -> None:
--- a/dotterelpaddle/tests/peers/test_word.py
+++ b/dotterelpaddle/tests/peers/test_word.py
@@ -52,7 +52,9 @@
         )
         self._sequence = 0
 
-    def hear(self, router: str, *, view: FleetView, age: float = 0.0) -> None:
+    def hear(
+        self, router: str, *, view: FleetView, age: float = 0.0, cut_off: bool = False
+    ) -> None:
         self._sequence += 1
         report = PeerReport(
             router=RouterId(router),
@@ -66,6 +68,7 @@
             endpoints_age=age,
             endpoints_tag=view.endpoints_tag,
             share=Share(),
+            platform_lost=cut_off,
         )
         self.directory.hear(report=report, address=Address(host=router, port=1))
 
@@ -92,6 +95,23 @@
     assert first.count(True) == 1
 
 
+def test_first_one_that_reaches_the_platform_reads_for_the_others() -> None:
+    """Guards against news that nobody reads while the first router is cut off."""
+    names = [f"router-{number}" for number in range(9)]
+    worlds = {}
+    for name in names:
+        worlds[name] = World(view=_view(revision=1), name=name)
+        for other in names:
+            if other != name:
+                worlds[name].hear(other, view=worlds[name].view)
+    (first,) = [name for name in names if worlds[name].word.reads_first]
+    others = [name for name in names if name != first]
+    for name in others:
+        worlds[name].hear(first, view=worlds[name].view, cut_off=True)
+
+    assert [worlds[name].word.reads_first for name in others].count(True) == 1
+
+
 def test_word_of_one_that_knows_the_same_grows_old() -> None:
     world = World(view=_view(revision=3))
     world.hear("other", view=_view(revision=8), age=0.25)
