Give endpoints of evacuated failure domains no new work

Ruled out: the latest news of each domain by itself, as endpoints' entries are kept. A state machine showed that older news of a domain of which a later whole read said nothing would evacuate it again; a router that was cut off would never hear that its evacuation had ended. Now all evacuated domains are one state with one revision.

Change: rows of the operator's table are decoded in one place, page by page; the view leaves evacuated domains out wherever it is asked for endpoints to send to, caches' lists included; reports carry the state, so that a router that takes a configuration from another one knows evacuations first; who does not tell them does not vouch. With all domains evacuated callers are refused at once and told to return after a second. Caches are still fetched from endpoints there while they serve.

--- a/dotterelpaddle/forwarding/candidates.py
+++ b/dotterelpaddle/forwarding/candidates.py
@@ -23,6 +23,9 @@
 A starting endpoint registers within a second or two, others take over at once.
 """
 
+EVACUATED_WAIT = 1.0
+"""The same when all endpoints of a service are in evacuated failure domains."""
+
 
 class Candidates:
     """Leaves out endpoints that leave, ask for quiet, fail or are out of reach.
@@ -111,8 +114,12 @@
     ) -> float:
         """Seconds until an endpoint may be there again.
 
-        Where all that are left asked for quiet, it is the end of the shortest.
+        Where all that are left asked for quiet, it is the end of the shortest; an
+        evacuation lasts for many seconds.
         """
+        listed = self._view.listed(service=service)
+        if listed and not self._view.evacuations.without(entries=listed):
+            return EVACUATED_WAIT
         quiet = self._quiet.shortest(entries=self._view.ready(service=service))
         return NO_ENDPOINT_WAIT if fresh or quiet is None else quiet
 
--- a/dotterelpaddle/forwarding/follower.py
+++ b/dotterelpaddle/forwarding/follower.py
@@ -15,7 +15,7 @@
 
     from dotterelpaddle.clock import Clock
     from dotterelpaddle.forwarding.interface import (
-        ConfigurationRead,
+        OperatorRead,
         Source,
         Vouching,
     )
@@ -188,8 +188,7 @@
                 return after
             read = answer
         self._configuration_at = self._note_answer()
-        if read.configuration is not None:
-            self._view.take_configuration(configuration=read.configuration)
+        self._view.take_operator_read(read=read)
         if after is None and read.configuration is None:
             # Nothing is configured yet; the first version comes any moment.
             await anyio.sleep(RETRY_PAUSE)
@@ -206,7 +205,7 @@
         while self._word.passed_on and not self._must_look_itself:
             await anyio.sleep(PASSED_ON_PAUSE)
 
-    async def _wait_long(self, *, after: Revision) -> ConfigurationRead | None:
+    async def _wait_long(self, *, after: Revision) -> OperatorRead | None:
         """Wait for a change; None if nobody vouches for the version any more."""
         with anyio.CancelScope() as scope:
             self._long_call = scope
--- a/dotterelpaddle/forwarding/interface.py
+++ b/dotterelpaddle/forwarding/interface.py
@@ -10,6 +10,7 @@
     from typing import Any
 
     from dotterelpaddle.address import Address
+    from dotterelpaddle.forwarding.evacuations import EvacuationChange
     from dotterelpaddle.forwarding.model import (
         EndpointEntry,
         FleetConfiguration,
@@ -19,6 +20,7 @@
     from dotterelpaddle.ids import (
         EndpointId,
         EndpointName,
+        FailureDomain,
         ModelId,
         RequestId,
         Revision,
@@ -155,16 +157,23 @@
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
-class ConfigurationRead:
-    """The newest configuration at some moment.
+class OperatorRead:
+    """What the operator wants at some moment, or what changed up to it.
 
     Attributes:
         revision: Position in the order of changes up to which this is known.
         configuration: The configuration, None if nothing new or usable is there.
+        evacuations: Evacuations that there are, or have begun or ended.
+        unclear: Failure domains whose evacuation can't be made out, as its row can't
+            be decoded: nothing changes for them.
+        whole: Whether there are no others.
     """
 
     revision: Revision
     configuration: FleetConfiguration | None
+    evacuations: tuple[EvacuationChange, ...] = ()
+    unclear: frozenset[FailureDomain] = frozenset()
+    whole: bool = False
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -267,12 +276,12 @@
     HistoryLost if changes since `after` can't be told one by one any more.
     """
 
-    async def configuration(self) -> ConfigurationRead:
+    async def configuration(self) -> OperatorRead:
         """Read the configuration."""
 
     async def configuration_after(
         self, *, after: Revision, wait: float
-    ) -> ConfigurationRead:
+    ) -> OperatorRead:
         """Wait for a change of the configuration, some seconds at most."""
 
     async def endpoints(self) -> EndpointsRead:
--- a/dotterelpaddle/forwarding/view.py
+++ b/dotterelpaddle/forwarding/view.py
@@ -13,6 +13,7 @@
 import anyio
 
 from dotterelpaddle.forwarding.entry_tags import entries_tag, same_but_revision
+from dotterelpaddle.forwarding.evacuations import EvacuatedDomains, Evacuations
 from dotterelpaddle.forwarding.interface import EndpointsRead
 from dotterelpaddle.forwarding.leaving import LeavingEndpoints
 from dotterelpaddle.forwarding.model import (
@@ -26,6 +27,7 @@
 
 if TYPE_CHECKING:
     from dotterelpaddle.clock import Clock
+    from dotterelpaddle.forwarding.interface import OperatorRead
     from dotterelpaddle.forwarding.model import (
         CallerLimits,
         EndpointEntry,
@@ -93,6 +95,7 @@
     ) -> None:
         self._clock = clock
         self._leaving = leaving or LeavingEndpoints(clock=clock)
+        self._evacuations = Evacuations(clock=clock)
         self._configuration: FleetConfiguration | None = None
         self._routes: dict[str, tuple[ForwardRoute, ...]] = {}
         self._used_services: frozenset[ServiceName] = frozenset()
@@ -162,6 +165,11 @@
         """Endpoints that have said in an answer that they leave."""
         return self._leaving
 
+    @property
+    def evacuations(self) -> Evacuations:
+        """Failure domains whose endpoints get no new work."""
+        return self._evacuations
+
     @property
     def used_entries(self) -> tuple[EndpointEntry, ...]:
         """Entries of services that the configuration sends requests to.
@@ -225,7 +233,8 @@
 
     def ready(self, *, service: ServiceName) -> tuple[EndpointEntry, ...]:
         """Endpoints of a service that take new work, as far as anybody has heard."""
-        return self._leaving.without(entries=self.listed(service=service))
+        staying = self._leaving.without(entries=self.listed(service=service))
+        return self._evacuations.without(entries=staying)
 
     def last_resort(self, *, service: ServiceName) -> tuple[EndpointEntry, ...]:
         """Endpoints that may still serve if no other can.
@@ -241,12 +250,32 @@
             and each.entry.state is EndpointState.READY
         )
         leaving = self._leaving.still_serving(entries=self.listed(service=service))
-        return (*self._leaving.without(entries=gone), *leaving)
+        return self._evacuations.without(
+            entries=(*self._leaving.without(entries=gone), *leaving)
+        )
 
     def note_return(self) -> None:
         """Note that the platform is back; entries may be missing for a while."""
         self._returned_at = self._clock()
 
+    def take_operator_read(self, *, read: OperatorRead) -> None:
+        """Take in what the operator wants.
+
+        Evacuations come first: who has a configuration serves, and knows them by then.
+        """
+        if read.whole:
+            told = frozenset(each.failure_domain for each in read.evacuations)
+            kept = self._evacuations.domains & read.unclear
+            self._evacuations.take(
+                told=EvacuatedDomains(revision=read.revision, domains=told | kept)
+            )
+        else:
+            self._evacuations.take_changes(
+                changes=read.evacuations, revision=read.revision
+            )
+        if read.configuration is not None:
+            self.take_configuration(configuration=read.configuration)
+
     def take_configuration(self, *, configuration: FleetConfiguration) -> bool:
         """Put a configuration in force unless a later one is.
 
--- a/dotterelpaddle/peers/cache_lists.py
+++ b/dotterelpaddle/peers/cache_lists.py
@@ -126,7 +126,8 @@
         became_owner = bool(owns) and not self._owned
         if not self._view.complete or (self._caches.known and not became_owner):
             return
-        engines = [entry for entry in self._view.used_entries if entry.models]
+        asked = self._view.evacuations.without(entries=self._view.used_entries)
+        engines = [entry for entry in asked if entry.models]
         match whom_to_ask(
             engines=len(engines),
             waited=self._clock() - self._started_at,
--- a/dotterelpaddle/peers/exchange.py
+++ b/dotterelpaddle/peers/exchange.py
@@ -214,6 +214,7 @@
             leaving=self._directory.leaving,
             silent_owners=self._owners.silent,
             platform_lost=self._follower.failing,
+            evacuated=self._view.evacuations.known,
         )
 
     def _share(self, *, own: Share, recipient: Recipient) -> Share:
@@ -298,6 +299,8 @@
         self._caches.hear(uses=report.uses, pass_on=origin)
         self._crashes.hear(notes=report.crashes, pass_on=origin is not None)
         self._view.leaving.hear(notes=report.leaving_endpoints)
+        if report.evacuated is not None:
+            self._view.evacuations.take(told=report.evacuated)
         return not known or report.ask is Ask.ANSWER
 
     def _origin(self, *, report: PeerReport) -> Origin | None:
--- a/dotterelpaddle/peers/messages.py
+++ b/dotterelpaddle/peers/messages.py
@@ -10,6 +10,7 @@
 
 from dotterelpaddle.address import Address
 from dotterelpaddle.exceptions import ControlError
+from dotterelpaddle.forwarding.evacuations import EvacuatedDomains
 from dotterelpaddle.forwarding.leaving import LeavingNote
 from dotterelpaddle.forwarding.shares import Ask, RepeatCounts, Scope, Share
 from dotterelpaddle.ids import (
@@ -57,6 +58,9 @@
 PLATFORM_LOST = 26
 """Place of whether the sender reaches the platform, which earlier releases lack."""
 
+EVACUATED = 27
+"""Place of evacuated failure domains, which earlier releases lack as well."""
+
 MOST_PEERS_TOLD = 16
 """Routers named in one report, so that it stays in one packet."""
 
@@ -109,6 +113,7 @@
         leaving_endpoints: Endpoints that have said in an answer that they leave.
         silent_owners: Owners that have just not answered the sender in time.
         platform_lost: Whether its own calls to the platform fail.
+        evacuated: Evacuated failure domains, None if it knows nothing of them.
     """
 
     router: RouterId
@@ -135,6 +140,7 @@
     leaving_endpoints: tuple[LeavingNote, ...] = ()
     silent_owners: tuple[RouterId, ...] = ()
     platform_lost: bool = False
+    evacuated: EvacuatedDomains | None = None
 
 
 def encode_report(*, report: PeerReport) -> bytes:
@@ -199,6 +205,7 @@
             ],
             report.silent_owners,
             report.platform_lost,
+            _evacuated_fields(report.evacuated),
         ]
     )
 
@@ -223,12 +230,8 @@
         if fields[0] != FORMAT:
             raise ControlError(f"a report of format {fields[0]!r}, not {FORMAT}")
         uses = fields[16]
-        starts = fields[STARTS] if len(fields) > STARTS else ()
-        reading = fields[READING] if len(fields) > READING else {}
-        owners = fields[OWNERS] if len(fields) > OWNERS else ()
-        crashes = fields[CRASHES] if len(fields) > CRASHES else ()
-        silent = fields[SILENT_OWNERS] if len(fields) > SILENT_OWNERS else ()
-        leaving = fields[LEAVING_ENDPOINTS] if len(fields) > LEAVING_ENDPOINTS else ()
+        starts = _later_field(fields, STARTS, ())
+        reading = _later_field(fields, READING, {})
         endpoints = heard_endpoints(
             names=[*fields[12][2], *reading, *(name for _, name in uses)],
             starts=starts,
@@ -256,12 +259,18 @@
             uses=tuple((int(part), endpoints[name]) for part, name in uses),
             parts=int(fields[17]),
             peers=tuple(_peer(peer) for peer in fields[18]),
-            owners=tuple(_peer(owner) for owner in owners),
-            leaving=len(fields) > LEAVING and bool(fields[LEAVING]),
-            crashes=decode_notes(fields=crashes),
-            leaving_endpoints=tuple(_leaving(note) for note in leaving),
-            silent_owners=tuple(RouterId(str(router)) for router in silent),
-            platform_lost=len(fields) > PLATFORM_LOST and bool(fields[PLATFORM_LOST]),
+            owners=tuple(_peer(owner) for owner in _later_field(fields, OWNERS, ())),
+            leaving=bool(_later_field(fields, LEAVING, False)),
+            crashes=decode_notes(fields=_later_field(fields, CRASHES, ())),
+            leaving_endpoints=tuple(
+                _leaving(note) for note in _later_field(fields, LEAVING_ENDPOINTS, ())
+            ),
+            silent_owners=tuple(
+                RouterId(str(router))
+                for router in _later_field(fields, SILENT_OWNERS, ())
+            ),
+            platform_lost=bool(_later_field(fields, PLATFORM_LOST, False)),
+            evacuated=_evacuated(_later_field(fields, EVACUATED, None)),
         )
     except (
         orjson.JSONDecodeError,
@@ -298,6 +307,27 @@
     )
 
 
+def _later_field(fields: list[Any], place: int, default: Any) -> Any:
+    """Return a field that came with a later release, or what it is without it."""
+    return fields[place] if len(fields) > place else default
+
+
+def _evacuated_fields(evacuated: EvacuatedDomains | None) -> list[Any] | None:
+    if evacuated is None:
+        return None
+    return [evacuated.revision, sorted(evacuated.domains)]
+
+
+def _evacuated(fields: Any) -> EvacuatedDomains | None:
+    if fields is None:
+        return None
+    revision, domains = fields
+    return EvacuatedDomains(
+        revision=Revision(int(revision)),
+        domains=frozenset(FailureDomain(str(domain)) for domain in domains),
+    )
+
+
 def _leaving(fields: Any) -> LeavingNote:
     endpoint, age = fields
     return LeavingNote(endpoint=EndpointId(str(endpoint)), age=max(0, int(age)) / 1000)
--- a/dotterelpaddle/peers/word.py
+++ b/dotterelpaddle/peers/word.py
@@ -90,11 +90,15 @@
 
     @property
     def configuration_age(self) -> float:
-        """Seconds since one that has the same version heard from the platform."""
+        """Seconds since one that has the same version heard from the platform.
+
+        A router that tells nothing of evacuations does not vouch for them either.
+        """
         return self._youngest(
             (peer, peer.report.configuration_age)
             for peer in self._directory.alive
             if peer.report.version == self._view.version
+            and peer.report.evacuated is not None
         )
 
     @property
--- a/dotterelpaddle/platform/store.py
+++ b/dotterelpaddle/platform/store.py
@@ -9,25 +9,22 @@
 import httpcore
 import orjson
 
-from dotterelpaddle.exceptions import HistoryLost, PlatformUnavailable, RecordError
-from dotterelpaddle.forwarding.interface import ConfigurationRead, EndpointsRead
+from dotterelpaddle.exceptions import HistoryLost, PlatformUnavailable
+from dotterelpaddle.forwarding.interface import EndpointsRead
 from dotterelpaddle.ids import Revision
-from dotterelpaddle.logs import get_logger
 from dotterelpaddle.network import LinkedBackend
-from dotterelpaddle.platform.names import CONFIGURATION_KEY, Call, Table
-from dotterelpaddle.platform.rows import EntryRows, check_rows, row_value
+from dotterelpaddle.platform.names import Call, Table
+from dotterelpaddle.platform.operator_rows import OperatorRows
+from dotterelpaddle.platform.rows import EntryRows, check_rows
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
     from dotterelpaddle.address import Address
-    from dotterelpaddle.forwarding.interface import Documents
-    from dotterelpaddle.forwarding.model import FleetConfiguration
+    from dotterelpaddle.forwarding.interface import Documents, OperatorRead
     from dotterelpaddle.links import Links
     from dotterelpaddle.platform.rows import Row
 
-log = get_logger(name=__name__)
-
 ANSWER_TIME = 1.0
 """Seconds that an answer may take beyond what the call waits for.
 
@@ -53,7 +50,7 @@
 
     def __init__(self, *, address: Address, documents: Documents, links: Links) -> None:
         self._address = address
-        self._documents = documents
+        self._operator_rows = OperatorRows(documents=documents)
         self._entry_rows = EntryRows(documents=documents)
         self._pool = httpcore.AsyncConnectionPool(
             network_backend=LinkedBackend(links=links),
@@ -65,41 +62,25 @@
         """Close all connections."""
         await self._pool.aclose()
 
-    async def configuration(self) -> ConfigurationRead:
+    async def configuration(self) -> OperatorRead:
         """Read the configuration."""
-        answer = await self._get(
-            path=Call.READ, query={"table": Table.OPERATOR, "part": ""}
-        )
-        return ConfigurationRead(
-            revision=_revision(answer),
-            configuration=self._configuration(answer["rows"]),
-        )
+        rows, revision = await self._read_all(table=Table.OPERATOR)
+        return self._operator_rows.decode(rows=rows, revision=revision, whole=True)
 
     async def configuration_after(
         self, *, after: Revision, wait: float
-    ) -> ConfigurationRead:
+    ) -> OperatorRead:
         """Wait for a change of the configuration, some seconds at most."""
         answer = await self._watch(table=Table.OPERATOR, after=after, wait=wait)
-        return ConfigurationRead(
-            revision=_revision(answer),
-            configuration=self._configuration(answer["rows"]),
+        return self._operator_rows.decode(
+            rows=answer["rows"], revision=_revision(answer), whole=False
         )
 
     async def endpoints(self) -> EndpointsRead:
         """Read all endpoints' entries."""
-        rows: list[Row] = []
-        query = {"table": Table.ENDPOINTS, "part": "", "limit": PAGE}
-        first: Revision | None = None
-        while True:
-            answer = await self._get(path=Call.READ, query=query)
-            rows += answer["rows"]
-            # Later pages may hold later changes, which the next watch tells again.
-            first = _revision(answer) if first is None else first
-            if not answer.get("truncated") or not answer["rows"]:
-                break
-            query = {**query, "from": answer["rows"][-1]["key"] + "\0"}
+        rows, revision = await self._read_all(table=Table.ENDPOINTS)
         entries, _ = self._entry_rows.decode(rows=rows)
-        return EndpointsRead(revision=first, entries=entries, whole=True)
+        return EndpointsRead(revision=revision, entries=entries, whole=True)
 
     async def endpoints_after(self, *, after: Revision, wait: float) -> EndpointsRead:
         """Wait for changes of endpoints' entries, some seconds at most."""
@@ -109,6 +90,20 @@
             revision=_revision(answer), entries=entries, removed=removed
         )
 
+    async def _read_all(self, *, table: str) -> tuple[list[Row], Revision]:
+        """Read all rows of a table, and the revision as of which they are."""
+        rows: list[Row] = []
+        query = {"table": table, "part": "", "limit": PAGE}
+        first: Revision | None = None
+        while True:
+            answer = await self._get(path=Call.READ, query=query)
+            rows += answer["rows"]
+            # Later pages may hold later changes, which the next watch tells again.
+            first = _revision(answer) if first is None else first
+            if not answer.get("truncated") or not answer["rows"]:
+                return rows, first
+            query = {**query, "from": answer["rows"][-1]["key"] + "\0"}
+
     async def _watch(self, *, table: str, after: Revision, wait: float) -> Row:
         query = {"table": table, "afterRev": after, "waitMs": round(wait * 1000)}
         return await self._get(path=Call.WATCH, query=query, wait=wait)
@@ -146,25 +141,6 @@
             raise PlatformUnavailable(f"answered {response.status}", peer=peer)
         return _document(content=response.content, peer=peer)
 
-    def _configuration(self, rows: list[Row]) -> FleetConfiguration | None:
-        """Decode the newest configuration; one that can't be used is left out.
-
-        Changes come in order, and each of them is there.
-        """
-        for row in reversed(rows):
-            if row.get("key") != CONFIGURATION_KEY or row.get("removed"):
-                continue
-            try:
-                return self._documents.configuration(document=row_value(row=row))
-            except RecordError as error:
-                log.error(
-                    "configuration_unusable",
-                    revision=row.get("ver"),
-                    field=error.field,
-                    cause=error.message,
-                )
-        return None
-
 
 def _document(*, content: bytes, peer: str) -> Row:
     try:
--- a/dotterelpaddle/tests/forwarding/test_evacuation.py
+++ b/dotterelpaddle/tests/forwarding/test_evacuation.py
@@ -13,7 +13,9 @@
 
 import pytest
 
-from dotterelpaddle.platform.names import Table
+from dotterelpaddle.address import Address
+from dotterelpaddle.forwarding.candidates import EVACUATED_WAIT
+from dotterelpaddle.platform.names import Header, Table
 from dotterelpaddle.tests.forwarding.harness import run_fleet, until
 
 if TYPE_CHECKING:
@@ -23,6 +25,7 @@
 
 pytestmark = pytest.mark.anyio
 
+NO_STORE = Address(host="127.0.0.1", port=9)
 HERE, THERE = "here", "there"
 CALLS = 12
 """Requests that would all go to an endpoint near the router."""
@@ -77,3 +80,42 @@
             reached = await _reached(fleet)
 
     assert reached == {THERE}
+
+
+async def test_router_hears_of_evacuations_from_others() -> None:
+    """Guards against work for an evacuated domain while the store turns one away."""
+    async with _two_domains() as fleet:
+        router = await fleet.add_router(store=NO_STORE)
+        await until(lambda: router.parts.app.ready)
+        view = router.parts.knowledge.view
+        _evacuate(fleet, HERE)
+        await until(lambda: view.evacuations.domains)
+
+        assert await _reached(fleet, router=1) == {THERE}
+
+
+async def test_domain_that_is_taken_back_gets_work_again() -> None:
+    """Guards against endpoints that are lost to the fleet after an evacuation."""
+    async with _two_domains() as fleet:
+        view = fleet.routers[0].parts.knowledge.view
+        _evacuate(fleet, HERE)
+        await until(lambda: view.evacuations.domains)
+        fleet.store.remove(table=Table.OPERATOR, key=f"evacuate/{HERE}")
+        await until(lambda: not view.evacuations.domains)
+
+        assert await _reached(fleet) == {HERE}
+
+
+async def test_what_has_nowhere_to_go_is_refused_at_once() -> None:
+    """Guards against requests that wait, or run, while all domains are evacuated."""
+    async with _two_domains() as fleet:
+        view = fleet.routers[0].parts.knowledge.view
+        for domain in (HERE, THERE):
+            _evacuate(fleet, domain)
+        await until(lambda: len(view.evacuations.domains) == 2)
+        answer = await fleet.call("/unsafe/")
+        headers = {name.lower(): value for name, value in answer.headers}
+
+        assert answer.status == 503
+        assert float(headers[Header.RETRY_AFTER]) == EVACUATED_WAIT
+        assert not any(each.received for each in fleet.runners.values())
--- a/dotterelpaddle/tests/peers/test_word.py
+++ b/dotterelpaddle/tests/peers/test_word.py
@@ -5,6 +5,7 @@
 import pytest
 
 from dotterelpaddle.address import Address
+from dotterelpaddle.forwarding.evacuations import EvacuatedDomains
 from dotterelpaddle.forwarding.interface import EndpointsRead
 from dotterelpaddle.forwarding.model import EndpointState
 from dotterelpaddle.forwarding.shares import Share, ShareBook
@@ -17,6 +18,7 @@
 
 OWN = Address(host="10.0.0.1", port=1)
 NEVER = float("inf")
+NONE_EVACUATED = EvacuatedDomains(revision=Revision(1), domains=frozenset())
 
 
 def _view(*, revision: int, state: EndpointState = EndpointState.READY) -> FleetView:
@@ -53,7 +55,13 @@
         self._sequence = 0
 
     def hear(
-        self, router: str, *, view: FleetView, age: float = 0.0, cut_off: bool = False
+        self,
+        router: str,
+        *,
+        view: FleetView,
+        age: float = 0.0,
+        cut_off: bool = False,
+        evacuated: EvacuatedDomains | None = NONE_EVACUATED,
     ) -> None:
         self._sequence += 1
         report = PeerReport(
@@ -69,6 +77,7 @@
             endpoints_tag=view.endpoints_tag,
             share=Share(),
             platform_lost=cut_off,
+            evacuated=evacuated,
         )
         self.directory.hear(report=report, address=Address(host=router, port=1))
 
@@ -122,6 +131,14 @@
     assert not world.word.endpoints_behind
 
 
+def test_router_that_knows_of_no_evacuations_does_not_vouch_for_them() -> None:
+    """Guards against evacuations that are missed beside routers of earlier releases."""
+    world = World(view=_view(revision=3))
+    world.hear("other", view=_view(revision=8), age=0.25, evacuated=None)
+
+    assert world.word.configuration_age == NEVER
+
+
 def test_word_of_one_that_knows_other_endpoints_counts_for_nothing() -> None:
     world = World(view=_view(revision=3))
     world.hear("other", view=_view(revision=8, state=EndpointState.DRAINING))
--- /dev/null
+++ b/dotterelpaddle/tests/platform/test_operator_rows.py
@@ -0,0 +1,74 @@
+"""The operator's rows, as they come from the store."""
+
+from __future__ import annotations
+
+import base64
+from typing import Any
+
+import orjson
+import pytest
+
+from dotterelpaddle.exceptions import RecordError
+from dotterelpaddle.forwarding.view import FleetView
+from dotterelpaddle.ids import Revision
+from dotterelpaddle.platform.documents import PlatformDocuments
+from dotterelpaddle.platform.operator_rows import OperatorRows, decode_evacuation
+from dotterelpaddle.tests.forwarding.harness import configuration
+
+
+def _row(key: str, revision: int, value: object = b"{}") -> dict[str, Any]:
+    content = value if isinstance(value, bytes) else orjson.dumps(value)
+    return {"key": key, "ver": revision, "value": base64.b64encode(content).decode()}
+
+
+def _decode(*rows: dict[str, Any], revision: int, view: FleetView) -> None:
+    operator_rows = OperatorRows(documents=PlatformDocuments())
+    view.take_operator_read(
+        read=operator_rows.decode(rows=rows, revision=Revision(revision), whole=True)
+    )
+
+
+def test_configuration_and_evacuations_are_told_apart() -> None:
+    view = FleetView(clock=lambda: 0.0)
+    _decode(
+        _row("config", 3, configuration(version=7)),
+        _row("evacuate/hall-a", 4),
+        _row("other", 5),
+        revision=9,
+        view=view,
+    )
+
+    assert view.version == 7
+    assert view.evacuations.domains == {"hall-a"}
+
+
+@pytest.mark.parametrize(
+    ("key", "value", "field"),
+    [
+        ("evacuate/", b"{}", "key"),
+        ("evacuate/hall-a", b"[]", "value"),
+        ("evacuate/hall-a", b"\xff", "value"),
+    ],
+)
+def test_row_that_asks_for_no_evacuation_names_its_field(
+    key: str, value: bytes, field: str
+) -> None:
+    with pytest.raises(RecordError) as raised:
+        decode_evacuation(row=_row(key, 4, value))
+
+    assert raised.value.field == field
+
+
+def test_row_that_can_not_be_decoded_changes_nothing() -> None:
+    """Guards against a domain that is taken back by a row that says nothing."""
+    view = FleetView(clock=lambda: 0.0)
+    _decode(_row("evacuate/hall-a", 4), revision=4, view=view)
+    _decode(
+        _row("evacuate/hall-a", 5, b"garbage"),
+        _row("evacuate/hall-b", 6, b"garbage"),
+        _row("evacuate/hall-c", 7),
+        revision=7,
+        view=view,
+    )
+
+    assert view.evacuations.domains == {"hall-a", "hall-c"}
