--- a/dotterelpaddle/forwarding/cold.py
+++ b/dotterelpaddle/forwarding/cold.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 from collections import deque
-from dataclasses import dataclass
 from enum import Enum
 from typing import TYPE_CHECKING
 
@@ -20,6 +19,7 @@
 
     from dotterelpaddle.clock import Clock
     from dotterelpaddle.forwarding.model import EndpointEntry
+    from dotterelpaddle.forwarding.settings import ColdBounds
     from dotterelpaddle.forwarding.view import FleetView
     from dotterelpaddle.ids import EndpointId, RouterId
 
@@ -54,19 +54,6 @@
     ALONE = "alone"
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class ColdBounds:
-    """What a cold endpoint may get, over what its service says that it bears.
-
-    Attributes:
-        multiple: Times the requests a second that it bears.
-        allowance: Requests in a second besides.
-    """
-
-    multiple: float
-    allowance: float
-
-
 class ColdEndpoints:
     """Knows which endpoints are cold, and counts what this router sends there.
 
--- a/dotterelpaddle/forwarding/settings.py
+++ b/dotterelpaddle/forwarding/settings.py
@@ -8,7 +8,6 @@
 from dotterelpaddle.address import Address
 from dotterelpaddle.config.plain import Section, parse_yaml
 from dotterelpaddle.exceptions import SettingsError
-from dotterelpaddle.forwarding.cold import ColdBounds
 from dotterelpaddle.forwarding.repeats import RepeatLimits
 from dotterelpaddle.ids import FailureDomain, RouterId
 
@@ -19,6 +18,19 @@
 MILLISECONDS = 1000.0
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ColdBounds:
+    """What a cold endpoint may get, over what its service says that it bears.
+
+    Attributes:
+        multiple: Times the requests a second that it bears.
+        allowance: Requests in a second besides.
+    """
+
+    multiple: float
+    allowance: float
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class ForwardSettings:
     """Settings of one router.
--- a/dotterelpaddle/tests/forwarding/test_cold.py
+++ b/dotterelpaddle/tests/forwarding/test_cold.py
@@ -19,7 +19,6 @@
 from dotterelpaddle.forwarding.caches import CacheMap
 from dotterelpaddle.forwarding.cold import (
     SETTLING_TIME,
-    ColdBounds,
     ColdEndpoints,
     Decider,
 )
@@ -36,6 +35,7 @@
 from dotterelpaddle.forwarding.placement import ForwardPlacer
 from dotterelpaddle.forwarding.quiet import QuietEndpoints
 from dotterelpaddle.forwarding.reachability import Reachability
+from dotterelpaddle.forwarding.settings import ColdBounds
 from dotterelpaddle.forwarding.shares import Share, ShareBook
 from dotterelpaddle.forwarding.view import FleetView
 from dotterelpaddle.ids import (
--- a/dotterelpaddle/tests/forwarding/test_settings.py
+++ b/dotterelpaddle/tests/forwarding/test_settings.py
@@ -8,8 +8,7 @@
 import pytest
 
 from dotterelpaddle.exceptions import SettingsError
-from dotterelpaddle.forwarding.cold import ColdBounds
-from dotterelpaddle.forwarding.settings import load_settings
+from dotterelpaddle.forwarding.settings import ColdBounds, load_settings
 
 if TYPE_CHECKING:
     from pathlib import Path
