Send and receive datagrams without a turn of the loop for each; keep read timers

Cause: a router at rest spends its time on turns of the event loop, of which anyio's socket takes one for each datagram sent and one for each received; each piece of an answer set and cancelled a timer; each look at who reads first hashed all names anew.

In a profile of a router at rest beside 19 others (20 s) sending took 0.26 s of which 0.10 s in the kernel, ranks 0.07 s of some 1.5 s; under load timers took 0.46 s of 9.5 s.

--- a/dotterelpaddle/forwarding/parts.py
+++ b/dotterelpaddle/forwarding/parts.py
@@ -290,7 +290,6 @@
             word=word,
             follower=follower,
             owners=owners,
-            links=surroundings.links,
             generator=generator,
         ),
         owners=owners,
--- a/dotterelpaddle/forwarding/router.py
+++ b/dotterelpaddle/forwarding/router.py
@@ -2,28 +2,25 @@
 
 from __future__ import annotations
 
-import socket
 from contextlib import AsyncExitStack, asynccontextmanager
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 import anyio
-from anyio.abc import SocketAttribute
 
-from dotterelpaddle.address import Address
 from dotterelpaddle.forwarding.caller_protocol import caller_protocol
 from dotterelpaddle.forwarding.parts import build_parts
 from dotterelpaddle.forwarding.readiness import ReadinessApp
 from dotterelpaddle.http_server import serve
 from dotterelpaddle.logs import get_logger
 from dotterelpaddle.peers.app import ControlApp
-from dotterelpaddle.peers.datagrams import Datagrams
+from dotterelpaddle.peers.datagrams import open_datagrams
 
 if TYPE_CHECKING:
+    import socket
     from collections.abc import AsyncIterator
 
-    from anyio.abc import UDPSocket
-
+    from dotterelpaddle.address import Address
     from dotterelpaddle.forwarding.parts import Parts, Surroundings
     from dotterelpaddle.forwarding.settings import ForwardSettings
 
@@ -76,7 +73,7 @@
     app, knowledge = parts.app, parts.knowledge
     grace = settings.shutdown - settings.leave_time - STOP_MARGIN
     async with (
-        await _open_datagrams(address=settings.peers) as datagrams,
+        open_datagrams(address=settings.peers, links=surroundings.links) as datagrams,
         anyio.create_task_group() as tasks,
         AsyncExitStack() as stack,
     ):
@@ -94,9 +91,8 @@
                 also=settings.metrics,
             )
         )
-        shared = Datagrams(socket=datagrams, links=surroundings.links)
-        tasks.start_soon(parts.exchange.run, shared, control)
-        tasks.start_soon(parts.owners.run, shared)
+        tasks.start_soon(parts.exchange.run, datagrams, control)
+        tasks.start_soon(parts.owners.run, datagrams)
         tasks.start_soon(parts.fetcher.run)
         readiness = await stack.enter_async_context(
             serve(app=ReadinessApp(ready=lambda: app.ready), address=settings.readiness)
@@ -115,10 +111,7 @@
             callers=callers,
             readiness=readiness,
             control=control,
-            peers=Address(
-                host=settings.peers.host,
-                port=datagrams.extra(SocketAttribute.local_port),
-            ),
+            peers=datagrams.address,
         )
         log.info("router_stopping", in_flight=app.in_flight)
         parts.announce_leaving()
@@ -131,12 +124,6 @@
         tasks.cancel_scope.cancel()
 
 
-async def _open_datagrams(*, address: Address) -> UDPSocket:
-    return await anyio.create_udp_socket(
-        family=socket.AF_INET, local_host=address.host, local_port=address.port
-    )
-
-
 async def _keep_house(parts: Parts) -> None:
     knowledge = parts.knowledge
     while True:
--- a/dotterelpaddle/peers/datagrams.py
+++ b/dotterelpaddle/peers/datagrams.py
@@ -1,46 +1,105 @@
-"""The socket for datagrams between routers, which several tasks write to."""
+"""The socket for datagrams between routers, which several tasks write to.
 
-from __future__ import annotations
+It is asyncio's own: anyio's takes a turn of the loop for each datagram that comes or
+goes, which is a third of what a router does while it has no requests.
+"""
 
-from typing import TYPE_CHECKING
+from __future__ import annotations
 
-import anyio
+import asyncio
+import socket
+from collections import deque
+from contextlib import asynccontextmanager
+from typing import TYPE_CHECKING, Any
 
+from dotterelpaddle.address import Address
 from dotterelpaddle.logs import get_logger
 
 if TYPE_CHECKING:
-    from anyio.abc import UDPSocket
+    from collections.abc import AsyncIterator
 
-    from dotterelpaddle.address import Address
     from dotterelpaddle.links import Links
 
 log = get_logger(name=__name__)
 
+MOST_WAITING = 2_000
+"""Datagrams that wait to be read, a second's of an aggregator; of more the oldest are
+dropped."""
+
+
+class _Inbox(asyncio.DatagramProtocol):
+    """Keeps what has come in until it is read."""
+
+    def __init__(self) -> None:
+        self._waiting: deque[tuple[bytes, Address]] = deque(maxlen=MOST_WAITING)
+        self._reader: asyncio.Future[None] | None = None
+
+    def datagram_received(self, data: bytes, addr: tuple[str | Any, int]) -> None:
+        if len(self._waiting) == MOST_WAITING:
+            log.warning("datagram_dropped", waiting=MOST_WAITING)
+        self._waiting.append((data, Address(host=addr[0], port=addr[1])))
+        if self._reader is not None and not self._reader.done():
+            self._reader.set_result(None)
+
+    def error_received(self, exc: Exception) -> None:
+        log.warning("datagram_unsent", cause=str(exc))
+
+    async def receive(self) -> tuple[bytes, Address]:
+        while not self._waiting:
+            self._reader = asyncio.get_running_loop().create_future()
+            await self._reader
+        return self._waiting.popleft()
+
 
 class Datagrams:
-    """Sends datagrams one after the other.
+    """Sends and receives datagrams.
 
     Args:
-        socket: The socket.
+        transport: The socket.
+        inbox: What comes in.
         links: The process's links.
     """
 
-    def __init__(self, *, socket: UDPSocket, links: Links) -> None:
-        self._socket = socket
+    def __init__(
+        self, *, transport: asyncio.DatagramTransport, inbox: _Inbox, links: Links
+    ) -> None:
+        self._transport = transport
+        self._inbox = inbox
         self._links = links
-        self._sending = anyio.Lock()
 
     @property
-    def socket(self) -> UDPSocket:
+    def address(self) -> Address:
         """Where datagrams come in."""
-        return self._socket
+        host, port = self._transport.get_extra_info("sockname")
+        return Address(host=host, port=port)
+
+    async def receive(self) -> tuple[bytes, Address]:
+        """Return the next datagram that a link does not lose, and its sender."""
+        while True:
+            datagram, sender = await self._inbox.receive()
+            if self._links.is_open(peer=sender):
+                return datagram, sender
 
     async def send(self, datagram: bytes, target: Address) -> None:
         """Send a datagram; one that can't be sent is lost like others."""
         if not self._links.is_open(peer=target) or self._links.loses():
             return
-        try:
-            async with self._sending:
-                await self._socket.sendto(datagram, target.host, target.port)
-        except OSError as error:
-            log.warning("datagram_unsent", peer=str(target), cause=str(error))
+        self._transport.sendto(datagram, (target.host, target.port))
+
+
+@asynccontextmanager
+async def open_datagrams(*, address: Address, links: Links) -> AsyncIterator[Datagrams]:
+    """Open the socket for the time of the context.
+
+    Args:
+        address: Where datagrams come in; port 0 takes a free one.
+        links: The process's links.
+    """
+    loop = asyncio.get_running_loop()
+    transport, inbox = await loop.create_datagram_endpoint(
+        _Inbox, local_addr=(address.host, address.port), family=socket.AF_INET
+    )
+    try:
+        yield Datagrams(transport=transport, inbox=inbox, links=links)
+    finally:
+        transport.close()
--- a/dotterelpaddle/peers/directory.py
+++ b/dotterelpaddle/peers/directory.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from functools import lru_cache
 from typing import TYPE_CHECKING
 
 from dotterelpaddle.forwarding.shares import Scope
@@ -50,6 +51,9 @@
 """Seconds for which an owner that was late for all is not named again. Nobody asks it
 meanwhile, so that nobody can tell whether its host is still busy."""
 
+MOST_DIGESTS = 4096
+"""Routers whose names' hashes are kept, 0.3 MB."""
+
 AGGREGATORS = 2
 """Routers of a failure domain that aggregate for the others of it; while one of them
 has just ended, the other one goes on."""
@@ -363,7 +367,13 @@
 
 
 def _rank(name: PeerName) -> Rank:
-    return -name.link, digest(text=name.router), name.router
+    return -name.link, _digest(name.router), name.router
+
+
+@lru_cache(maxsize=MOST_DIGESTS)
+def _digest(router: RouterId) -> int:
+    """Hash a name; each router is ranked many times a second."""
+    return digest(text=router)
 
 
 def _name_of(*, report: PeerReport, address: Address, known: Peer | None) -> PeerName:
--- a/dotterelpaddle/peers/exchange.py
+++ b/dotterelpaddle/peers/exchange.py
@@ -8,7 +8,6 @@
 
 import anyio
 
-from dotterelpaddle.address import Address
 from dotterelpaddle.exceptions import ControlError
 from dotterelpaddle.forwarding.caches import Origin
 from dotterelpaddle.forwarding.shares import Ask, Scope, Share
@@ -26,6 +25,7 @@
     import random
     from collections.abc import Mapping
 
+    from dotterelpaddle.address import Address
     from dotterelpaddle.forwarding.caches import CacheMap
     from dotterelpaddle.forwarding.crashes import CrashBook
     from dotterelpaddle.forwarding.follower import Follower
@@ -34,7 +34,6 @@
     from dotterelpaddle.forwarding.shares import ShareBook
     from dotterelpaddle.forwarding.uses import Use
     from dotterelpaddle.forwarding.view import FleetView
-    from dotterelpaddle.links import Links
     from dotterelpaddle.owners.asking import OwnerExchange
     from dotterelpaddle.peers.datagrams import Datagrams
     from dotterelpaddle.peers.directory import PeerDirectory
@@ -82,7 +81,6 @@
         word: What other routers vouch for.
         follower: Knows how long ago the platform was heard from.
         owners: Takes in messages between routers and owners.
-        links: The process's links.
         generator: Source of jitter.
     """
 
@@ -100,7 +98,6 @@
         word: PeersWord,
         follower: Follower,
         owners: OwnerExchange,
-        links: Links,
         generator: random.Random,
     ) -> None:
         self._own = directory.own
@@ -115,7 +112,6 @@
         self._word = word
         self._follower = follower
         self._owners = owners
-        self._links = links
         self._generator = generator
         self._incarnation = secrets.randbits(53)
         self._sequence = 0
@@ -250,10 +246,8 @@
         return (*first, *rest)
 
     async def _receive(self, datagrams: Datagrams, control: Address) -> None:
-        async for datagram, (host, port) in datagrams.socket:
-            address = Address(host=host, port=port)
-            if not self._links.is_open(peer=address):
-                continue
+        while True:
+            datagram, address = await datagrams.receive()
             if datagram.startswith(START):
                 await self._owners.receive(datagram=datagram, address=address)
                 continue
--- a/dotterelpaddle/tests/owners/hosts.py
+++ b/dotterelpaddle/tests/owners/hosts.py
@@ -19,7 +19,7 @@
 from dotterelpaddle.links import Links
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator, Callable
+    from collections.abc import Callable
 
     from dotterelpaddle.clock import Clock
 
@@ -49,13 +49,12 @@
         self._send = send
         self._router = router
         self._incoming, self._received = anyio.create_memory_object_stream[
-            tuple[bytes, tuple[str, int]]
+            tuple[bytes, Address]
         ](float("inf"))
         self._busy_until = 0.0
 
-    @property
-    def socket(self) -> AsyncIterator[tuple[bytes, tuple[str, int]]]:
-        return self._received
+    async def receive(self) -> tuple[bytes, Address]:
+        return await self._received.receive()
 
     async def send(self, datagram: bytes, target: Address) -> None:
         self._send(datagram, self._router, target)
@@ -66,7 +65,7 @@
         spent = PROCESSING * self._router.slowness
         self._busy_until = max(self._busy_until, now) + spent
         await anyio.sleep_until(self._busy_until)
-        self._incoming.send_nowait((datagram, (sender.host, sender.port)))
+        self._incoming.send_nowait((datagram, sender))
 
 
 @dataclass(kw_only=True, eq=False)
--- a/dotterelpaddle/transport.py
+++ b/dotterelpaddle/transport.py
@@ -10,6 +10,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from typing import TYPE_CHECKING, Any
 
 import anyio
@@ -34,6 +35,8 @@
         self._size = 0
         self._paused = False
         self._reader: asyncio.Future[None] | None = None
+        self._deadline = math.inf
+        self._timer: asyncio.TimerHandle | None = None
         self._writer: asyncio.Future[None] | None = None
 
     @property
@@ -64,6 +67,9 @@
     def connection_lost(self, exc: Exception | None) -> None:
         self.ended = True
         self.failure = exc
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
         _wake(self._reader)
         _wake(self._writer)
 
@@ -85,15 +91,35 @@
     async def wait_for_data(self, *, timeout: float | None) -> None:
         loop = asyncio.get_running_loop()
         self._reader = reader = loop.create_future()
-        timer = None
         if timeout is not None:
-            timer = loop.call_later(timeout, _expire, reader)
+            self._deadline = loop.time() + timeout
+            self._set_timer(loop)
         try:
             await reader
         finally:
             self._reader = None
-            if timer is not None:
-                timer.cancel()
+            self._deadline = math.inf
+
+    def _set_timer(self, loop: asyncio.AbstractEventLoop) -> None:
+        """Look at the deadline no later than it passes.
+
+        One timer serves many reads: it is set anew when it has run out, not at each
+        piece of an answer.
+        """
+        if self._timer is not None:
+            if self._timer.when() <= self._deadline:
+                return
+            self._timer.cancel()
+        self._timer = loop.call_at(self._deadline, self._look_at_deadline, loop)
+
+    def _look_at_deadline(self, loop: asyncio.AbstractEventLoop) -> None:
+        self._timer = None
+        if self._reader is None or self._deadline == math.inf:
+            return
+        if loop.time() < self._deadline:
+            self._set_timer(loop)
+            return
+        _expire(self._reader)
 
     async def wait_for_room(self) -> None:
         while self._writer is not None and not self.ended:
