Keep requests in the regions that their route and account are bound to

Cause: allowedRegions of routes and client accounts was read by nobody, so that on a deployment of several regions work would have left its own.

--- a/dotterelpaddle/config/plain.py
+++ b/dotterelpaddle/config/plain.py
@@ -53,6 +53,11 @@
         self._path = path
         self._read: set[str] = set()
 
+    @property
+    def names(self) -> tuple[str, ...]:
+        """Names of all fields."""
+        return tuple(self._content)
+
     def has(self, name: str) -> bool:
         """Tell whether a field is there."""
         return self._content.get(name) is not None
--- a/dotterelpaddle/forwarding/attempts.py
+++ b/dotterelpaddle/forwarding/attempts.py
@@ -41,6 +41,7 @@
     from dotterelpaddle.forwarding.reachability import Reachability
     from dotterelpaddle.forwarding.relays import Relay
     from dotterelpaddle.forwarding.repeats import SharedRepeats
+    from dotterelpaddle.forwarding.residency import Residency
     from dotterelpaddle.forwarding.waits import WaitBook
     from dotterelpaddle.ids import EndpointId
     from dotterelpaddle.owners.placing import OwnersPlacer
@@ -63,6 +64,7 @@
 
     Args:
         placer: Chooses endpoints.
+        residency: Tells which endpoints a request must not reach.
         loads: Requests in flight.
         health: Results of requests.
         reachability: Where no connection can be made.
@@ -78,6 +80,7 @@
         self,
         *,
         placer: OwnersPlacer,
+        residency: Residency,
         loads: LoadBook,
         health: HealthBook,
         reachability: Reachability,
@@ -89,6 +92,7 @@
         clock: Clock,
     ) -> None:
         self._placer = placer
+        self._residency = residency
         self._loads = loads
         self._health = health
         self._reachability = reachability
@@ -151,7 +155,7 @@
             service=exchange.service,
             request=exchange.request,
             repeatable=exchange.route.repeatable,
-            excluded=excluded,
+            excluded=excluded | self._residency.forbidden(exchange=exchange),
         )
 
     async def _once(
--- a/dotterelpaddle/forwarding/model.py
+++ b/dotterelpaddle/forwarding/model.py
@@ -16,6 +16,7 @@
         AccountId,
         FailureDomain,
         ModelId,
+        Region,
         Revision,
         ServiceName,
     )
@@ -74,6 +75,7 @@
         resumable: Whether a stream may go on at another endpoint.
         pause_objective: Longest seconds between two events of a stream that
             callers expect, 0 where there is none.
+        regions: Where its requests may run; empty for anywhere.
     """
 
     name: str
@@ -88,6 +90,7 @@
     public: bool = False
     resumable: bool = False
     pause_objective: float = 0.0
+    regions: frozenset[Region] = frozenset()
 
     @property
     def repeatable(self) -> bool:
@@ -119,10 +122,12 @@
     Attributes:
         name: Its name, which endpoints are told.
         rank: Its priority, which goes before a route's; None for the route's.
+        regions: Where its requests may run; empty for anywhere.
     """
 
     name: AccountId
     rank: int | None = None
+    regions: frozenset[Region] = frozenset()
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/dotterelpaddle/forwarding/settings.py
+++ b/dotterelpaddle/forwarding/settings.py
@@ -2,16 +2,17 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 from dotterelpaddle.address import Address
 from dotterelpaddle.config.plain import Section, parse_yaml
 from dotterelpaddle.exceptions import SettingsError
 from dotterelpaddle.forwarding.repeats import RepeatLimits
-from dotterelpaddle.ids import FailureDomain, RouterId
+from dotterelpaddle.ids import FailureDomain, Region, RouterId
 
 if TYPE_CHECKING:
+    from collections.abc import Mapping
     from pathlib import Path
 
 
@@ -52,6 +53,7 @@
         leaving_time: Seconds in which a leaving endpoint must be known.
         first: Whether the whole fleet starts for the first time.
         cold: What cold endpoints may get, None without a bound.
+        regions: The region of each failure domain.
         leave_time: Seconds that a stopping router still takes requests, until the
             balancer has noticed; it asks once a second and needs two misses.
     """
@@ -71,6 +73,7 @@
     metrics: Address | None = None
     first: bool = False
     cold: ColdBounds | None = None
+    regions: Mapping[FailureDomain, Region] = field(default_factory=dict)
     leave_time: float = 2.6
 
 
@@ -116,12 +119,17 @@
         metrics=listen.address("metrics") if listen.has("metrics") else None,
         first=top.flag("first_start", default=False),
         cold=_cold(top.section("cold")) if top.has("cold") else None,
+        regions=_regions(top.section("regions")) if top.has("regions") else {},
     )
     for section in (listen, peers, top):
         section.finish()
     return settings
 
 
+def _regions(section: Section) -> dict[FailureDomain, Region]:
+    return {FailureDomain(name): Region(section.text(name)) for name in section.names}
+
+
 def _cold(section: Section) -> ColdBounds:
     bounds = ColdBounds(
         multiple=section.number("multiple"), allowance=section.number("allowance")
--- a/dotterelpaddle/ids.py
+++ b/dotterelpaddle/ids.py
@@ -43,6 +43,9 @@
 PoolId = NewType("PoolId", str)
 """Name of a pool record."""
 
+Region = NewType("Region", str)
+"""A set of failure domains."""
+
 RequestId = NewType("RequestId", str)
 """Name of one caller's request, echoed by endpoints."""
 
--- a/dotterelpaddle/platform/configuration.py
+++ b/dotterelpaddle/platform/configuration.py
@@ -17,7 +17,7 @@
     SlowStart,
     WeightedService,
 )
-from dotterelpaddle.ids import AccountId, ServiceName
+from dotterelpaddle.ids import AccountId, Region, ServiceName
 from dotterelpaddle.platform.decoding import field, number, optional, parse, seconds
 from dotterelpaddle.platform.names import Field
 
@@ -94,9 +94,20 @@
         pause_objective=(
             seconds(row, "gapTargetMs", path) if "gapTargetMs" in row else 0.0
         ),
+        regions=_regions(row, path),
     )
 
 
+def _regions(row: Mapping[str, Any], path: str) -> frozenset[Region]:
+    names = optional(row, Field.REGIONS, list, path, [])
+    if not all(isinstance(name, str) for name in names):
+        raise RecordError(
+            f"field '{path}{Field.REGIONS}' must hold names of regions, not {names!r}",
+            field=f"{path}{Field.REGIONS}",
+        )
+    return frozenset(Region(name) for name in names)
+
+
 def _split(row: Mapping[str, Any], path: str) -> tuple[WeightedService, ...]:
     if row.get("trafficSplit"):
         parts = field(row, "trafficSplit", list, path)
@@ -147,6 +158,7 @@
         holder = KeyHolder(
             name=AccountId(field(tenant, "name", str, path)),
             rank=None if rank is None else field(tenant, "priority", int, path),
+            regions=_regions(tenant, path),
         )
         for key in optional(tenant, "apiKeys", list, path, []):
             holders[key] = holder
--- a/dotterelpaddle/platform/names.py
+++ b/dotterelpaddle/platform/names.py
@@ -88,6 +88,8 @@
     CHANGES = "seq"
     # Milliseconds that it still bears few requests, after its start or later.
     COLD_LEFT = "coldLeftMs"
+    # Of a route or client account: regions in which its requests may run.
+    REGIONS = "allowedRegions"
     # Of a service: seconds that an endpoint is cold after its start.
     COLD_TIME = "coldS"
     # Of a service: requests a second that a cold endpoint bears.
--- a/dotterelpaddle/tests/forwarding/test_settings.py
+++ b/dotterelpaddle/tests/forwarding/test_settings.py
@@ -29,6 +29,7 @@
         "link_mbps": 100.0,
     },
     "store": "10.0.0.9:90",
+    "regions": {"here": "west", "there": "east"},
     "leaving_ms": 3000,
     "cold": {"multiple": 1.5, "allowance": 5},
     "shutdown_seconds": 8,
@@ -62,6 +63,7 @@
     assert settings.repeats.allowance == 52
     assert settings.link == 100
     assert settings.leaving_time == 3.0
+    assert settings.regions == {"here": "west", "there": "east"}
     assert settings.cold == ColdBounds(multiple=1.5, allowance=5.0)
     assert str(settings.metrics) == "10.0.0.1:84"
 
@@ -85,6 +87,7 @@
         ({"shutdown_seconds": "8"}, "'shutdown_seconds' must be a number"),
         ({"first_start": 1}, "'first_start' must be true or false"),
         ({"peers": {"address": "10.0.0.1:83", "seeds": "x"}}, "'peers.seeds' must be"),
+        ({"regions": {"here": 1}}, "'regions.here' must be a text"),
         ({"cold": {"multiple": 1.5}}, "'cold.allowance' is missing"),
         (
             {"cold": {"multiple": "1", "allowance": 5}},
--- a/dotterelpaddle/tests/platform/test_configuration.py
+++ b/dotterelpaddle/tests/platform/test_configuration.py
@@ -78,3 +78,12 @@
         ConfigurationDecoder().decode(document=_document(1, "a", services=[service]))
 
     assert raised.value.field == field
+
+
+def test_wrong_region_is_named() -> None:
+    broken = configuration(routes=[route("a", "idempotent", allowedRegions=[1])])
+
+    with pytest.raises(RecordError) as raised:
+        ConfigurationDecoder().decode(document=orjson.dumps(broken))
+
+    assert raised.value.field == "routes.0.allowedRegions"
