--- a/dotterelpaddle/peers/datagrams.py
+++ b/dotterelpaddle/peers/datagrams.py
@@ -1,7 +1,7 @@
 """The socket for datagrams between routers, which several tasks write to.
 
 It is asyncio's own: anyio's takes a turn of the loop for each datagram that comes or
-goes, which is a third of what a router does while it has no requests.
+goes, and a router without requests does little else than send and receive them.
 """
 
 from __future__ import annotations
