--- /dev/null
+++ b/dotterelpaddle/tests/forwarding/test_retry_budget_incident.py
@@ -0,0 +1,196 @@
+"""Routers that retry as often as they may, while some start again or hear no others."""
+
+from __future__ import annotations
+
+import random
+from bisect import bisect_left
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, TypeAlias
+
+from dotterelpaddle.forwarding.request_totals import RequestTotals, TotalsTracker
+from dotterelpaddle.forwarding.retry_budget import RetryBudget, RetryLimits
+from dotterelpaddle.ids import FailureDomain, RouterId, ServiceName
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Mapping
+
+SERVICE = ServiceName("pool")
+HERE = FailureDomain("here")
+LIMITS = RetryLimits(share=0.2, allowance=52.0, window=10.0)
+STEP_SECONDS = 0.05
+REPORT_STEPS = 4
+REQUESTS_PER_SECOND = 100.0
+TRAFFIC_FROM = 12.0
+FAILURES_FROM = 16.0
+END = 40.0
+FLEET_SIZES = (3, 6, 20)
+
+
+@dataclass(kw_only=True)
+class Router:
+    """One router, in whatever process it runs at the moment."""
+
+    name: str
+    fleet: Fleet
+    group: int = 0
+    frozen: bool = False
+
+    def __post_init__(self) -> None:
+        self.start()
+
+    def start(self) -> None:
+        """Start a process that knows nothing, and hears all others at once."""
+        self.totals = TotalsTracker(failure_domain=HERE, clock=self._clock)
+        self.budget = RetryBudget(
+            limits=LIMITS,
+            totals=self.totals,
+            routers=lambda: len(self.fleet.routers),
+            clock=self._clock,
+        )
+
+    def _clock(self) -> float:
+        return self.fleet.now
+
+
+@dataclass(kw_only=True)
+class Fleet:
+    """Routers that report to all others of their group, and requests that fail."""
+
+    size: int
+    now: float = 0.0
+    routers: list[Router] = field(default_factory=list)
+    requests: list[float] = field(default_factory=list)
+    retries: list[float] = field(default_factory=list)
+
+    def __post_init__(self) -> None:
+        self.add(count=self.size)
+
+    def add(self, *, count: int) -> None:
+        """Add routers."""
+        first = len(self.routers)
+        for number in range(first, first + count):
+            self.routers.append(Router(name=f"r{number}", fleet=self))
+
+    def step(self, *, number: int, generator: random.Random) -> None:
+        """Send the requests of one step; all routers retry as often as they may."""
+        self.now = number * STEP_SECONDS
+        running = [each for each in self.routers if not each.frozen]
+        if self.now >= TRAFFIC_FROM:
+            for _ in range(round(REQUESTS_PER_SECOND * STEP_SECONDS)):
+                generator.choice(running).budget.count_request(service=SERVICE)
+                self.requests.append(self.now)
+        if self.now >= FAILURES_FROM:
+            for router in running:
+                while router.budget.acquire(service=SERVICE):
+                    self.retries.append(self.now)
+        if number % REPORT_STEPS == 0:
+            self._report()
+
+    def _report(self) -> None:
+        for sender in self.routers:
+            totals = RequestTotals(retries=sender.budget.counts())
+            for recipient in self.routers:
+                if recipient is not sender and recipient.group == sender.group:
+                    recipient.totals.receive(
+                        router=RouterId(sender.name),
+                        failure_domain=HERE,
+                        totals=totals,
+                    )
+
+    def worst_excess(self) -> float:
+        """Return the most retries of any window beyond what its requests allow."""
+        return max(
+            self._count(self.retries, start) - self._allowed(start)
+            for start in self.retries
+        )
+
+    def _allowed(self, start: float) -> float:
+        window = LIMITS.window
+        requests = max(
+            self._count(self.requests, first)
+            for first in (start, start - window / 2, start - window)
+        )
+        return LIMITS.share * requests + LIMITS.allowance
+
+    def _count(self, times: list[float], start: float) -> int:
+        end = start + LIMITS.window
+        return bisect_left(times, end) - bisect_left(times, start)
+
+
+def _restart_all(fleet: Fleet) -> None:
+    for router in fleet.routers:
+        router.start()
+
+
+def _restart_in_turn(fleet: Fleet) -> None:
+    fleet.routers[round(fleet.now) % len(fleet.routers)].start()
+
+
+def _cut_in_halves(fleet: Fleet) -> None:
+    for number, router in enumerate(fleet.routers):
+        router.group = number % 2
+
+
+def _cut_each_off(fleet: Fleet) -> None:
+    for number, router in enumerate(fleet.routers):
+        router.group = number
+
+
+def _freeze_half(fleet: Fleet) -> None:
+    for router in fleet.routers[::2]:
+        router.frozen = not router.frozen
+
+
+def _double(fleet: Fleet) -> None:
+    fleet.add(count=len(fleet.routers))
+
+
+Events: TypeAlias = "Mapping[float, Callable[[Fleet], None]]"
+
+RESTARTS: Mapping[str, Events] = {
+    "all": {18.0: _restart_all},
+    "all twice": {17.0: _restart_all, 20.5: _restart_all},
+    "all three times": {17.0: _restart_all, 19.0: _restart_all, 22.0: _restart_all},
+    "in turn": {17.0 + number: _restart_in_turn for number in range(20)},
+    "all while cut off": {15.0: _cut_each_off, 19.0: _restart_all},
+}
+
+MISSING_REPORTS: Mapping[str, Events] = {
+    "between two reports": {},
+    "cut in halves": {16.0: _cut_in_halves},
+    "each cut off": {16.0: _cut_each_off},
+    "half frozen": {17.0: _freeze_half, 18.0: _freeze_half},
+    "fleet doubles": {17.0: _double},
+}
+
+
+def _excess(*, size: int, events: Events) -> float:
+    """Play some events and return the worst excess of any window."""
+    fleet = Fleet(size=size)
+    generator = random.Random(size)
+    due = {round(at / STEP_SECONDS): event for at, event in events.items()}
+    for number in range(round(END / STEP_SECONDS)):
+        if number in due:
+            due[number](fleet)
+        fleet.step(number=number, generator=generator)
+    assert fleet.retries
+    return fleet.worst_excess()
+
+
+def _over_budget(cases: Mapping[str, Events]) -> list[tuple[str, int, float]]:
+    return [
+        (name, size, excess)
+        for name, events in cases.items()
+        for size in FLEET_SIZES
+        if (excess := _excess(size=size, events=events)) > 0
+    ]
+
+
+# Guards against retries of an earlier process that are spent again after a restart.
+def test_retries_of_restarted_routers_stay_within_the_budget() -> None:
+    assert not _over_budget(RESTARTS)
+
+
+# Guards against routers that each spend what all have left until the next report.
+def test_retries_without_fresh_reports_stay_within_the_budget() -> None:
+    assert not _over_budget(MISSING_REPORTS)
