--- a/dotterelpaddle/forwarding/attempts.py
+++ b/dotterelpaddle/forwarding/attempts.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+from enum import Enum
 from typing import TYPE_CHECKING
 
 from dotterelpaddle.exceptions import (
@@ -64,6 +65,16 @@
 """
 
 
+class RetryObstacle(Enum):
+    """Why no retry follows a failed attempt."""
+
+    DEADLINE = "deadline"
+    MAY_HAVE_RUN = "may_have_run"
+    ANSWER_STARTED = "answer_started"
+    MAX_ATTEMPTS = "max_attempts"
+    BUDGET = "budget"
+
+
 class AttemptRunner:
     """Selects endpoints for a request and sends attempts to them.
 
@@ -283,7 +294,23 @@
     def _claim_retry(
         self, *, exchange: ForwardExchange, failure: EndpointError
     ) -> bool:
-        """Tell whether a retry may follow; if so, take it from the retry budget.
+        """Tell whether a retry may follow; if so, take it from the retry budget."""
+        obstacle = self._retry_obstacle(exchange=exchange, failure=failure)
+        if obstacle is None:
+            return True
+        log.info(
+            "retry_withheld",
+            request_id=exchange.request.request_id,
+            service=exchange.service,
+            attempt=exchange.attempts.count,
+            reason=obstacle.value,
+        )
+        return False
+
+    def _retry_obstacle(
+        self, *, exchange: ForwardExchange, failure: EndpointError
+    ) -> RetryObstacle | None:
+        """Return why no retry may follow; None if one may, which the budget counts.
 
         A retry after a failed connect takes nothing from the budget.
         """
@@ -291,18 +318,21 @@
         assert route is not None
         assert service is not None
         if exchange.deadline - self._clock() < MIN_TIME_LEFT_SECONDS:
-            return False
+            return RetryObstacle.DEADLINE
         if not attempts.may_send(idempotent=route.retryable):
-            return False
+            return RetryObstacle.MAY_HAVE_RUN
         if exchange.reply.started and not route.resumable:
-            return False
+            return RetryObstacle.ANSWER_STARTED
         if isinstance(failure, EndpointUnreachable):
-            return attempts.count <= MAX_UNREACHABLE_ATTEMPTS
+            exhausted = attempts.count > MAX_UNREACHABLE_ATTEMPTS
+            return RetryObstacle.MAX_ATTEMPTS if exhausted else None
         if attempts.maybe_run >= route.max_attempts:
-            return False
+            return RetryObstacle.MAX_ATTEMPTS
         if attempts.sent - attempts.maybe_run > MAX_REFUSED_ATTEMPTS:
-            return False
-        return self._retry_budget.acquire(service=service)
+            return RetryObstacle.MAX_ATTEMPTS
+        if not self._retry_budget.acquire(service=service):
+            return RetryObstacle.BUDGET
+        return None
 
     def _log_choice(self, *, exchange: ForwardExchange, choice: Choice) -> None:
         source = choice.fetch_from
