Divide the retry budget among routers and over time, whoever hears whom

Cause: a bound of the whole fleet kept by counts in the memory of processes and by reports. A process that starts counts nothing as spent, and its report replaces that of the one before; and 'an even part of what is left' was checked before each single retry, so that each router could spend what all had left until the next report.

Fix: no count of another router or process is needed any more. A router may retry 0.95 x 0.85 of the share of its own requests of a window, 0.95 x 0.15 of it until its process has run for a window; the two parts add up, whatever the process before has spent. The allowance is divided by the largest number of routers known in ten minutes, and accrues from nothing at a start. Where the whole fleet starts for the first time there is no process before, and no wait.

Weighed: a plain token bucket over everything (bursts after the loss of an engine would be cut to five retries a router), pooled budgets by reports (need all routers to have been up for a window), counts handed back by peers (nobody has them after the loss of all).

The state machine had allowed twice the budget and no restarts; it now demands the budget itself with restarts at any moment. Tests that started routers anew and retried at once say that it is the first start of their fleet.

--- a/dotterelpaddle/forwarding/components.py
+++ b/dotterelpaddle/forwarding/components.py
@@ -15,6 +15,7 @@
 from dotterelpaddle.forwarding.crash_guard import CrashGuard
 from dotterelpaddle.forwarding.crashes import CrashTracker
 from dotterelpaddle.forwarding.filters import DeadlineFilter, ForwardFilter, RouteFilter
+from dotterelpaddle.forwarding.fleet_size import FleetSize
 from dotterelpaddle.forwarding.follower import Follower
 from dotterelpaddle.forwarding.health import HealthTracker
 from dotterelpaddle.forwarding.isolation import IsolationDetector
@@ -355,6 +356,11 @@
         clock=clock,
     )
     totals = TotalsTracker(failure_domain=settings.failure_domain, clock=clock)
+    fleet_size = FleetSize(
+        known=lambda: max(directory.router_count, totals.router_count),
+        has_seeds=directory.has_seeds,
+        clock=clock,
+    )
     view = FleetView(
         clock=clock,
         leaving=LeavingEndpoints(
@@ -379,8 +385,8 @@
         crashes=CrashTracker(clock=clock),
         retry_budget=RetryBudget(
             limits=settings.retry_limits,
-            totals=totals,
-            routers=lambda: directory.router_count,
+            routers=lambda: fleet_size.count,
+            first_start=settings.first_start,
             clock=clock,
         ),
         directory=directory,
--- a/dotterelpaddle/peers/directory.py
+++ b/dotterelpaddle/peers/directory.py
@@ -140,6 +140,11 @@
         """Address and link of this router."""
         return self._own
 
+    @property
+    def has_seeds(self) -> bool:
+        """Whether the settings name other routers."""
+        return bool(self._seeds)
+
     @property
     def alive(self) -> tuple[Peer, ...]:
         """Routers with a recent report."""
--- a/dotterelpaddle/tests/forwarding/crash_world.py
+++ b/dotterelpaddle/tests/forwarding/crash_world.py
@@ -251,6 +251,7 @@
             address=host.address,
             link=host.link,
             clock=anyio.current_time,
+            first_start=host.name not in self._started_at,
             protocols=PlatformCodec(),
         )
         datagrams: Any = HostDatagrams(router=host, send=self._send_datagram)
--- a/dotterelpaddle/tests/forwarding/harness.py
+++ b/dotterelpaddle/tests/forwarding/harness.py
@@ -149,6 +149,7 @@
                 "shutdown_timeout": 2.0,
                 "drain_time": 0.0,
                 "retry_limits": RETRY_LIMITS,
+                "first_start": True,
                 **fields,
             }
         )
--- a/dotterelpaddle/tests/forwarding/test_retry_budget.py
+++ b/dotterelpaddle/tests/forwarding/test_retry_budget.py
@@ -2,156 +2,156 @@
 
 from __future__ import annotations
 
-import pytest
+from dataclasses import dataclass
+
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
-from dotterelpaddle.forwarding.request_totals import (
-    RequestTotals,
-    TotalsScope,
-    TotalsTracker,
-)
-from dotterelpaddle.forwarding.retry_budget import (
-    ROUTER_COUNT_MEMORY_SECONDS,
-    RetryBudget,
-    RetryLimits,
-)
-from dotterelpaddle.ids import FailureDomain, RouterId, ServiceName
+from dotterelpaddle.forwarding.request_totals import RetryCounts
+from dotterelpaddle.forwarding.retry_budget import RetryBudget, RetryLimits
+from dotterelpaddle.ids import ServiceName
 
 SERVICE = ServiceName("records")
 LIMITS = RetryLimits(share=0.2, allowance=20.0, window=10.0)
 ROUTERS = 3
 
 
-HERE = FailureDomain("here")
+@dataclass(kw_only=True)
+class Router:
+    """A router whose process has run for a while, at a time that tests set."""
 
+    routers: int | None = 1
+    now: float = 0.0
 
-def _budget(*, routers: int = 1) -> RetryBudget:
-    return RetryBudget(
-        limits=LIMITS,
-        totals=TotalsTracker(failure_domain=HERE, clock=lambda: 0.0),
-        routers=lambda: routers,
-        clock=lambda: 0.0,
-    )
+    def __post_init__(self) -> None:
+        self.budget = RetryBudget(
+            limits=LIMITS, routers=lambda: self.routers, clock=lambda: self.now
+        )
 
+    def settle(self) -> Router:
+        """Advance the clock until the process counts as one that has run for long."""
+        self.now += 2 * LIMITS.window
+        return self
 
-def test_allowance_is_available_without_requests() -> None:
-    budget = _budget()
+    def count_requests(self, count: int) -> None:
+        for _ in range(count):
+            self.budget.count_request(service=SERVICE)
 
-    acquired = sum(budget.acquire(service=SERVICE) for _ in range(100))
+    def acquire_all(self) -> int:
+        """Make as many retries as possible and return how many."""
+        return sum(self.budget.acquire(service=SERVICE) for _ in range(100))
+
+
+def test_allowance_is_available_without_requests() -> None:
+    acquired = Router().settle().acquire_all()
 
     assert 10 <= acquired <= LIMITS.allowance
 
 
 def test_requests_raise_the_budget() -> None:
-    budget = _budget()
-    for _ in range(200):
-        budget.count_request(service=SERVICE)
+    router = Router().settle()
+    router.count_requests(200)
+
+    assert LIMITS.allowance < router.acquire_all() <= LIMITS.allowance + 0.2 * 200
+
+
+def test_requests_raise_the_budget_of_a_process_that_has_just_started() -> None:
+    router = Router()
+    router.count_requests(200)
+
+    assert 0 < router.acquire_all() <= 0.2 * 200
+
+
+def test_whole_budget_is_available_at_the_first_start_of_the_fleet() -> None:
+    budget = RetryBudget(
+        limits=LIMITS, routers=lambda: 1, first_start=True, clock=lambda: 0.0
+    )
 
     acquired = sum(budget.acquire(service=SERVICE) for _ in range(100))
 
-    assert LIMITS.allowance < acquired <= LIMITS.allowance + 0.2 * 200
+    assert acquired == Router().settle().acquire_all()
 
 
-def test_routers_without_reports_keep_their_part_of_the_budget() -> None:
-    alone, among_four = _budget(), _budget(routers=4)
+def test_spent_retries_are_available_again_after_the_window() -> None:
+    router = Router().settle()
+    router.count_requests(200)
+    first = router.acquire_all()
+    at_once = router.acquire_all()
+    router.settle()
+    router.count_requests(200)
 
-    acquired_alone = sum(alone.acquire(service=SERVICE) for _ in range(100))
-    acquired = sum(among_four.acquire(service=SERVICE) for _ in range(100))
+    assert at_once == 0
+    assert router.acquire_all() == first
 
-    assert 0 < acquired <= acquired_alone / 4
 
+def test_each_router_has_its_part_of_the_allowance() -> None:
+    alone, among_four = Router().settle(), Router(routers=4).settle()
 
-def test_partitioned_routers_keep_their_part_of_the_budget() -> None:
-    now = 0.0
-    tracker = TotalsTracker(failure_domain=HERE, clock=lambda: now)
-    tracker.is_aggregator = False
-    budget = RetryBudget(
-        limits=LIMITS, totals=tracker, routers=lambda: 4, clock=lambda: now
-    )
+    assert 0 < among_four.acquire_all() <= alone.acquire_all() / 4
 
-    def receive(routers: int) -> None:
-        totals = RequestTotals(scope=TotalsScope.OTHERS, routers=routers)
-        tracker.receive(
-            router=RouterId("aggregator"), failure_domain=HERE, totals=totals
-        )
-        budget.counts()
 
-    receive(11)
-    before = budget.room(service=SERVICE)
-    now = 3.0
-    receive(3)
-    partitioned = budget.room(service=SERVICE)
-    now = 2 * ROUTER_COUNT_MEMORY_SECONDS
-    receive(3)
-    later = budget.room(service=SERVICE)
+def test_router_that_knows_no_fleet_size_spends_no_allowance() -> None:
+    router = Router(routers=None).settle()
+    without_requests = router.acquire_all()
+    router.count_requests(200)
+
+    assert without_requests == 0
+    assert 0 < router.acquire_all() <= 0.2 * 200
+
 
-    assert partitioned == pytest.approx(before * 4 / 12)
-    assert later > before
+def test_room_is_what_can_be_acquired() -> None:
+    router = Router().settle()
+    router.count_requests(100)
+    room = router.budget.room(service=SERVICE)
+
+    assert router.budget.has_room(service=SERVICE)
+    assert room - 2 < router.acquire_all() <= room
+    assert not router.budget.has_room(service=SERVICE)
+
+
+def test_reports_hold_the_counts_of_the_window() -> None:
+    router = Router().settle()
+    router.count_requests(50)
+    acquired = router.acquire_all()
+
+    assert router.budget.counts()[SERVICE] == RetryCounts(requests=50, retries=acquired)
 
 
 class SharedBudgetMachine(RuleBasedStateMachine):
-    """Routers whose reports are lost, delayed or duplicated."""
+    """Routers that never hear of each other, and start again at any moment."""
 
     def __init__(self) -> None:
         super().__init__()
         self.now = 0.0
         self.routers: list[RetryBudget] = []
-        self.totals: list[TotalsTracker] = []
         self.requests: list[float] = []
         self.retries: list[float] = []
-        self.pending: list[tuple[int, dict]] = []  # type: ignore[type-arg]
 
     def _router(self) -> RetryBudget:
-        tracker = TotalsTracker(failure_domain=HERE, clock=lambda: self.now)
-        self.totals.append(tracker)
         return RetryBudget(
-            limits=LIMITS,
-            totals=tracker,
-            routers=lambda: ROUTERS,
-            clock=lambda: self.now,
+            limits=LIMITS, routers=lambda: ROUTERS, clock=lambda: self.now
         )
 
-    def _receive(self, *, by: int, sender: int, counts: dict) -> None:  # type: ignore[type-arg]
-        self.totals[by].receive(
-            router=RouterId(str(sender)),
-            failure_domain=HERE,
-            totals=RequestTotals(retries=counts),
-        )
-
-    @initialize()
-    def start(self) -> None:
+    @initialize(settled=st.booleans())
+    def start(self, settled: bool) -> None:
         self.routers = [self._router() for _ in range(ROUTERS)]
+        self.now += settled * 2 * LIMITS.window
 
-    @rule(router=st.integers(0, ROUTERS - 1), count=st.integers(1, 20))
+    @rule(router=st.integers(0, ROUTERS - 1), count=st.integers(1, 50))
     def send_requests(self, router: int, count: int) -> None:
         for _ in range(count):
             self.routers[router].count_request(service=SERVICE)
             self.requests.append(self.now)
 
-    @rule(router=st.integers(0, ROUTERS - 1), count=st.integers(1, 10))
+    @rule(router=st.integers(0, ROUTERS - 1), count=st.integers(1, 50))
     def retry(self, router: int, count: int) -> None:
         for _ in range(count):
             if self.routers[router].acquire(service=SERVICE):
                 self.retries.append(self.now)
 
-    @rule()
-    def report(self) -> None:
-        """Deliver a report of every router to every other one, the usual case."""
-        for number, router in enumerate(self.routers):
-            counts = router.counts()
-            self.pending.append((number, counts))
-            for other in range(ROUTERS):
-                if other != number:
-                    self._receive(by=other, sender=number, counts=counts)
-
-    @rule(data=st.data())
-    def deliver_an_old_report_again(self, data: st.DataObject) -> None:
-        if self.pending:
-            number, counts = data.draw(st.sampled_from(self.pending[-ROUTERS:]))
-            for other in range(ROUTERS):
-                if other != number:
-                    self._receive(by=other, sender=number, counts=counts)
+    @rule(router=st.integers(0, ROUTERS - 1))
+    def restart(self, router: int) -> None:
+        self.routers[router] = self._router()
 
     @rule(seconds=st.floats(0.05, 3.0))
     def pass_time(self, seconds: float) -> None:
@@ -159,16 +159,11 @@
 
     @invariant()
     def retries_stay_within_the_budget(self) -> None:
-        """Routers that rarely receive reports exceed the budget by a bounded amount.
-
-        Between two reports each router may spend its part of the remaining budget; for
-        three routers that is at most one and a half times the remaining budget.
-        """
+        """No window that ends now holds more retries than it or the last one allows."""
         oldest = self.now - LIMITS.window
         requests = sum(at >= oldest - LIMITS.window for at in self.requests)
         retries = sum(at >= oldest for at in self.retries)
-        budget = LIMITS.share * requests + LIMITS.allowance
-        assert retries <= 2 * budget
+        assert retries <= LIMITS.share * requests + LIMITS.allowance
 
 
 TestSharedBudget = SharedBudgetMachine.TestCase
--- a/dotterelpaddle/tests/forwarding/test_retry_budget_incident.py
+++ b/dotterelpaddle/tests/forwarding/test_retry_budget_incident.py
@@ -43,7 +43,6 @@
         self.totals = TotalsTracker(failure_domain=HERE, clock=self._clock)
         self.budget = RetryBudget(
             limits=LIMITS,
-            totals=self.totals,
             routers=lambda: len(self.fleet.routers),
             clock=self._clock,
         )
--- a/dotterelpaddle/tests/owners/hosts.py
+++ b/dotterelpaddle/tests/owners/hosts.py
@@ -114,6 +114,7 @@
     link: int,
     clock: Clock,
     leave_time: float = 0.0,
+    first_start: bool = False,
     protocols: Any = None,
 ) -> Components:
     """Build a router's components, without a platform or endpoints.
@@ -125,6 +126,7 @@
         link: Bandwidth of its host's link, Mbit/s.
         clock: Monotonic clock.
         leave_time: Seconds for which it keeps serving after a stop.
+        first_start: Whether the whole fleet starts for the first time.
         protocols: Translates requests and answers, None without any.
     """
     unused: Any = None
@@ -142,6 +144,7 @@
             retry_limits=RetryLimits(share=0.2, allowance=50.0, window=10.0),
             link_mbps=link,
             drain_time=leave_time,
+            first_start=first_start,
         ),
         dependencies=Dependencies(
             source=unused,
