--- a/dotterelpaddle/tests/forwarding/test_cold.py
+++ b/dotterelpaddle/tests/forwarding/test_cold.py
@@ -245,6 +245,22 @@
     assert not router.cold.is_cold(entry=_entry(COLD))
 
 
+# Guards against an endpoint that gets its whole rate again once it is known to be cold.
+def test_requests_before_an_endpoint_is_known_to_be_cold_count() -> None:
+    router = Router(name="own", routers=1)
+    router.settle()
+    router.apply_entries(_entry(COLD))
+    for _ in range(10):
+        router.choose()
+    router.now += 0.3
+    router.apply_entries(_entry(COLD, cold_left=COLD_TIME))
+    with pytest.raises(NoEndpoint):
+        for _ in range(100):
+            router.choose()
+
+    assert len(router.sent) <= MAX_REQUESTS
+
+
 class ColdMachine(RuleBasedStateMachine):
     """Routers start, lose contact with each other and send at any moment.
 
--- a/dotterelpaddle/tests/owners/fleet.py
+++ b/dotterelpaddle/tests/owners/fleet.py
@@ -14,8 +14,15 @@
 
 import anyio
 
+from dotterelpaddle.exceptions import NoEndpoint
 from dotterelpaddle.forwarding.interface import EndpointsUpdate
-from dotterelpaddle.forwarding.model import EndpointEntry, EndpointState
+from dotterelpaddle.forwarding.model import (
+    CallerLimits,
+    EndpointEntry,
+    EndpointState,
+    FleetConfiguration,
+    SlowStart,
+)
 from dotterelpaddle.ids import (
     EndpointId,
     ModelId,
@@ -41,7 +48,7 @@
 from dotterelpaddle.tests.revisions import revision_at
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Coroutine, Sequence
+    from collections.abc import Callable, Collection, Coroutine, Sequence
 
     from anyio.abc import TaskGroup
 
@@ -49,10 +56,21 @@
     from dotterelpaddle.forwarding.choice import Choice
     from dotterelpaddle.forwarding.components import Components
     from dotterelpaddle.forwarding.interface import ForwardRequest
+    from dotterelpaddle.forwarding.settings import ColdBounds
     from dotterelpaddle.ids import FailureDomain
 
 SERVICE = ServiceName("engines")
 SLOTS = 12
+SLOW_START = SlowStart(duration=3.0, rate=9.2)
+CONFIGURATION = FleetConfiguration(
+    version=1,
+    routes=(),
+    limits=CallerLimits(
+        max_header_bytes=1, max_body_bytes=1, header_timeout=1.0, idle_timeout=1.0
+    ),
+    accounts_by_key=None,
+    slow_starts={SERVICE: SLOW_START},
+)
 UPDATE_DELAY_SECONDS = (0.1, 0.9)
 """Minimum and maximum delay until a router receives an endpoint update."""
 
@@ -96,6 +114,7 @@
         seed: Seed of the random generator.
         leave_time: Seconds for which a stopping router keeps serving.
         without_owners: Whether routers never know an owner.
+        cold_bounds: Bounds on the rate of cold endpoints, None for no bound.
     """
 
     def __init__(
@@ -106,10 +125,13 @@
         seed: int = 1,
         leave_time: float = 2.6,
         without_owners: bool = False,
+        cold_bounds: ColdBounds | None = None,
     ) -> None:
         self.generator = random.Random(seed)
         self._without_owners = without_owners
         self._leave_time = leave_time
+        self._cold_bounds = cold_bounds
+        self._cut_off: set[Router] = set()
         self.revision = 0
         self.routers = [
             Router(
@@ -124,6 +146,7 @@
         self._numbers = itertools.count()
         for number in range(endpoints):
             self._new_endpoint(domain=DOMAINS[number % len(DOMAINS)])
+        self.first_endpoints = frozenset(self.endpoints)
         self.arrivals: list[Arrival] = []
         weights = [(rank + 1) ** -ZIPF for rank in range(SUBJECTS)]
         self._weights = list(itertools.accumulate(weights))
@@ -163,13 +186,28 @@
             router.stopping.set()
             await anyio.sleep(self.generator.uniform(0.2, 1.8) * pause)
 
-    async def add_endpoints(self, *, count: int) -> None:
+    def cut_off(self, *, routers: Sequence[Router]) -> None:
+        """Cut some routers off from all others."""
+        self._cut_off.update(routers)
+
+    async def add_endpoints(self, *, count: int, cold_left: float = 0.0) -> None:
         """Start more endpoints at intervals of a tenth of a second."""
         for number in range(count):
-            added = self._new_endpoint(domain=DOMAINS[number % len(DOMAINS)])
+            added = self._new_endpoint(
+                domain=DOMAINS[number % len(DOMAINS)], cold_left=cold_left
+            )
             self._announce(entries=(added.entry,))
             await anyio.sleep(0.1)
 
+    def remove_endpoints(self, *, names: Collection[EndpointId]) -> None:
+        """Remove endpoints without notice."""
+        self.revision += 1
+        removed = {}
+        for name in names:
+            entry = self.endpoints.pop(name).entry
+            removed[entry.name] = revision_at(self.revision)
+        self._announce(removed=removed)
+
     def owners(self) -> dict[FailureDomain, Router]:
         """Return the owners that the first running router knows."""
         parts = next(each.parts for each in self.routers if each.parts is not None)
@@ -198,12 +236,15 @@
         assert parts is not None
         router.in_flight += 1
         try:
-            choice = await parts.placer.choose(
-                service=SERVICE,
-                request=self._prompt(),
-                retryable=False,
-                excluded=frozenset(),
-            )
+            try:
+                choice = await parts.placer.choose(
+                    service=SERVICE,
+                    request=self._prompt(),
+                    retryable=False,
+                    excluded=frozenset(),
+                )
+            except NoEndpoint:
+                return
             endpoint = choice.entry.endpoint
             with parts.state.loads.track(
                 endpoint=endpoint, work_tokens=choice.work_tokens
@@ -263,7 +304,7 @@
 
     def _send_datagram(self, datagram: bytes, sender: Router, target: Address) -> None:
         router = self._by_address.get(target)
-        if router is not None:
+        if router is not None and not self._cut_off & {sender, router}:
             self.tasks.start_soon(self._deliver, datagram, sender, router)
 
     async def _deliver(self, datagram: bytes, sender: Router, target: Router) -> None:
@@ -287,7 +328,9 @@
                 link=router.link,
                 clock=anyio.current_time,
                 leave_time=self._leave_time,
+                cold_bounds=self._cold_bounds,
             )
+            parts.state.view.apply_configuration(configuration=CONFIGURATION)
             datagrams: Any = HostDatagrams(router=router, send=self._send_datagram)
             router.parts, router.datagrams = parts, datagrams
             if self._without_owners:
@@ -309,7 +352,9 @@
 
     # Endpoints.
 
-    def _new_endpoint(self, *, domain: FailureDomain) -> Endpoint:
+    def _new_endpoint(
+        self, *, domain: FailureDomain, cold_left: float = 0.0
+    ) -> Endpoint:
         self.revision += 1
         endpoint = Endpoint(
             entry=make_entry(
@@ -318,6 +363,7 @@
                 slots=SLOTS,
                 failure_domain=domain,
                 models=frozenset({ModelId("m")}),
+                cold_left=cold_left,
                 revision=revision_at(self.revision),
             )
         )
--- a/dotterelpaddle/tests/owners/hosts.py
+++ b/dotterelpaddle/tests/owners/hosts.py
@@ -18,7 +18,7 @@
     build_components,
 )
 from dotterelpaddle.forwarding.retry_budget import RetryLimits
-from dotterelpaddle.forwarding.settings import ForwardSettings
+from dotterelpaddle.forwarding.settings import ColdBounds, ForwardSettings
 from dotterelpaddle.ids import FailureDomain, RouterId
 from dotterelpaddle.links import Links
 
@@ -115,6 +115,7 @@
     clock: Clock,
     leave_time: float = 0.0,
     first_start: bool = False,
+    cold_bounds: ColdBounds | None = None,
     protocols: Any = None,
 ) -> Components:
     """Build a router's components, without a platform or endpoints.
@@ -127,6 +128,7 @@
         clock: Monotonic clock.
         leave_time: Seconds for which it keeps serving after a stop.
         first_start: Whether the whole fleet starts for the first time.
+        cold_bounds: Bounds on the rate of cold endpoints, None for no bound.
         protocols: Translates requests and answers, None without any.
     """
     unused: Any = None
@@ -145,6 +147,7 @@
             link_mbps=link,
             drain_time=leave_time,
             first_start=first_start,
+            cold_bounds=cold_bounds,
         ),
         dependencies=Dependencies(
             source=unused,
