Divide the rate of a cold endpoint among routers, whichever router decides

Cause: the bound was divided among kinds of deciders, a third for an owner and one or two thirds for routers without, and nothing made sure that there is one of each. A router that is cut off from all others is its own owner; up to three owners are asked in turn, and one that starts counts nothing. What was sent before an endpoint was known to be cold did not count either.

Fix: the part belongs to the router that sends, divided by the largest number of routers known in ten minutes, or drawn where there are more routers than requests. It leaves out an endpoint that has used its part up when it asks an owner, and checks again when the grant comes; owners need no rule of their own. All requests count, to warm endpoints too. A router that does not know how many routers there are sends none.

The test of two kinds of deciders became one of two ways to the endpoint, as strict; the others only lose the argument that named the decider.

--- a/dotterelpaddle/forwarding/cold.py
+++ b/dotterelpaddle/forwarding/cold.py
@@ -1,16 +1,16 @@
 """Endpoints that have just started, or become cold, and can handle few requests.
 
 The bound on a cold endpoint's request rate holds for all routers together, even if
-they can't reach each other. So each kind of decider has its own share of the bound: the
-owner of the endpoint has one, and routers that choose without an owner divide another.
+they can't reach each other. So it is divided among routers: each sends no more than its
+part, whichever router chose the endpoint.
 """
 
 from __future__ import annotations
 
 from collections import deque
-from enum import Enum
 from typing import TYPE_CHECKING
 
+from dotterelpaddle.forwarding.fleet_size import SETTLING_SECONDS
 from dotterelpaddle.logs import get_logger
 from dotterelpaddle.placement.rendezvous import digest
 
@@ -29,32 +29,17 @@
 """Seconds over which requests are counted: the second to which the bound applies, plus
 the time by which the network may move two requests closer together."""
 
-OWNER_SHARE = 1 / 3
-"""Share of the bound that an owner grants: during a failover two owners may grant."""
-
-OWNERLESS_SHARE = 2 / 3
-"""Share of the bound that routers divide among themselves if there are no owners."""
+DIVIDED_SHARE = 2 / 3
+"""Share of the bound that is divided among routers; the rest covers requests to an
+endpoint that is not known to be cold yet."""
 
 RANDOM_DRAW_SHARE = 1 / 3
-"""Share of the bound where there are no owners and more routers than requests: a random
-draw decides which routers send one. By chance twice as many routers may send one, and
-an owner may grant its share besides."""
-
-SETTLING_SECONDS = 2.0
-"""Seconds after its start in which a router may know few of the others, so it sends
-nothing to cold endpoints without an owner."""
+"""Share of the bound if there are more routers than requests: a random draw decides
+which routers send one. By chance twice as many routers may send one."""
 
 _DIGEST_SCALE = 2.0**-64
 
 
-class Decider(Enum):
-    """Kind of router that places a request."""
-
-    OWNER = "owner"
-    NON_OWNER = "alone_beside_owners"
-    OWNERLESS = "alone"
-
-
 class ColdEndpoints:
     """Tracks cold endpoints and limits the requests that this router sends them.
 
@@ -62,7 +47,7 @@
         router: Id of this router.
         bounds: Bounds on the rate of cold endpoints, None for no bound.
         view: The endpoints in force and the slow-start options of their services.
-        router_count: Returns the number of routers.
+        router_count: Returns the number of routers, None if unknown.
         clock: Monotonic clock.
     """
 
@@ -72,7 +57,7 @@
         router: RouterId,
         bounds: ColdBounds | None,
         view: FleetView,
-        router_count: Callable[[], int],
+        router_count: Callable[[], int | None],
         clock: Clock,
     ) -> None:
         self._router = router
@@ -118,20 +103,26 @@
         return now - evacuation_ended_at < slow_start.duration
 
     def with_capacity(
-        self, *, entries: Sequence[EndpointEntry], decider: Decider
+        self, *, entries: Sequence[EndpointEntry]
     ) -> Sequence[EndpointEntry]:
         """Return the entries without cold endpoints that have reached their bound."""
         if self._bounds is None or not self._any_cold:
             return entries
-        return [
-            entry
-            for entry in entries
-            if not self.is_cold(entry=entry) or self._has_capacity(entry, decider)
-        ]
+        return [entry for entry in entries if self.has_capacity(entry=entry)]
+
+    def has_capacity(self, *, entry: EndpointEntry) -> bool:
+        """Return whether this router may send one more request to an endpoint."""
+        if self._bounds is None or not self.is_cold(entry=entry):
+            return True
+        sent = len(self._recent_requests(entry.endpoint))
+        return sent < self._allowed_requests(entry)
 
     def record_request(self, *, entry: EndpointEntry) -> None:
-        """Count a request that this router sends to an endpoint, or grants there."""
-        if self._bounds is not None and self.is_cold(entry=entry):
+        """Count a request that this router sends to an endpoint.
+
+        Those to warm endpoints count too: an endpoint may be cold before routers know.
+        """
+        if self._bounds is not None:
             self._recent_requests(entry.endpoint).append(self._clock())
 
     def _record_entry(self, entry: EndpointEntry) -> None:
@@ -145,37 +136,23 @@
         self._cold_until[entry.endpoint] = max(until, known)
         self._last_cold_until = max(until, self._last_cold_until)
 
-    def _has_capacity(self, entry: EndpointEntry, decider: Decider) -> bool:
-        return len(self._recent_requests(entry.endpoint)) < self._allowed_requests(
-            entry, decider
-        )
-
     def _recent_requests(self, endpoint: EndpointId) -> deque[float]:
         sent = self._sent.setdefault(endpoint, deque())
         while sent and sent[0] <= self._clock() - WINDOW_SECONDS:
             sent.popleft()
         return sent
 
-    def _allowed_requests(self, entry: EndpointEntry, decider: Decider) -> int:
-        """Requests per window that this router may send or grant."""
+    def _allowed_requests(self, entry: EndpointEntry) -> int:
+        """Requests per window that this router may send."""
         slow_start = self._view.slow_starts.get(entry.service)
-        if self._bounds is None or slow_start is None:
+        routers = self._router_count()
+        if self._bounds is None or slow_start is None or routers is None:
             return 0
-        bound = self._bounds.multiple * slow_start.rate + self._bounds.allowance
-        match decider:
-            case Decider.OWNER:
-                return int(OWNER_SHARE * bound)
-            case Decider.NON_OWNER:
-                return 0
-            case Decider.OWNERLESS:
-                return self._ownerless_allowance(entry, bound)
-
-    def _ownerless_allowance(self, entry: EndpointEntry, bound: float) -> int:
-        """This router's share of the requests where there are no owners."""
         if self._clock() - self._started_at < SETTLING_SECONDS:
+            # An earlier process on this host may have sent requests just before.
             return 0
-        routers = self._router_count()
-        per_router = int(OWNERLESS_SHARE * bound / routers)
+        bound = self._bounds.multiple * slow_start.rate + self._bounds.allowance
+        per_router = int(DIVIDED_SHARE * bound / routers)
         if per_router:
             return per_router
         draw = digest(text=f"{self._router}/{entry.endpoint}") * _DIGEST_SCALE
--- a/dotterelpaddle/forwarding/components.py
+++ b/dotterelpaddle/forwarding/components.py
@@ -244,6 +244,7 @@
     owner_placer = OwnerPlacer(
         view=state.view,
         placer=placer,
+        cold=state.cold,
         shards=shards,
         directory=directory,
         exchange=owners,
@@ -378,7 +379,7 @@
             router=settings.router,
             bounds=settings.cold_bounds,
             view=view,
-            router_count=lambda: max(directory.router_count, totals.router_count),
+            router_count=lambda: fleet_size.count,
             clock=clock,
         ),
         caches=caches,
--- a/dotterelpaddle/forwarding/placement.py
+++ b/dotterelpaddle/forwarding/placement.py
@@ -11,7 +11,6 @@
 from dotterelpaddle.forwarding.caches import part_tag, shared_parts
 from dotterelpaddle.forwarding.candidates import Candidates
 from dotterelpaddle.forwarding.choice import Choice, ChoiceReason
-from dotterelpaddle.forwarding.cold import Decider
 from dotterelpaddle.forwarding.cost import prompt_cost
 from dotterelpaddle.forwarding.herding import (
     LARGE_FLEET_ROUTERS,
@@ -123,7 +122,6 @@
         request: HasPrompt,
         retryable: bool,
         excluded: frozenset[EndpointId],
-        decider: Decider = Decider.OWNERLESS,
     ) -> Choice:
         """Choose an endpoint of a service.
 
@@ -132,7 +130,6 @@
             request: The request to send.
             retryable: Whether another endpoint can serve the request after a failure.
             excluded: Endpoints that earlier attempts have used.
-            decider: Who places requests on cold endpoints at the moment.
 
         Raises:
             NoEndpoint: If no endpoint, or only cold ones at their limit, are left.
@@ -143,7 +140,7 @@
         loads = self._loads.loads()
         weight = RETRYABLE_FAILURE_LOAD if retryable else NON_RETRYABLE_FAILURE_LOAD
         mean = sum(loads[entry.endpoint] for entry in eligible) / len(eligible)
-        candidates = self._cold.with_capacity(entries=eligible, decider=decider)
+        candidates = self._cold.with_capacity(entries=eligible)
         if not candidates:
             raise NoEndpoint(
                 f"service '{service}' has only cold endpoints left and all "
@@ -166,7 +163,8 @@
                 mean_load=mean,
                 failure_load=weight,
             )
-        return self._record_cold_and_choice(choice=choice, request=request)
+        self._cold.record_request(entry=choice.entry)
+        return self.record_choice(choice=choice, request=request)
 
     def choose_in_shard(
         self,
@@ -187,7 +185,8 @@
             shard: Failure domain of the endpoints, None for all.
             request: The request to send.
             retryable: Whether another endpoint can serve the request after a failure.
-            excluded: Endpoints to leave out.
+            excluded: Endpoints to leave out, also cold ones to which the other router
+                may send no more requests.
             loads: Requests in flight, exact for the endpoints of the shard.
             ignore_bound: Whether to choose an endpoint even if all exceed their bound.
             cached_at: Endpoint of another shard that has the shared prompt parts.
@@ -202,10 +201,7 @@
             service=service, request=request, excluded=excluded
         )
         mean = sum(loads[entry.endpoint] for entry in candidates) / len(candidates)
-        owned = self._cold.with_capacity(
-            entries=shard_entries(entries=candidates, shard=shard),
-            decider=Decider.OWNER,
-        )
+        owned = shard_entries(entries=candidates, shard=shard)
         if not owned:
             return None
         weight = RETRYABLE_FAILURE_LOAD if retryable else NON_RETRYABLE_FAILURE_LOAD
@@ -231,7 +227,7 @@
             bound = load_bound(entry=choice.entry, mean=mean)
             if choice.load + 1 > bound and not ignore_bound:
                 return None
-        return self._record_cold_and_choice(choice=choice, request=request)
+        return self.record_choice(choice=choice, request=request)
 
     def cache_holder(
         self, *, service: ServiceName, request: HasPrompt
@@ -245,11 +241,6 @@
             return None
         return cached.holder.endpoint
 
-    def _record_cold_and_choice(self, *, choice: Choice, request: HasPrompt) -> Choice:
-        """Count the request against a cold endpoint's limit and record the choice."""
-        self._cold.record_request(entry=choice.entry)
-        return self.record_choice(choice=choice, request=request)
-
     def record_choice(self, *, choice: Choice, request: HasPrompt) -> Choice:
         """Record the prompt at the chosen endpoint before the request is sent.
 
--- a/dotterelpaddle/owners/placer.py
+++ b/dotterelpaddle/owners/placer.py
@@ -7,7 +7,6 @@
 
 from dotterelpaddle.forwarding.caches import part_tag, shared_parts
 from dotterelpaddle.forwarding.choice import Choice, LocalChoiceReason
-from dotterelpaddle.forwarding.cold import Decider
 from dotterelpaddle.owners.messages import PlacementQuery
 from dotterelpaddle.owners.shards import ranked_shards, shard_entries
 from dotterelpaddle.placement.rendezvous import digest
@@ -15,6 +14,7 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
+    from dotterelpaddle.forwarding.cold import ColdEndpoints
     from dotterelpaddle.forwarding.interface import HasPrompt
     from dotterelpaddle.forwarding.model import EndpointEntry
     from dotterelpaddle.forwarding.placement import ForwardPlacer
@@ -40,6 +40,7 @@
     Args:
         view: The current endpoints.
         placer: Chooses where no owner does.
+        cold: Limits what this router sends to cold endpoints.
         shards: The shards of all services.
         directory: Lists the owner of each failure domain.
         exchange: Requests grants from owners.
@@ -51,6 +52,7 @@
         *,
         view: FleetView,
         placer: ForwardPlacer,
+        cold: ColdEndpoints,
         shards: ShardMap,
         directory: PeerDirectory,
         exchange: OwnerExchange,
@@ -58,6 +60,7 @@
     ) -> None:
         self._view = view
         self._placer = placer
+        self._cold = cold
         self._shards = shards
         self._directory = directory
         self._exchange = exchange
@@ -97,9 +100,6 @@
             request=request,
             retryable=retryable,
             excluded=excluded,
-            decider=(
-                Decider.NON_OWNER if self._directory.owners() else Decider.OWNERLESS
-            ),
         )
         return replace(choice, local_reason=choice_or_reason)
 
@@ -113,8 +113,10 @@
     ) -> Choice | LocalChoiceReason:
         if not self._directory.owners():
             return LocalChoiceReason.NO_OWNER
-        usable = self._placer.candidates.usable(
-            service=service, request=request, excluded=excluded
+        usable = self._cold.with_capacity(
+            entries=self._placer.candidates.usable(
+                service=service, request=request, excluded=excluded
+            )
         )
         if len(usable) < MIN_CANDIDATES:
             return LocalChoiceReason.FEW_ENDPOINTS
@@ -150,9 +152,17 @@
             if pending is None or pending.grant is None:
                 return LocalChoiceReason.OWNER_SILENT
             grant = pending.grant
-            if grant.endpoint in names:
+            entry = next(
+                (each for each in usable if each.endpoint == grant.endpoint), None
+            )
+            if entry is not None and self._cold.has_capacity(entry=entry):
+                self._cold.record_request(entry=entry)
                 return self._build_choice(
-                    grant=grant, owner=pending.owner, usable=usable, request=request
+                    grant=grant,
+                    entry=entry,
+                    owner=pending.owner,
+                    candidate_count=len(usable),
+                    request=request,
                 )
             self._reporter.abandon(pending=pending)
             cached_at = grant.fetch_from
@@ -168,19 +178,19 @@
         self,
         *,
         grant: Grant,
+        entry: EndpointEntry,
         owner: RouterId,
-        usable: Sequence[EndpointEntry],
+        candidate_count: int,
         request: HasPrompt,
     ) -> Choice:
         """Convert an owner's grant to a choice."""
-        entry = next(each for each in usable if each.endpoint == grant.endpoint)
         parts = shared_parts(request=request)
         choice = Choice(
             entry=entry,
             reason=grant.reason,
             load=grant.load,
             mean_load=grant.mean_load,
-            candidate_count=len(usable),
+            candidate_count=candidate_count,
             part_tag=part_tag(model=request.model, part=parts[-1]) if parts else 0,
             missing_tokens=grant.missing_tokens,
             work_tokens=grant.work_tokens,
--- a/dotterelpaddle/tests/forwarding/test_cold.py
+++ b/dotterelpaddle/tests/forwarding/test_cold.py
@@ -18,12 +18,9 @@
 from dotterelpaddle.exceptions import NoEndpoint
 from dotterelpaddle.forwarding.backoffs import EndpointBackoffs
 from dotterelpaddle.forwarding.caches import CacheMap
-from dotterelpaddle.forwarding.cold import (
-    SETTLING_SECONDS,
-    ColdEndpoints,
-    Decider,
-)
+from dotterelpaddle.forwarding.cold import ColdEndpoints
 from dotterelpaddle.forwarding.evacuations import EvacuationSnapshot
+from dotterelpaddle.forwarding.fleet_size import SETTLING_SECONDS
 from dotterelpaddle.forwarding.health import HealthTracker
 from dotterelpaddle.forwarding.interface import EndpointsUpdate
 from dotterelpaddle.forwarding.loads import LoadTracker
@@ -80,7 +77,7 @@
     """One router, which acts on the load as of its last update."""
 
     name: str
-    routers: int
+    routers: int | None
     bounds: ColdBounds | None = BOUNDS
     now: float = 0.0
     sent: list[float] = field(default_factory=list)
@@ -134,14 +131,13 @@
         """Advance the clock past the time in which peers may not be known yet."""
         self.now += SETTLING_SECONDS
 
-    def choose(self, *, decider: Decider = Decider.OWNERLESS) -> Choice:
+    def choose(self) -> Choice:
         """Choose an endpoint for a request without a prompt."""
         choice = self.placer.choose(
             service=SERVICE,
             request=make_request(),
             retryable=True,
             excluded=frozenset(),
-            decider=decider,
         )
         if choice.entry.endpoint == COLD:
             self.sent.append(self.now)
@@ -159,52 +155,53 @@
     return fleet
 
 
-def _send_herd(fleet: list[Router], *, decider: Decider, rounds: int = 4) -> int:
+def _send_herd(fleet: list[Router], *, rounds: int = 4) -> int:
     """Let all routers choose a few times within one second."""
     for number in range(rounds):
         for router in fleet:
             router.now = SETTLING_SECONDS + number / rounds
-            router.choose(decider=decider)
+            router.choose()
     return sum(len(router.sent) for router in fleet)
 
 
 @pytest.mark.parametrize("count", [3, 9, 16, 74, 195])
-def test_herd_of_ownerless_routers_stays_within_the_bound(
+def test_herd_of_routers_stays_within_the_bound(
     count: int,
 ) -> None:
     """Guards against a cold endpoint that all routers consider idle at once."""
-    assert _send_herd(_fleet(count), decider=Decider.OWNERLESS) <= MAX_REQUESTS
+    assert _send_herd(_fleet(count)) <= MAX_REQUESTS
 
 
-@pytest.mark.parametrize("count", [74, 195])
-def test_owner_and_other_routers_together_stay_within_the_bound(count: int) -> None:
-    """Guards against two kinds of deciders that each use the whole bound."""
-    non_owner_requests = _send_herd(_fleet(count), decider=Decider.NON_OWNER)
-    ownerless_requests = _send_herd(_fleet(count), decider=Decider.OWNERLESS)
-    owner = _fleet(1)[0]
+@pytest.mark.parametrize("count", [9, 74, 195])
+def test_grants_and_own_choices_together_stay_within_the_bound(count: int) -> None:
+    """Guards against two ways to an endpoint that each use the whole bound."""
+    fleet = _fleet(count)
     granted = 0
-    while owner.cold.with_capacity(entries=[_entry(COLD)], decider=Decider.OWNER):
-        owner.cold.record_request(entry=_entry(COLD))
-        granted += 1
+    for router in fleet:
+        while router.cold.has_capacity(entry=_entry(COLD)):
+            router.cold.record_request(entry=_entry(COLD))
+            granted += 1
 
     assert granted > 0
-    # During a failover two owners may grant.
-    assert non_owner_requests + 2 * granted <= MAX_REQUESTS
-    # Some routers may not know of the owner yet.
-    assert ownerless_requests + granted <= MAX_REQUESTS
+    assert granted + _send_herd(fleet) <= MAX_REQUESTS
+
+
+def test_router_that_knows_no_fleet_size_sends_nothing_to_cold_endpoints() -> None:
+    """Guards against a router behind a partition that takes itself for the only one."""
+    router = _fleet(1)[0]
+    router.routers = None
+
+    assert {router.choose().entry.endpoint for _ in range(20)} == {WARM}
 
 
 def test_herd_without_bounds_far_exceeds_the_bound() -> None:
     """Shows that without bounds the routers overload the endpoint."""
-    assert (
-        _send_herd(_fleet(74, bounds=None), decider=Decider.OWNERLESS)
-        > 2 * MAX_REQUESTS
-    )
+    assert _send_herd(_fleet(74, bounds=None)) > 2 * MAX_REQUESTS
 
 
 def test_cold_endpoint_is_used_up_to_its_capacity() -> None:
     """Guards against endpoints that stay cold because no router sends them requests."""
-    assert _send_herd(_fleet(9), decider=Decider.OWNERLESS) >= SLOW_START.rate / 2
+    assert _send_herd(_fleet(9)) >= SLOW_START.rate / 2
 
 
 def test_starting_router_sends_nothing_to_cold_endpoints() -> None:
--- a/dotterelpaddle/tests/owners/test_cold_incident.py
+++ b/dotterelpaddle/tests/owners/test_cold_incident.py
@@ -3,9 +3,9 @@
 Symptom: a cold engine got more requests within a second than its service allows from
 all routers together, here while only cold engines are left.
 
-Cause: the bound was divided among kinds of deciders, each of which could be several
-routers. A router that hears no other one is its own owner and grants itself an owner's
-share, as do all others in its place.
+Cause: the bound was divided among owners and routers without one, and there can be many
+of either. A router that hears no other one is its own owner and grants itself an
+owner's share, as do all others in its place.
 """
 
 from __future__ import annotations
