--- a/dotterelpaddle/links.py
+++ b/dotterelpaddle/links.py
@@ -22,18 +22,23 @@
 
     def __init__(self, *, seed: int = 0) -> None:
         self._cut: set[Address] = set()
+        self._refused: set[Address] = set()
         self._loss_ratio = 0.0
         self._random = random.Random(seed)
 
     @property
     def has_faults(self) -> bool:
         """Whether any fault is active."""
-        return bool(self._cut) or self._loss_ratio > 0.0
+        return bool(self._cut or self._refused) or self._loss_ratio > 0.0
 
     def is_open(self, *, peer: Address) -> bool:
         """Return whether packets to and from a peer pass."""
         return peer not in self._cut
 
+    def is_refused(self, *, peer: Address) -> bool:
+        """Return whether new connections to a peer are refused."""
+        return peer in self._refused
+
     def should_drop_datagram(self) -> bool:
         """Decide at random whether to drop the next datagram."""
         return self._loss_ratio > 0.0 and self._random.random() < self._loss_ratio
@@ -42,12 +47,18 @@
         """Drop all packets to and from some peers; open connections stall."""
         self._cut |= peers
 
+    def refuse(self, *, peers: frozenset[Address]) -> None:
+        """Refuse new connections to some peers; open ones live on."""
+        self._refused |= peers
+
     def heal(self, *, peers: frozenset[Address] | None = None) -> None:
         """Restore the links to some peers, or to all peers by default."""
         if peers is None:
             self._cut.clear()
+            self._refused.clear()
         else:
             self._cut -= peers
+            self._refused -= peers
 
     def set_loss(self, *, ratio: float) -> None:
         """Drop a ratio of datagrams, from 0 to 1."""
--- a/dotterelpaddle/network.py
+++ b/dotterelpaddle/network.py
@@ -170,6 +170,8 @@
             httpcore.ConnectTimeout: If the peer does not answer in time.
         """
         peer = Address(host=host, port=port)
+        if self._links.is_refused(peer=peer):
+            raise httpcore.ConnectError(f"the link to {peer} refuses connections")
         await wait_for_link(
             links=self._links,
             peer=peer,
--- a/dotterelpaddle/tests/forwarding/harness.py
+++ b/dotterelpaddle/tests/forwarding/harness.py
@@ -95,6 +95,7 @@
         runners: Stand-ins of endpoints by name.
         addresses: Addresses of these endpoints by name.
         routers: Routers in the order of their start.
+        links: Links of these routers.
         http: HTTP client of callers.
         stack: Stops stand-ins and routers at the end of the test.
         store_address: Address of the store.
@@ -104,6 +105,7 @@
     runners: dict[str, RunnerStandin] = field(default_factory=dict)
     addresses: dict[str, Address] = field(default_factory=dict)
     routers: list[RunningForwarder] = field(default_factory=list)
+    links: list[Links] = field(default_factory=list)
     http: httpcore.AsyncConnectionPool
     stack: AsyncExitStack
     store_address: Address
@@ -131,6 +133,7 @@
             fields: Settings that differ from the defaults.
         """
         links = Links()
+        self.links.append(links)
         source = StoreSource(
             address=fields.pop("store", self.store_address),
             documents=PlatformDocumentDecoder(),
