Connect through another router to endpoints that this one can't reach

Cause: an endpoint was either in reach of this router's own link or not at all. The detector of partitions asks for failure domains whose routers are silent; here all were heard.

Fix: where no endpoint of a service is in reach, a router connects to it through another one, by HTTP CONNECT. The other router only copies bytes, to addresses of registered endpoints, and never through a third one. So the id, the deadline, the account, the proof that nothing ran, retries, loads, cold and leaving endpoints, resumed streams and a caller's leaving stay where they were. Reports tell the address for tunnels and whether a router reaches no endpoint itself; those that do not are not asked. If no other router reaches an endpoint either, requests are refused at once as before. The end of a tunnel is never taken for the end of an answer. A broken connection counts as a crash only if others don't reach the endpoint. A stopping router waits for the tunnels that it carries. Direct probes go on and end the detour.

Weighed: not ready, so that the balancer moves callers (a domain that loses most routers gets all its callers back, open connections stay, and it costs a duty); passing on whole requests (the retry budget, evidence and streams would be shared between two routers).

--- a/dotterelpaddle/endpoint/pool.py
+++ b/dotterelpaddle/endpoint/pool.py
@@ -15,7 +15,7 @@
 if TYPE_CHECKING:
     from dotterelpaddle.address import Address
     from dotterelpaddle.clock import Clock
-    from dotterelpaddle.network import LinkedBackend, LinkedStream
+    from dotterelpaddle.network import LinkedStream, StreamBackend
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -85,7 +85,7 @@
         self,
         *,
         address: Address,
-        backend: LinkedBackend,
+        backend: StreamBackend,
         limits: PoolLimits,
         clock: Clock,
     ) -> None:
--- a/dotterelpaddle/forwarding/candidates.py
+++ b/dotterelpaddle/forwarding/candidates.py
@@ -16,6 +16,7 @@
     from dotterelpaddle.forwarding.reachability import Reachability
     from dotterelpaddle.forwarding.view import FleetView
     from dotterelpaddle.ids import EndpointId, ServiceName
+    from dotterelpaddle.peers.tunnels import TunnelBackend
 
 NO_ENDPOINT_RETRY_AFTER_SECONDS = 0.3
 """Retry-after for callers when the router knows no usable endpoint.
@@ -34,6 +35,7 @@
         view: Current endpoints and configuration.
         health: Results of recent requests per endpoint.
         reachability: Endpoints that this router can't connect to.
+        tunnels: Connects through other routers, None if none can.
         backoffs: Endpoints that asked this router to back off.
     """
 
@@ -43,11 +45,13 @@
         view: FleetView,
         health: HealthTracker,
         reachability: Reachability,
+        tunnels: TunnelBackend | None = None,
         backoffs: EndpointBackoffs,
     ) -> None:
         self._view = view
         self._health = health
         self._reachability = reachability
+        self._tunnels = tunnels
         self._backoffs = backoffs
 
     def usable(
@@ -59,8 +63,7 @@
     ) -> list[EndpointEntry]:
         """Return the healthy, reachable endpoints of a service."""
         untried = self._untried(service=service, request=request, excluded=excluded)
-        reachable = self._reachability.reachable(entries=untried)
-        return self._health.usable(entries=reachable)
+        return self._health.usable(entries=self._reachable(untried))
 
     def matching(
         self, *, service: ServiceName, request: HasPrompt
@@ -87,7 +90,7 @@
             NoEndpoint: If the service has no endpoint to try.
         """
         untried = self._untried(service=service, request=request, excluded=excluded)
-        reachable = self._reachability.reachable(entries=untried)
+        reachable = self._reachable(untried)
         usable = self._health.usable(entries=reachable)
         if usable:
             return usable
@@ -109,6 +112,13 @@
             retry_after=self._retry_after(service=service, untried=untried),
         )
 
+    def _reachable(self, entries: list[EndpointEntry]) -> list[EndpointEntry]:
+        """Return the endpoints in reach, else those that other routers may reach."""
+        reachable = self._reachability.reachable(entries=entries)
+        if reachable or self._tunnels is None:
+            return reachable
+        return self._tunnels.reachable(entries=entries)
+
     def _retry_after(
         self, *, service: ServiceName, untried: Sequence[EndpointEntry]
     ) -> float:
--- a/dotterelpaddle/forwarding/client.py
+++ b/dotterelpaddle/forwarding/client.py
@@ -37,8 +37,10 @@
     from dotterelpaddle.forwarding.liveness import EndpointLiveness
     from dotterelpaddle.forwarding.model import EndpointEntry
     from dotterelpaddle.forwarding.notices import EndpointNotices
+    from dotterelpaddle.forwarding.reachability import Reachability
     from dotterelpaddle.ids import EndpointId
     from dotterelpaddle.network import LinkedBackend
+    from dotterelpaddle.peers.tunnels import TunnelBackend
 
 MAX_ANSWER_BYTES = 8 * 1024 * 1024
 """Limit on a buffered answer; the largest known ones take a few KB."""
@@ -157,6 +159,8 @@
     Args:
         codec: Encodes requests and decodes answers.
         backend: Opens connections.
+        reachability: Endpoints to which this router can't connect itself.
+        tunnels: Opens connections to these endpoints through other routers.
         clock: Monotonic clock.
         liveness: Records activity of endpoints.
         notices: Processes what answers report about their endpoint.
@@ -168,6 +172,8 @@
         *,
         codec: WireCodec,
         backend: LinkedBackend,
+        reachability: Reachability,
+        tunnels: TunnelBackend,
         clock: Clock,
         liveness: EndpointLiveness,
         notices: EndpointNotices,
@@ -175,11 +181,13 @@
     ) -> None:
         self._codec = codec
         self._backend = backend
+        self._reachability = reachability
+        self._tunnels = tunnels
         self._clock = clock
         self._liveness = liveness
         self._notices = notices
         self._limits = limits
-        self._pools: dict[tuple[EndpointId, Address], ConnectionPool] = {}
+        self._pools: dict[tuple[EndpointId, Address, bool], ConnectionPool] = {}
 
     @asynccontextmanager
     async def send(self, *, call: ForwardCall) -> AsyncIterator[ForwardAnswer]:
@@ -257,17 +265,23 @@
     def _pool(self, *, entry: EndpointEntry) -> ConnectionPool:
         # Connections to an earlier incarnation, or to another endpoint that had the
         # address, can't be used for this one and don't count against its limit.
-        key = entry.endpoint, entry.address
+        tunnelled = self._needs_tunnel(entry=entry)
+        key = entry.endpoint, entry.address, tunnelled
         pool = self._pools.get(key)
         if pool is None:
             pool = self._pools[key] = ConnectionPool(
                 address=entry.address,
-                backend=self._backend,
+                backend=self._tunnels if tunnelled else self._backend,
                 limits=self._limits,
                 clock=self._clock,
             )
         return pool
 
+    def _needs_tunnel(self, *, entry: EndpointEntry) -> bool:
+        """Return whether only other routers can connect to an endpoint."""
+        suspect = self._reachability.is_suspect(endpoint=entry.endpoint)
+        return suspect and bool(self._tunnels.reachable(entries=(entry,)))
+
     async def _send_request(
         self, *, call: ForwardCall, connection: Connection
     ) -> httpcore.Response:
--- a/dotterelpaddle/forwarding/components.py
+++ b/dotterelpaddle/forwarding/components.py
@@ -50,6 +50,8 @@
 from dotterelpaddle.peers.messages import PeerInfo
 from dotterelpaddle.peers.plan import ReportPlan
 from dotterelpaddle.peers.summary import PeerSummary
+from dotterelpaddle.peers.tunnel_server import TunnelServer
+from dotterelpaddle.peers.tunnels import TunnelBackend
 from dotterelpaddle.pipeline import compose
 
 if TYPE_CHECKING:
@@ -131,6 +133,7 @@
             has crashed.
         isolation: Detects whether this router is on the smaller side of a partition.
         exchange: Exchanges reports with other routers.
+        tunnel_server: Connects other routers to endpoints that they can't reach.
         owners: Exchanges placement requests and counts with shard owners.
         fetcher: Fetches missing state from other routers.
         metrics: Renders the metrics page.
@@ -145,6 +148,7 @@
     termination_prober: TerminationProber
     isolation: IsolationDetector
     exchange: PeerExchange
+    tunnel_server: TunnelServer
     owners: OwnerExchange
     fetcher: Fetcher
     metrics: MetricsPage
@@ -169,9 +173,27 @@
     state = _build_shared_state(settings=settings, clock=clock)
     directory = state.directory
     backend = LinkedBackend(links=dependencies.links)
+    reachability = Reachability(
+        view=state.view,
+        backend=backend,
+        failure_domain=settings.failure_domain,
+        clock=clock,
+    )
+    tunnels = TunnelBackend(
+        directory=directory,
+        backend=backend,
+        links=dependencies.links,
+        clock=clock,
+        generator=generator,
+    )
+    tunnel_server = TunnelServer(
+        view=state.view, reachability=reachability, backend=backend, clock=clock
+    )
     client = ForwardClient(
         codec=dependencies.protocols,
         backend=backend,
+        reachability=reachability,
+        tunnels=tunnels,
         clock=clock,
         liveness=state.liveness,
         notices=EndpointNotices(leaving=state.view.leaving, backoffs=state.backoffs),
@@ -192,14 +214,9 @@
         clock=clock,
         generator=generator,
     )
-    reachability = Reachability(
-        view=state.view,
-        backend=backend,
-        failure_domain=settings.failure_domain,
-        clock=clock,
-    )
     termination_prober = TerminationProber(
         backend=backend,
+        tunnels=tunnels,
         reachability=reachability,
         crashes=state.crashes,
         leaving=state.view.leaving,
@@ -217,6 +234,7 @@
         loads=state.loads,
         health=state.health,
         reachability=reachability,
+        tunnels=tunnels,
         backoffs=state.backoffs,
         cold=state.cold,
         caches=state.caches,
@@ -303,8 +321,11 @@
             peer_summary=peer_summary,
             follower=follower,
             owners=owners,
+            reachability=reachability,
+            tunnel_server=tunnel_server,
             generator=generator,
         ),
+        tunnel_server=tunnel_server,
         owners=owners,
         metrics=MetricsPage(
             metrics=metrics,
--- a/dotterelpaddle/forwarding/placement.py
+++ b/dotterelpaddle/forwarding/placement.py
@@ -37,6 +37,7 @@
     from dotterelpaddle.forwarding.reachability import Reachability
     from dotterelpaddle.forwarding.view import FleetView
     from dotterelpaddle.ids import EndpointId, FailureDomain, ServiceName
+    from dotterelpaddle.peers.tunnels import TunnelBackend
 
 MIN_FETCH_TOKENS = 256
 """Shared prompt tokens below which reading them again is faster than a fetch from
@@ -75,6 +76,7 @@
         loads: Requests in flight per endpoint.
         health: Results of recent requests per endpoint.
         reachability: Endpoints that this router can't connect to.
+        tunnels: Connects through other routers, None if none can.
         backoffs: Endpoints that asked this router to back off.
         cold: Limits for endpoints that have just started.
         caches: Prompt parts that each endpoint has cached.
@@ -89,6 +91,7 @@
         loads: LoadTracker,
         health: HealthTracker,
         reachability: Reachability,
+        tunnels: TunnelBackend | None = None,
         backoffs: EndpointBackoffs,
         cold: ColdEndpoints,
         caches: CacheMap,
@@ -100,7 +103,11 @@
         self._health = health
         self._reachability = reachability
         self._candidates = Candidates(
-            view=view, health=health, reachability=reachability, backoffs=backoffs
+            view=view,
+            health=health,
+            reachability=reachability,
+            tunnels=tunnels,
+            backoffs=backoffs,
         )
         self._cold = cold
         self._caches = caches
--- a/dotterelpaddle/forwarding/reachability.py
+++ b/dotterelpaddle/forwarding/reachability.py
@@ -25,7 +25,7 @@
     from dotterelpaddle.forwarding.model import EndpointEntry
     from dotterelpaddle.forwarding.view import FleetView
     from dotterelpaddle.ids import EndpointId, FailureDomain
-    from dotterelpaddle.network import LinkedBackend
+    from dotterelpaddle.network import LinkedBackend, StreamBackend
 
 log = get_logger(name=__name__)
 
@@ -75,6 +75,16 @@
         self._unreachable: set[EndpointId] = set()
         self._suspects_added = anyio.Event()
 
+    @property
+    def endpoints_lost(self) -> bool:
+        """Whether this router reaches none of the endpoints to which routes lead."""
+        entries = self._view.routed_entries
+        return bool(entries) and not self.reachable(entries=entries)
+
+    def is_suspect(self, *, endpoint: EndpointId) -> bool:
+        """Return whether the last connection to an endpoint failed."""
+        return endpoint in self._suspects
+
     def reachable(self, *, entries: Iterable[EndpointEntry]) -> list[EndpointEntry]:
         """Return the endpoints that are not suspect."""
         return [entry for entry in entries if entry.endpoint not in self._suspects]
@@ -165,7 +175,7 @@
 
 
 async def probe_connection(
-    *, backend: LinkedBackend, address: Address, timeout: float
+    *, backend: StreamBackend, address: Address, timeout: float
 ) -> ConnectionOutcome:
     """Open a connection to an endpoint and close it again.
 
--- a/dotterelpaddle/forwarding/router.py
+++ b/dotterelpaddle/forwarding/router.py
@@ -93,6 +93,10 @@
                 additional_address=settings.metrics,
             )
         )
+        if settings.tunnels is not None:
+            await stack.enter_async_context(
+                components.tunnel_server.serve(address=settings.tunnels)
+            )
         tasks.start_soon(components.exchange.run, datagrams, control)
         tasks.start_soon(components.owners.run, datagrams)
         tasks.start_soon(components.fetcher.run)
@@ -119,6 +123,9 @@
         )
         log.info("router_stopping", in_flight=app.in_flight)
         components.start_draining()
+        components.tunnel_server.stop_within(
+            seconds=settings.shutdown_timeout - SHUTDOWN_MARGIN_SECONDS
+        )
         await anyio.sleep(settings.drain_time)
         # The exit stack stops the callers' server first. That server accepts no new
         # connections, closes idle ones and waits for requests in flight.
--- a/dotterelpaddle/forwarding/settings.py
+++ b/dotterelpaddle/forwarding/settings.py
@@ -47,6 +47,8 @@
             with the best links aggregate for the others.
         metrics: Address that serves metrics besides the control address, None for
             none.
+        tunnels: Address at which other routers connect to endpoints that they can't
+            reach themselves, None for none.
         seeds: Datagram addresses of some other routers; they may be out of date.
         store: Address of the platform's store.
         shutdown_timeout: Seconds from the signal to stop until the process is killed.
@@ -73,6 +75,7 @@
     link_mbps: int = 0
     leaving_propagation_time: float = 2.0
     metrics: Address | None = None
+    tunnels: Address | None = None
     first_start: bool = False
     cold_bounds: ColdBounds | None = None
     regions: Mapping[FailureDomain, Region] = field(default_factory=dict)
@@ -119,6 +122,7 @@
         / MS_PER_SECOND,
         link_mbps=round(peers.number("link_mbps", default=0.0)),
         metrics=listen.address("metrics") if listen.has("metrics") else None,
+        tunnels=peers.address("tunnels") if peers.has("tunnels") else None,
         first_start=top.flag("first_start", default=False),
         cold_bounds=_cold_bounds(top.section("cold")) if top.has("cold") else None,
         regions=_regions(top.section("regions")) if top.has("regions") else {},
--- a/dotterelpaddle/forwarding/termination_probes.py
+++ b/dotterelpaddle/forwarding/termination_probes.py
@@ -23,6 +23,7 @@
     from dotterelpaddle.forwarding.reachability import Reachability
     from dotterelpaddle.ids import EndpointId, Fingerprint
     from dotterelpaddle.network import LinkedBackend
+    from dotterelpaddle.peers.tunnels import TunnelBackend
 
 log = get_logger(name=__name__)
 
@@ -56,6 +57,7 @@
 
     Args:
         backend: Opens connections.
+        tunnels: Connects through other routers, None if none can.
         reachability: Records endpoints that have terminated.
         crashes: Records the requests during which they terminated.
         leaving: Endpoints that have announced their shutdown.
@@ -66,12 +68,14 @@
         self,
         *,
         backend: LinkedBackend,
+        tunnels: TunnelBackend | None = None,
         reachability: Reachability,
         crashes: CrashTracker,
         leaving: LeavingEndpoints,
         clock: Clock,
     ) -> None:
         self._backend = backend
+        self._tunnels = tunnels
         self._reachability = reachability
         self._crashes = crashes
         self._leaving = leaving
@@ -147,8 +151,19 @@
             )
             match outcome:
                 case ConnectionOutcome.REFUSED:
-                    return True
+                    return not await self._is_reached_by_others(entry=entry)
                 case ConnectionOutcome.ESTABLISHED:
                     return False
             await anyio.sleep(PROBE_INTERVAL_SECONDS)
         return False
+
+    async def _is_reached_by_others(self, *, entry: EndpointEntry) -> bool:
+        """Return whether only this router's own link to an endpoint is broken."""
+        if self._tunnels is None or not self._tunnels.reachable(entries=(entry,)):
+            return False
+        outcome = await probe_connection(
+            backend=self._tunnels,
+            address=entry.address,
+            timeout=PROBE_TIMEOUT_SECONDS,
+        )
+        return outcome is ConnectionOutcome.ESTABLISHED
--- a/dotterelpaddle/network.py
+++ b/dotterelpaddle/network.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import math
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Any, Protocol
 
 import anyio
 import httpcore
@@ -144,6 +144,15 @@
         )
 
 
+class StreamBackend(Protocol):
+    """Opens connections to endpoints, directly or through another router."""
+
+    async def connect_tcp(
+        self, host: str, port: int, timeout: float | None = None
+    ) -> LinkedStream:
+        """Open a connection."""
+
+
 class LinkedBackend(httpcore.AsyncNetworkBackend):
     """Opens TCP connections over the process's links.
 
--- a/dotterelpaddle/peers/exchange.py
+++ b/dotterelpaddle/peers/exchange.py
@@ -35,6 +35,7 @@
     from dotterelpaddle.forwarding.crashes import CrashTracker
     from dotterelpaddle.forwarding.follower import Follower
     from dotterelpaddle.forwarding.loads import LoadTracker
+    from dotterelpaddle.forwarding.reachability import Reachability
     from dotterelpaddle.forwarding.request_totals import TotalsTracker
     from dotterelpaddle.forwarding.retry_budget import RetryBudget
     from dotterelpaddle.forwarding.use_queue import PartUse
@@ -45,6 +46,7 @@
     from dotterelpaddle.peers.messages import PeerInfo
     from dotterelpaddle.peers.plan import Recipient, ReportPlan
     from dotterelpaddle.peers.summary import PeerSummary
+    from dotterelpaddle.peers.tunnel_server import TunnelServer
 
 log = get_logger(name=__name__)
 
@@ -90,6 +92,8 @@
         peer_summary: Provides the age of platform data that peers confirm.
         follower: Provides the age of this router's own platform data.
         owners: Processes messages between routers and owners.
+        reachability: Endpoints that this router can't connect to.
+        tunnel_server: Connects other routers to endpoints.
         generator: Source of jitter.
     """
 
@@ -107,6 +111,8 @@
         peer_summary: PeerSummary,
         follower: Follower,
         owners: OwnerExchange,
+        reachability: Reachability,
+        tunnel_server: TunnelServer,
         generator: random.Random,
     ) -> None:
         self._own = directory.own
@@ -121,6 +127,8 @@
         self._peer_summary = peer_summary
         self._follower = follower
         self._owners = owners
+        self._reachability = reachability
+        self._tunnel_server = tunnel_server
         self._generator = generator
         self._incarnation = secrets.randbits(53)
         self._sequence = 0
@@ -235,6 +243,8 @@
             silent_owners=self._owners.unresponsive,
             platform_lost=self._follower.failing,
             evacuated=self._view.evacuations.snapshot,
+            tunnels=self._tunnel_server.address,
+            endpoints_lost=self._reachability.endpoints_lost,
         )
 
     def _totals_for(self, *, own: RequestTotals, recipient: Recipient) -> RequestTotals:
--- a/dotterelpaddle/peers/messages.py
+++ b/dotterelpaddle/peers/messages.py
@@ -74,6 +74,9 @@
 ERAS_INDEX = 28
 """Index of the store's eras in which the endpoints and the evacuations were read."""
 
+TUNNELS_INDEX = 29
+"""Index of the address for tunnels, and of whether the sender reaches no endpoint."""
+
 MAX_LISTED_PEERS = 16
 """Routers listed in one report, so that it fits into one packet."""
 
@@ -128,6 +131,8 @@
         silent_owners: Owners that did not answer its last messages in time.
         platform_lost: Whether its own calls to the platform fail.
         evacuated: Evacuated failure domains, None if unknown.
+        tunnels: Address at which it connects others to endpoints, None for none.
+        endpoints_lost: Whether it reaches no endpoint itself.
     """
 
     router: RouterId
@@ -155,6 +160,8 @@
     silent_owners: tuple[RouterId, ...] = ()
     platform_lost: bool = False
     evacuated: EvacuationSnapshot | None = None
+    tunnels: Address | None = None
+    endpoints_lost: bool = False
 
 
 def encode_report(*, report: PeerReport) -> bytes:
@@ -221,6 +228,7 @@
             report.platform_lost,
             _evacuated_fields(report.evacuated),
             _era_fields(report),
+            _tunnel_fields(report),
         ]
     )
 
@@ -250,6 +258,7 @@
         endpoints_era, evacuated_era = _eras(
             _optional_field(fields, ERAS_INDEX, (FIRST_ERA, FIRST_ERA))
         )
+        tunnels, endpoints_lost = _optional_field(fields, TUNNELS_INDEX, (None, False))
         incarnations = _optional_field(fields, INCARNATIONS_INDEX, ())
         queued_tokens = _optional_field(fields, QUEUED_TOKENS_INDEX, {})
         endpoints = decode_endpoints(
@@ -296,6 +305,8 @@
             evacuated=_evacuated(
                 _optional_field(fields, EVACUATED_INDEX, None), evacuated_era
             ),
+            tunnels=None if tunnels is None else Address.parse(text=tunnels),
+            endpoints_lost=bool(endpoints_lost),
         )
     except (
         orjson.JSONDecodeError,
@@ -355,6 +366,11 @@
     ]
 
 
+def _tunnel_fields(report: PeerReport) -> list[Any]:
+    tunnels = None if report.tunnels is None else str(report.tunnels)
+    return [tunnels, report.endpoints_lost]
+
+
 def _eras(fields: Any) -> tuple[StoreEra, StoreEra]:
     endpoints, evacuated = fields
     return StoreEra(int(endpoints)), StoreEra(int(evacuated))
--- /dev/null
+++ b/dotterelpaddle/peers/tunnels.py
@@ -0,0 +1,201 @@
+"""Connections to endpoints through other routers that still reach them.
+
+A router may be cut off from endpoints that other routers reach, while its callers and
+those routers reach it. Requests then go on through the tunnel server of another router,
+which copies bytes and decides nothing: attempts, retries, limits and what is known of a
+request's progress stay with the router that took it from its caller.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+import anyio
+import h11
+import httpcore
+
+from dotterelpaddle.address import Address
+from dotterelpaddle.logs import get_logger
+from dotterelpaddle.network import LinkedStream
+from dotterelpaddle.peers.tunnel_server import (
+    STATUS_ESTABLISHED,
+    STATUS_REFUSED,
+)
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Iterable
+
+    from dotterelpaddle.clock import Clock
+    from dotterelpaddle.forwarding.model import EndpointEntry
+    from dotterelpaddle.links import Links
+    from dotterelpaddle.network import LinkedBackend
+    from dotterelpaddle.peers.directory import Peer, PeerDirectory
+
+log = get_logger(name=__name__)
+
+MAX_PEERS_TRIED = 2
+"""Routers through which one connection is tried."""
+
+PEER_COOLDOWN_SECONDS = 1.0
+"""Seconds for which a router is not asked again after it could not connect."""
+
+ENDPOINT_COOLDOWN_SECONDS = 0.4
+"""Seconds for which an endpoint counts as unreachable after no router could connect, so
+that requests are refused at once meanwhile."""
+
+MAX_HEAD_BYTES = 4096
+
+
+class TunnelStream(LinkedStream):
+    """A connection to an endpoint through another router.
+
+    Its end never counts as the end of an answer: the other router may have died.
+    """
+
+    async def read(self, max_bytes: int, timeout: float | None = None) -> bytes:
+        """Read some bytes.
+
+        Raises:
+            httpcore.ReadError: If the tunnel ended.
+        """
+        data = await super().read(max_bytes, timeout)
+        if not data:
+            raise httpcore.ReadError("the tunnel through another router ended")
+        return data
+
+
+class TunnelBackend(httpcore.AsyncNetworkBackend):
+    """Opens connections to endpoints through other routers.
+
+    Args:
+        directory: The other routers.
+        backend: Opens connections to other routers.
+        links: The process's links.
+        clock: Monotonic clock.
+        generator: Chooses among equal routers.
+    """
+
+    def __init__(
+        self,
+        *,
+        directory: PeerDirectory,
+        backend: LinkedBackend,
+        links: Links,
+        clock: Clock,
+        generator: random.Random,
+    ) -> None:
+        self._directory = directory
+        self._backend = backend
+        self._links = links
+        self._clock = clock
+        self._generator = generator
+        self._peer_cooldowns: dict[Address, float] = {}
+        self._endpoint_cooldowns: dict[Address, float] = {}
+
+    def reachable(self, *, entries: Iterable[EndpointEntry]) -> list[EndpointEntry]:
+        """Return the endpoints that another router may reach."""
+        if not self._peers():
+            return []
+        now = self._clock()
+        return [
+            entry
+            for entry in entries
+            if self._endpoint_cooldowns.get(entry.address, 0.0) <= now
+        ]
+
+    async def connect_tcp(
+        self,
+        host: str,
+        port: int,
+        timeout: float | None = None,
+        local_address: str | None = None,
+        socket_options: Iterable[Any] | None = None,
+    ) -> LinkedStream:
+        """Open a connection to an endpoint.
+
+        Raises:
+            httpcore.ConnectError: If the endpoint refuses it, or no router is left.
+            httpcore.ConnectTimeout: If no router could connect in time.
+        """
+        target = Address(host=host, port=port)
+        failure: httpcore.ConnectError | httpcore.ConnectTimeout
+        failure = httpcore.ConnectError(f"no other router reaches {target}")
+        with anyio.move_on_after(timeout) as scope:
+            for peer in self._peers()[:MAX_PEERS_TRIED]:
+                try:
+                    return await self._connect_through(peer, target)
+                except (httpcore.ConnectError, httpcore.ConnectTimeout) as error:
+                    failure = error
+        if scope.cancelled_caught:
+            failure = httpcore.ConnectTimeout(f"no router reached {target} in time")
+        self._endpoint_cooldowns[target] = self._clock() + ENDPOINT_COOLDOWN_SECONDS
+        log.warning("tunnel_failed", target=str(target), cause=str(failure))
+        raise failure
+
+    async def sleep(self, seconds: float) -> None:
+        """Sleep between httpcore's own retries."""
+        await anyio.sleep(seconds)
+
+    def _peers(self) -> list[Peer]:
+        """Routers that serve tunnels, those of the own failure domain first."""
+        now = self._clock()
+        own_domain = self._directory.own.failure_domain
+        peers = [
+            peer
+            for peer in self._directory.recently_active()
+            if peer.report.tunnels is not None
+            and not peer.report.leaving
+            and not peer.report.endpoints_lost
+            and self._peer_cooldowns.get(peer.report.tunnels, 0.0) <= now
+        ]
+        self._generator.shuffle(peers)
+        return sorted(peers, key=lambda peer: peer.info.failure_domain != own_domain)
+
+    async def _connect_through(self, peer: Peer, target: Address) -> LinkedStream:
+        tunnels = peer.report.tunnels
+        assert tunnels is not None
+        try:
+            stream = await self._backend.connect_tcp(tunnels.host, tunnels.port)
+        except httpcore.ConnectError:
+            self._peer_cooldowns[tunnels] = self._clock() + PEER_COOLDOWN_SECONDS
+            raise
+        established = False
+        try:
+            status = await _request_tunnel(stream, target)
+            established = status == STATUS_ESTABLISHED
+        except httpcore.NetworkError as error:
+            raise httpcore.ConnectError(f"{tunnels}: {error}") from error
+        finally:
+            if not established:
+                await stream.aclose()
+        if not established:
+            message = f"{peer.info.router} answered {status} for {target}"
+            if status == STATUS_REFUSED:
+                raise httpcore.ConnectError(message)
+            raise httpcore.ConnectTimeout(message)
+        return TunnelStream(stream=stream, peer=tunnels, links=self._links)
+
+
+async def _request_tunnel(stream: LinkedStream, target: Address) -> int:
+    """Send a CONNECT request and return the status of its answer.
+
+    Raises:
+        httpcore.NetworkError: If the other router sent no answer.
+    """
+    connection = h11.Connection(h11.CLIENT)
+    request = h11.Request(
+        method="CONNECT", target=str(target), headers=[("Host", str(target))]
+    )
+    await stream.write(connection.send(request) or b"")
+    await stream.write(connection.send(h11.EndOfMessage()) or b"")
+    while True:
+        try:
+            event = connection.next_event()
+        except h11.RemoteProtocolError as error:
+            raise httpcore.ReadError(str(error)) from error
+        if isinstance(event, h11.Response):
+            return event.status_code
+        if event is not h11.NEED_DATA:
+            raise httpcore.ReadError("the other router sent no answer")
+        connection.receive_data(await stream.read(MAX_HEAD_BYTES))
--- a/dotterelpaddle/tests/forwarding/harness.py
+++ b/dotterelpaddle/tests/forwarding/harness.py
@@ -147,6 +147,7 @@
                 "readiness": ANY_LOCAL_ADDRESS,
                 "control": ANY_LOCAL_ADDRESS,
                 "peers": ANY_LOCAL_ADDRESS,
+                "tunnels": ANY_LOCAL_ADDRESS,
                 "seeds": tuple(router.peers for router in self.routers),
                 "store": self.store_address,
                 "shutdown_timeout": 2.0,
--- a/dotterelpaddle/tests/forwarding/test_settings.py
+++ b/dotterelpaddle/tests/forwarding/test_settings.py
@@ -27,6 +27,7 @@
         "address": "10.0.0.1:83",
         "seeds": ["10.0.0.2:82"],
         "link_mbps": 100.0,
+        "tunnels": "10.0.0.1:85",
     },
     "store": "10.0.0.9:90",
     "regions": {"here": "west", "there": "east"},
@@ -62,6 +63,7 @@
     assert str(settings.seeds[0]) == "10.0.0.2:83"
     assert settings.retry_limits.allowance == 52
     assert settings.link_mbps == 100
+    assert str(settings.tunnels) == "10.0.0.1:85"
     assert settings.leaving_propagation_time == 3.0
     assert settings.regions == {"here": "west", "there": "east"}
     assert settings.cold_bounds == ColdBounds(multiple=1.5, allowance=5.0)
@@ -73,6 +75,7 @@
 
     assert settings.failure_domain == "here"
     assert settings.seeds == ()
+    assert settings.tunnels is None
     assert settings.cold_bounds is None
 
 
--- a/dotterelpaddle/tests/peers/test_messages.py
+++ b/dotterelpaddle/tests/peers/test_messages.py
@@ -82,6 +82,8 @@
             "leaving": True,
             "silent_owners": (RouterId("third"),),
             "platform_lost": True,
+            "tunnels": THIRD,
+            "endpoints_lost": True,
             "evacuated": EvacuationSnapshot(
                 revision=revision_at(8, era=1),
                 domains=frozenset({FailureDomain("there")}),
@@ -147,6 +149,8 @@
     assert decoded.leaving_endpoints == ()
     assert decoded.silent_owners == ()
     assert not decoded.platform_lost
+    assert decoded.tunnels is None
+    assert not decoded.endpoints_lost
     assert decoded.revision == revision_at(9)
 
 
