--- a/dotterelpaddle/forwarding/components.py
+++ b/dotterelpaddle/forwarding/components.py
@@ -9,6 +9,7 @@
 from dotterelpaddle.forwarding.app import ForwardApp
 from dotterelpaddle.forwarding.attempts import AttemptRunner
 from dotterelpaddle.forwarding.backoffs import EndpointBackoffs
+from dotterelpaddle.forwarding.brittle import BrittleEndpoints
 from dotterelpaddle.forwarding.caches import CacheMap
 from dotterelpaddle.forwarding.client import ForwardClient
 from dotterelpaddle.forwarding.cold import ColdEndpoints
@@ -98,6 +99,7 @@
         health: Results of recent requests per endpoint.
         liveness: Time of the last bytes from each endpoint.
         backoffs: Endpoints that asked this router to back off.
+        brittle: Limits for endpoints that end if they reject too many requests.
         cold: Limits for endpoints that have just started.
         caches: Prompt parts that each endpoint has cached.
         crashes: Requests that were running when endpoints crashed.
@@ -111,6 +113,7 @@
     health: HealthTracker
     liveness: EndpointLiveness
     backoffs: EndpointBackoffs
+    brittle: BrittleEndpoints
     cold: ColdEndpoints
     caches: CacheMap
     crashes: CrashTracker
@@ -196,7 +199,9 @@
         tunnels=tunnels,
         clock=clock,
         liveness=state.liveness,
-        notices=EndpointNotices(leaving=state.view.leaving, backoffs=state.backoffs),
+        notices=EndpointNotices(
+            leaving=state.view.leaving, backoffs=state.backoffs, brittle=state.brittle
+        ),
     )
     peer_summary = PeerSummary(
         view=state.view,
@@ -236,6 +241,7 @@
         reachability=reachability,
         tunnels=tunnels,
         backoffs=state.backoffs,
+        brittle=state.brittle,
         cold=state.cold,
         caches=state.caches,
         failure_domain=settings.failure_domain,
@@ -389,13 +395,20 @@
             clock=clock, serve_time=settings.leaving_propagation_time
         ),
     )
+    loads = LoadTracker(totals=totals)
+    backoffs = EndpointBackoffs(clock=clock)
     return SharedState(
         view=view,
         totals=totals,
-        loads=LoadTracker(totals=totals),
+        loads=loads,
         health=HealthTracker(clock=clock),
         liveness=EndpointLiveness(clock=clock),
-        backoffs=EndpointBackoffs(clock=clock),
+        backoffs=backoffs,
+        brittle=BrittleEndpoints(
+            in_flight=lambda: loads.own,
+            backoffs=backoffs,
+            router_count=lambda: fleet_size.count,
+        ),
         cold=ColdEndpoints(
             router=settings.router,
             bounds=settings.cold_bounds,
--- a/dotterelpaddle/forwarding/interface.py
+++ b/dotterelpaddle/forwarding/interface.py
@@ -102,6 +102,8 @@
         leaving: Whether the endpoint reports that it is leaving.
         retry_after: Seconds for which the endpoint asks for no more requests, None
             if it does not.
+        rejection_limit: Requests that the endpoint may reject within a second before it
+            ends, None if any number.
     """
 
     status: int
@@ -113,6 +115,7 @@
     has_unexpected_encoding: bool
     leaving: bool = False
     retry_after: float | None = None
+    rejection_limit: int | None = None
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/dotterelpaddle/forwarding/notices.py
+++ b/dotterelpaddle/forwarding/notices.py
@@ -9,6 +9,7 @@
 
 if TYPE_CHECKING:
     from dotterelpaddle.forwarding.backoffs import EndpointBackoffs
+    from dotterelpaddle.forwarding.brittle import BrittleEndpoints
     from dotterelpaddle.forwarding.interface import AnswerHead
     from dotterelpaddle.forwarding.leaving import LeavingEndpoints
     from dotterelpaddle.ids import EndpointId, RequestId
@@ -22,12 +23,18 @@
     Args:
         leaving: Tracks leaving endpoints.
         backoffs: Tracks endpoints that asked for a backoff.
+        brittle: Tracks endpoints that end if they reject too many requests.
     """
 
     def __init__(
-        self, *, leaving: LeavingEndpoints, backoffs: EndpointBackoffs
+        self,
+        *,
+        leaving: LeavingEndpoints,
+        backoffs: EndpointBackoffs,
+        brittle: BrittleEndpoints,
     ) -> None:
         self._leaving = leaving
+        self._brittle = brittle
         self._backoffs = backoffs
 
     def process(
@@ -43,6 +50,9 @@
                 leaving=head.leaving,
                 retry_after=head.retry_after,
             )
+        self._brittle.record_answer(
+            endpoint=endpoint, limit=head.rejection_limit, rejected=head.not_executed
+        )
         if head.leaving:
             self._leaving.record(endpoint=endpoint)
         if head.retry_after is not None and head.status in NOT_EXECUTED_STATUSES:
--- a/dotterelpaddle/forwarding/router.py
+++ b/dotterelpaddle/forwarding/router.py
@@ -144,4 +144,5 @@
         state.health.retain(endpoints=known_endpoints)
         state.liveness.retain(endpoints=known_endpoints)
         state.backoffs.retain(endpoints=known_endpoints)
+        state.brittle.retain(endpoints=known_endpoints)
         state.cold.retain(endpoints=known_endpoints)
--- a/dotterelpaddle/platform/names.py
+++ b/dotterelpaddle/platform/names.py
@@ -23,6 +23,7 @@
     # In a refusal: how long this router must send no request at all to the endpoint,
     # not only when to retry this request.
     RETRY_AFTER = b"retry-after"
+    REJECTION_LIMIT = b"server-brittle"
     MODEL = b"x-dotterelpaddle-model"
     PROMPT_PREFIX = b"x-dotterelpaddle-prompt-prefix"
     PRIORITY = b"x-dotterelpaddle-request-priority"
--- a/dotterelpaddle/platform/protocols.py
+++ b/dotterelpaddle/platform/protocols.py
@@ -108,6 +108,7 @@
             has_unexpected_encoding=b"content-encoding" in by_name,
             leaving=announces_leaving(headers=lowered),
             retry_after=decode_retry_after(headers=by_name),
+            rejection_limit=_rejection_limit(by_name),
         )
 
 
@@ -117,6 +118,12 @@
     return _text(by_name, Header.LEAVING) == TRUE_VALUE
 
 
+def _rejection_limit(headers: Mapping[bytes, bytes]) -> int | None:
+    """Decode the number of rejections that an endpoint bears; None if it names none."""
+    text = _text(headers, Header.REJECTION_LIMIT)
+    return int(text) if text.isascii() and text.isdigit() else None
+
+
 def _text(headers: Mapping[bytes, bytes], name: bytes) -> str:
     return headers.get(name, b"").decode("latin-1").strip()
 
--- a/dotterelpaddle/standins/runner.py
+++ b/dotterelpaddle/standins/runner.py
@@ -176,6 +176,11 @@
         events: Events of a stream.
         pause: Seconds before each event.
         leaving: Whether its answers state that it is leaving.
+        rejection_limit: Rejections within a second beyond which it counts as having
+            ended, which all its answers tell; None if it bears any number.
+        room: Requests that it serves at a time; it rejects others. None for no bound.
+        silent_until: Time on the loop's clock until which it answers nothing.
+        rejected_at: Times of its rejections for want of room.
         plan: Behaviours for the next requests; `Serve` afterwards.
         received: All received requests.
         runs: Requests that it has run.
@@ -186,10 +191,26 @@
     events: int = 5
     pause: float = 0.0
     leaving: bool = False
+    rejection_limit: int | None = None
+    room: int | None = None
+    silent_until: float = 0.0
+    rejected_at: list[float] = field(default_factory=list)
     plan: deque[Behaviour] = field(default_factory=deque)
     received: list[Received] = field(default_factory=list)
     runs: list[Received] = field(default_factory=list)
     closed_early: list[Received] = field(default_factory=list)
+    _serving: int = 0
+
+    @property
+    def most_rejections(self) -> int:
+        """Most rejections for want of room within one second."""
+        return max(
+            (
+                sum(start <= each < start + 1.0 for each in self.rejected_at)
+                for start in self.rejected_at
+            ),
+            default=0,
+        )
 
     def entry(self, *, address: Address, service: str, **fields: Any) -> dict[str, Any]:
         """Return the row by which it registers itself."""
@@ -220,9 +241,17 @@
             if request is None:
                 return
             self.received.append(request)
+            await anyio.sleep_until(self.silent_until)
             behaviour = self.plan.popleft() if self.plan else Serve()
-            if not await self._answer(stream, request, behaviour):
-                return
+            if self.room is not None and self._serving >= self.room:
+                self.rejected_at.append(anyio.current_time())
+                behaviour = Refuse()
+            self._serving += 1
+            try:
+                if not await self._answer(stream, request, behaviour):
+                    return
+            finally:
+                self._serving -= 1
             # The answers are written by hand; the parser only needs to follow.
             connection = h11.Connection(our_role=h11.SERVER)
 
@@ -341,6 +370,8 @@
             lines.append(Header.REQUEST_ID + b": " + echoed)
         if self.leaving:
             lines.append(Header.LEAVING + b": 1")
+        if self.rejection_limit is not None:
+            lines.append(Header.REJECTION_LIMIT + b": %d" % self.rejection_limit)
         if sealed:
             lines.append(Header.ORIGIN_PROOF + b": " + SEAL)
         lines += [name + b": " + value for name, value in (extra or {}).items()]
--- a/dotterelpaddle/tests/forwarding/test_leaving.py
+++ b/dotterelpaddle/tests/forwarding/test_leaving.py
@@ -7,6 +7,7 @@
 import pytest
 
 from dotterelpaddle.forwarding.backoffs import MAX_BACKOFF_SECONDS, EndpointBackoffs
+from dotterelpaddle.forwarding.brittle import BrittleEndpoints
 from dotterelpaddle.forwarding.interface import AnswerHead, EndpointsUpdate
 from dotterelpaddle.forwarding.leaving import (
     MAX_NOTICES_PER_REPORT,
@@ -72,7 +73,13 @@
 
     def receive_answer(self, name: str, **fields: object) -> None:
         """Process the head of an answer."""
-        EndpointNotices(leaving=self.leaving, backoffs=self.backoffs).process(
+        brittle = BrittleEndpoints(
+            in_flight=dict, backoffs=self.backoffs, router_count=lambda: 1
+        )
+        notices = EndpointNotices(
+            leaving=self.leaving, backoffs=self.backoffs, brittle=brittle
+        )
+        notices.process(
             endpoint=EndpointId(name),
             head=replace(HEAD, **fields),  # type: ignore[arg-type]
             request_id=RequestId("r"),
--- a/dotterelpaddle/tests/test_transport.py
+++ b/dotterelpaddle/tests/test_transport.py
@@ -3,12 +3,15 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 
+import anyio
+import anyio.abc
 import httpcore
 import pytest
 
 from dotterelpaddle.tests.virtual_time import run_in_virtual_time
-from dotterelpaddle.transport import TcpStream, _Protocol
+from dotterelpaddle.transport import TcpBackend, TcpStream, _Protocol
 
 
 async def _read(stream: TcpStream, *, timeout: float) -> bytes:
@@ -49,3 +52,19 @@
         assert await _read(stream, timeout=5.0) == b"more"
 
     run_in_virtual_time(_run)
+
+
+@pytest.mark.anyio
+async def test_connections_set_no_timeouts_of_the_kernel() -> None:
+    """Guards against TCP_USER_TIMEOUT, which also ends quiet connections on Linux."""
+    async with await anyio.create_tcp_listener(local_host="127.0.0.1") as listener:
+        port = listener.extra(anyio.abc.SocketAttribute.local_port)
+        stream = await TcpBackend().connect_tcp("127.0.0.1", port, 5.0)
+        connection = stream.get_extra_info("socket")
+        options = [
+            connection.getsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT),
+            connection.getsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE),
+        ]
+        await stream.aclose()
+
+    assert options == [0, 0]
