--- a/dotterelpaddle/forwarding/attempts.py
+++ b/dotterelpaddle/forwarding/attempts.py
@@ -7,7 +7,6 @@
 
 from __future__ import annotations
 
-from enum import Enum
 from typing import TYPE_CHECKING
 
 from dotterelpaddle.exceptions import (
@@ -27,7 +26,11 @@
     IdleConnectionLost,
 )
 from dotterelpaddle.forwarding.interface import RequestMetadata
-from dotterelpaddle.forwarding.progress import AttemptProgress, TriedEndpoints
+from dotterelpaddle.forwarding.progress import (
+    AttemptProgress,
+    RetryObstacle,
+    TriedEndpoints,
+)
 from dotterelpaddle.logs import get_logger
 
 if TYPE_CHECKING:
@@ -65,16 +68,6 @@
 """
 
 
-class RetryObstacle(Enum):
-    """Why no retry follows a failed attempt."""
-
-    DEADLINE = "deadline"
-    MAY_HAVE_RUN = "may_have_run"
-    ANSWER_STARTED = "answer_started"
-    MAX_ATTEMPTS = "max_attempts"
-    BUDGET = "budget"
-
-
 class AttemptRunner:
     """Selects endpoints for a request and sends attempts to them.
 
--- a/dotterelpaddle/forwarding/components.py
+++ b/dotterelpaddle/forwarding/components.py
@@ -8,21 +8,11 @@
 
 from dotterelpaddle.forwarding.app import ForwardApp
 from dotterelpaddle.forwarding.attempts import AttemptRunner
-from dotterelpaddle.forwarding.backoffs import EndpointBackoffs
-from dotterelpaddle.forwarding.brittle import BrittleEndpoints
-from dotterelpaddle.forwarding.caches import CacheMap
 from dotterelpaddle.forwarding.client import ForwardClient
-from dotterelpaddle.forwarding.cold import ColdEndpoints
 from dotterelpaddle.forwarding.crash_guard import CrashGuard
-from dotterelpaddle.forwarding.crashes import CrashTracker
 from dotterelpaddle.forwarding.filters import DeadlineFilter, ForwardFilter, RouteFilter
-from dotterelpaddle.forwarding.fleet_size import FleetSize
 from dotterelpaddle.forwarding.follower import Follower
-from dotterelpaddle.forwarding.health import HealthTracker
 from dotterelpaddle.forwarding.isolation import IsolationDetector
-from dotterelpaddle.forwarding.leaving import LeavingEndpoints
-from dotterelpaddle.forwarding.liveness import EndpointLiveness
-from dotterelpaddle.forwarding.loads import LoadTracker
 from dotterelpaddle.forwarding.metrics import (
     ForwardMetrics,
     MetricsPage,
@@ -31,12 +21,10 @@
 from dotterelpaddle.forwarding.notices import EndpointNotices
 from dotterelpaddle.forwarding.placement import ForwardPlacer
 from dotterelpaddle.forwarding.reachability import Reachability
-from dotterelpaddle.forwarding.request_totals import TotalsTracker
 from dotterelpaddle.forwarding.residency import ResidencyPolicy
-from dotterelpaddle.forwarding.retry_budget import RetryBudget
+from dotterelpaddle.forwarding.shared_state import SharedState, build_shared_state
 from dotterelpaddle.forwarding.termination_probes import TerminationProber
 from dotterelpaddle.forwarding.timeouts import TimeoutEstimator
-from dotterelpaddle.forwarding.view import FleetView
 from dotterelpaddle.network import LinkedBackend
 from dotterelpaddle.owners.counts import ShardCounts
 from dotterelpaddle.owners.exchange import OwnerExchange
@@ -45,10 +33,8 @@
 from dotterelpaddle.owners.reporting import InFlightReporter
 from dotterelpaddle.owners.shards import ShardMap
 from dotterelpaddle.peers.cache_discovery import CacheDiscovery
-from dotterelpaddle.peers.directory import PeerDirectory
 from dotterelpaddle.peers.exchange import PeerExchange
 from dotterelpaddle.peers.fetching import Fetcher
-from dotterelpaddle.peers.messages import PeerInfo
 from dotterelpaddle.peers.plan import ReportPlan
 from dotterelpaddle.peers.summary import PeerSummary
 from dotterelpaddle.peers.tunnel_server import TunnelServer
@@ -88,39 +74,6 @@
     clock: Clock
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class SharedState:
-    """State that the components of a router share.
-
-    Attributes:
-        view: Current configuration and endpoints.
-        totals: Request totals that other routers reported.
-        loads: Requests in flight per endpoint.
-        health: Results of recent requests per endpoint.
-        liveness: Time of the last bytes from each endpoint.
-        backoffs: Endpoints that asked this router to back off.
-        brittle: Limits for endpoints that end if they reject too many requests.
-        cold: Limits for endpoints that have just started.
-        caches: Prompt parts that each endpoint has cached.
-        crashes: Requests that were running when endpoints crashed.
-        retry_budget: Limits the retries of all routers.
-        directory: The other routers.
-    """
-
-    view: FleetView
-    totals: TotalsTracker
-    loads: LoadTracker
-    health: HealthTracker
-    liveness: EndpointLiveness
-    backoffs: EndpointBackoffs
-    brittle: BrittleEndpoints
-    cold: ColdEndpoints
-    caches: CacheMap
-    crashes: CrashTracker
-    retry_budget: RetryBudget
-    directory: PeerDirectory
-
-
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Components:
     """The running components of a router.
@@ -173,7 +126,7 @@
     """
     clock = dependencies.clock
     generator = random.Random(settings.router)
-    state = _build_shared_state(settings=settings, clock=clock)
+    state = build_shared_state(settings=settings, clock=clock)
     directory = state.directory
     backend = LinkedBackend(links=dependencies.links)
     reachability = Reachability(
@@ -366,63 +319,3 @@
             generator=generator,
         ),
     )
-
-
-def _build_shared_state(*, settings: ForwardSettings, clock: Clock) -> SharedState:
-    caches = CacheMap(clock=clock)
-    if settings.first_start:
-        # On the first start of the whole fleet no endpoint has cached anything.
-        caches.mark_populated()
-    directory = PeerDirectory(
-        own=PeerInfo(
-            router=settings.router,
-            failure_domain=settings.failure_domain,
-            address=settings.peers,
-            link=settings.link_mbps,
-        ),
-        seeds=settings.seeds,
-        clock=clock,
-    )
-    totals = TotalsTracker(failure_domain=settings.failure_domain, clock=clock)
-    fleet_size = FleetSize(
-        known=lambda: max(directory.router_count, totals.router_count),
-        has_seeds=directory.has_seeds,
-        clock=clock,
-    )
-    view = FleetView(
-        clock=clock,
-        leaving=LeavingEndpoints(
-            clock=clock, serve_time=settings.leaving_propagation_time
-        ),
-    )
-    loads = LoadTracker(totals=totals)
-    backoffs = EndpointBackoffs(clock=clock)
-    return SharedState(
-        view=view,
-        totals=totals,
-        loads=loads,
-        health=HealthTracker(clock=clock),
-        liveness=EndpointLiveness(clock=clock),
-        backoffs=backoffs,
-        brittle=BrittleEndpoints(
-            in_flight=lambda: loads.own,
-            backoffs=backoffs,
-            router_count=lambda: fleet_size.count,
-        ),
-        cold=ColdEndpoints(
-            router=settings.router,
-            bounds=settings.cold_bounds,
-            view=view,
-            router_count=lambda: fleet_size.count,
-            clock=clock,
-        ),
-        caches=caches,
-        crashes=CrashTracker(clock=clock),
-        retry_budget=RetryBudget(
-            limits=settings.retry_limits,
-            routers=lambda: fleet_size.count,
-            first_start=settings.first_start,
-            clock=clock,
-        ),
-        directory=directory,
-    )
--- /dev/null
+++ b/dotterelpaddle/forwarding/shared_state.py
@@ -0,0 +1,125 @@
+"""The state that the components of a forwarding router share."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from dotterelpaddle.forwarding.backoffs import EndpointBackoffs
+from dotterelpaddle.forwarding.brittle import BrittleEndpoints
+from dotterelpaddle.forwarding.caches import CacheMap
+from dotterelpaddle.forwarding.cold import ColdEndpoints
+from dotterelpaddle.forwarding.crashes import CrashTracker
+from dotterelpaddle.forwarding.fleet_size import FleetSize
+from dotterelpaddle.forwarding.health import HealthTracker
+from dotterelpaddle.forwarding.leaving import LeavingEndpoints
+from dotterelpaddle.forwarding.liveness import EndpointLiveness
+from dotterelpaddle.forwarding.loads import LoadTracker
+from dotterelpaddle.forwarding.request_totals import TotalsTracker
+from dotterelpaddle.forwarding.retry_budget import RetryBudget
+from dotterelpaddle.forwarding.view import FleetView
+from dotterelpaddle.peers.directory import PeerDirectory
+from dotterelpaddle.peers.messages import PeerInfo
+
+if TYPE_CHECKING:
+    from dotterelpaddle.clock import Clock
+    from dotterelpaddle.forwarding.settings import ForwardSettings
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class SharedState:
+    """State that the components of a router share.
+
+    Attributes:
+        view: Current configuration and endpoints.
+        totals: Request totals that other routers reported.
+        loads: Requests in flight per endpoint.
+        health: Results of recent requests per endpoint.
+        liveness: Time of the last bytes from each endpoint.
+        backoffs: Endpoints that asked this router to back off.
+        brittle: Limits for endpoints that end if they reject too many requests.
+        cold: Limits for endpoints that have just started.
+        caches: Prompt parts that each endpoint has cached.
+        crashes: Requests that were running when endpoints crashed.
+        retry_budget: Limits the retries of all routers.
+        directory: The other routers.
+    """
+
+    view: FleetView
+    totals: TotalsTracker
+    loads: LoadTracker
+    health: HealthTracker
+    liveness: EndpointLiveness
+    backoffs: EndpointBackoffs
+    brittle: BrittleEndpoints
+    cold: ColdEndpoints
+    caches: CacheMap
+    crashes: CrashTracker
+    retry_budget: RetryBudget
+    directory: PeerDirectory
+
+
+def build_shared_state(*, settings: ForwardSettings, clock: Clock) -> SharedState:
+    """Build the state that the components of a router share.
+
+    Args:
+        settings: Settings of the router.
+        clock: Monotonic clock.
+    """
+    caches = CacheMap(clock=clock)
+    if settings.first_start:
+        # On the first start of the whole fleet no endpoint has cached anything.
+        caches.mark_populated()
+    directory = PeerDirectory(
+        own=PeerInfo(
+            router=settings.router,
+            failure_domain=settings.failure_domain,
+            address=settings.peers,
+            link=settings.link_mbps,
+        ),
+        seeds=settings.seeds,
+        clock=clock,
+    )
+    totals = TotalsTracker(failure_domain=settings.failure_domain, clock=clock)
+    fleet_size = FleetSize(
+        known=lambda: max(directory.router_count, totals.router_count),
+        has_seeds=directory.has_seeds,
+        clock=clock,
+    )
+    view = FleetView(
+        clock=clock,
+        leaving=LeavingEndpoints(
+            clock=clock, serve_time=settings.leaving_propagation_time
+        ),
+    )
+    loads = LoadTracker(totals=totals)
+    backoffs = EndpointBackoffs(clock=clock)
+    return SharedState(
+        view=view,
+        totals=totals,
+        loads=loads,
+        health=HealthTracker(clock=clock),
+        liveness=EndpointLiveness(clock=clock),
+        backoffs=backoffs,
+        brittle=BrittleEndpoints(
+            in_flight=lambda: loads.own,
+            backoffs=backoffs,
+            router_count=lambda: fleet_size.count,
+        ),
+        cold=ColdEndpoints(
+            router=settings.router,
+            bounds=settings.cold_bounds,
+            view=view,
+            router_count=lambda: fleet_size.count,
+            clock=clock,
+        ),
+        caches=caches,
+        crashes=CrashTracker(clock=clock),
+        retry_budget=RetryBudget(
+            limits=settings.retry_limits,
+            routers=lambda: fleet_size.count,
+            first_start=settings.first_start,
+            clock=clock,
+        ),
+        directory=directory,
+    )
--- a/dotterelpaddle/peers/directory.py
+++ b/dotterelpaddle/peers/directory.py
@@ -3,13 +3,12 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
-from functools import lru_cache
 from typing import TYPE_CHECKING
 
 from dotterelpaddle.forwarding.request_totals import TotalsScope
 from dotterelpaddle.logs import get_logger
 from dotterelpaddle.peers.messages import PeerInfo
-from dotterelpaddle.placement.rendezvous import digest
+from dotterelpaddle.peers.ranks import Rank, rank_of
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Sequence
@@ -19,7 +18,6 @@
     from dotterelpaddle.ids import FailureDomain, RouterId
     from dotterelpaddle.peers.messages import PeerReport
 
-    Rank = tuple[int, int, RouterId]
 
 log = get_logger(name=__name__)
 
@@ -51,9 +49,6 @@
 """Time for which aggregators don't elect a late owner again. No router asks it in the
 meantime, so that none can tell whether its host is still busy."""
 
-MAX_CACHED_DIGESTS = 4096
-"""Number of router ids whose hashes stay cached, 0.3 MB."""
-
 AGGREGATORS_PER_DOMAIN = 2
 """Number of aggregators in a failure domain; if one of them ends, the other one serves
 the domain until a new one takes over."""
@@ -183,7 +178,7 @@
 
         All routers compute the same order.
         """
-        return _rank(self._peer_info(router))
+        return rank_of(self._peer_info(router))
 
     def aggregators(self, *, failure_domain: FailureDomain) -> tuple[PeerInfo, ...]:
         """The aggregators of a failure domain, the best ranked ones first.
@@ -197,7 +192,9 @@
             members.append(self._own)
         responsive = [info for info in members if not self._has_timed_out(info.router)]
         staying = [info for info in responsive if not self._is_leaving(info.router)]
-        return tuple(sorted(staying or responsive, key=_rank)[:AGGREGATORS_PER_DOMAIN])
+        return tuple(
+            sorted(staying or responsive, key=rank_of)[:AGGREGATORS_PER_DOMAIN]
+        )
 
     def owners(self) -> dict[FailureDomain, PeerInfo]:
         """The owner of each failure domain, which counts the requests in flight there.
@@ -228,7 +225,7 @@
             if peer.info not in aggregators and not peer.report.leaving
         ]
         in_time = [info for info in members if info.router not in self._late_owners]
-        self._record_owner(min(in_time or members, key=_rank, default=aggregators[0]))
+        self._record_owner(min(in_time or members, key=rank_of, default=aggregators[0]))
 
     def _record_late_owner(self, *, peers: Sequence[Peer]) -> None:
         """Record the owner as late if most routers of its failure domain report it."""
@@ -375,16 +372,6 @@
         return self._clock() - max(expected_at, received_at) > PEER_TIMEOUT_SECONDS
 
 
-def _rank(info: PeerInfo) -> Rank:
-    return -info.link, _digest(info.router), info.router
-
-
-@lru_cache(maxsize=MAX_CACHED_DIGESTS)
-def _digest(router: RouterId) -> int:
-    """Hash a router id, cached since each rank is computed many times a second."""
-    return digest(text=router)
-
-
 def _sender_info(
     *, report: PeerReport, address: Address, known: Peer | None
 ) -> PeerInfo:
--- a/dotterelpaddle/standins/runner.py
+++ b/dotterelpaddle/standins/runner.py
@@ -19,6 +19,21 @@
 from dotterelpaddle.accepting import accepting
 from dotterelpaddle.address import Address
 from dotterelpaddle.platform.names import Header
+from dotterelpaddle.standins.behaviours import (
+    Behaviour,
+    CutAnswer,
+    ExtraAnswer,
+    Fail,
+    Foreign,
+    Garbage,
+    Hang,
+    LoseAnswer,
+    Refuse,
+    Serve,
+    Unframed,
+    Unsealed,
+    WrongEndpoint,
+)
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -30,121 +45,6 @@
 STREAM_PATH = b"/stream/"
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class Serve:
-    """The endpoint runs the request and answers."""
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class Refuse:
-    """The endpoint rejects the request without running it.
-
-    Attributes:
-        status: HTTP status of the answer.
-        retry_after: Value of the Retry-After header, empty for none.
-    """
-
-    status: int = 503
-    retry_after: bytes = b""
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class WrongEndpoint:
-    """Another endpoint than the expected one has the address."""
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class Fail:
-    """The endpoint runs the request and answers that it failed.
-
-    Attributes:
-        status: HTTP status of the answer.
-    """
-
-    status: int = 500
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class CutAnswer:
-    """The endpoint runs the request and closes the connection within the answer.
-
-    Attributes:
-        events: Complete events of a stream before that.
-    """
-
-    events: int = 2
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class LoseAnswer:
-    """The endpoint runs the request and closes the connection without an answer."""
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class Garbage:
-    """The endpoint sends bytes that are not HTTP."""
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class Foreign:
-    """The endpoint answers another request.
-
-    Attributes:
-        request_id: Request id in the answer, empty for none.
-    """
-
-    request_id: bytes = b"another"
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class ExtraAnswer:
-    """The endpoint sends a second answer after the first.
-
-    Attributes:
-        request_id: Request id in the second answer, empty for none.
-    """
-
-    request_id: bytes = b"late"
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class Unsealed:
-    """The endpoint answers with success but without a proof of origin."""
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class Unframed:
-    """The answer has no length and ends with the connection."""
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class Hang:
-    """The endpoint runs the request and never completes the answer.
-
-    Attributes:
-        events: Events of a stream before that.
-    """
-
-    events: int = 0
-
-
-Behaviour = (
-    Serve
-    | Refuse
-    | WrongEndpoint
-    | Fail
-    | CutAnswer
-    | LoseAnswer
-    | Garbage
-    | Foreign
-    | ExtraAnswer
-    | Unsealed
-    | Unframed
-    | Hang
-)
-"""What the endpoint does with one request."""
-
-
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Received:
     """A received request.
--- a/dotterelpaddle/tests/owners/fleet.py
+++ b/dotterelpaddle/tests/owners/fleet.py
@@ -9,7 +9,6 @@
 import bisect
 import itertools
 import random
-from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
 
 import anyio
@@ -17,16 +16,11 @@
 from dotterelpaddle.exceptions import NoEndpoint
 from dotterelpaddle.forwarding.interface import EndpointsUpdate
 from dotterelpaddle.forwarding.model import (
-    CallerLimits,
-    EndpointEntry,
     EndpointState,
-    FleetConfiguration,
-    SlowStart,
 )
 from dotterelpaddle.ids import (
     EndpointId,
     ModelId,
-    ServiceName,
 )
 from dotterelpaddle.placement.rendezvous import digest
 from dotterelpaddle.tests.forwarding.entries import make_entry, make_request
@@ -45,10 +39,29 @@
     Router,
     build_router,
 )
+from dotterelpaddle.tests.owners.load import (
+    ANSWER_SECONDS,
+    CLIENTS,
+    CONFIGURATION,
+    DRAIN_SECONDS,
+    FETCH_TOKENS_PER_SECOND,
+    READ_TOKENS_PER_SECOND,
+    REQUESTS_PER_SECOND,
+    RESTART_SECONDS,
+    SERVICE,
+    SLOTS,
+    SLOWDOWN_PER_REQUEST,
+    SUBJECT_TOKENS,
+    SUBJECTS,
+    SYSTEM_TOKENS,
+    UPDATE_DELAY_SECONDS,
+    ZIPF,
+    Endpoint,
+)
 from dotterelpaddle.tests.revisions import revision_at
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Collection, Coroutine, Sequence
+    from collections.abc import Collection, Sequence
 
     from anyio.abc import TaskGroup
 
@@ -59,51 +72,6 @@
     from dotterelpaddle.forwarding.settings import ColdBounds
     from dotterelpaddle.ids import FailureDomain
 
-SERVICE = ServiceName("engines")
-SLOTS = 12
-SLOW_START = SlowStart(duration=3.0, rate=9.2)
-CONFIGURATION = FleetConfiguration(
-    version=1,
-    routes=(),
-    limits=CallerLimits(
-        max_header_bytes=1, max_body_bytes=1, header_timeout=1.0, idle_timeout=1.0
-    ),
-    accounts_by_key=None,
-    slow_starts={SERVICE: SLOW_START},
-)
-UPDATE_DELAY_SECONDS = (0.1, 0.9)
-"""Minimum and maximum delay until a router receives an endpoint update."""
-
-DRAIN_SECONDS = 3.0
-"""Minimum time that an endpoint keeps serving after it starts to drain."""
-
-RESTART_SECONDS = 0.5
-"""Time between the exit of a router process and the start of the next one."""
-
-REQUESTS_PER_SECOND = 580.0
-"""Total rate of requests from CLIENTS callers."""
-
-CLIENTS = 116
-SUBJECTS, ZIPF = 900, 0.6
-SYSTEM_TOKENS, SUBJECT_TOKENS = 500, 5500
-READ_TOKENS_PER_SECOND, FETCH_TOKENS_PER_SECOND = 80_000.0, 500_000.0
-"""Rates at which an endpoint reads or fetches prompt tokens."""
-
-ANSWER_SECONDS, SLOWDOWN_PER_REQUEST = 0.2, 0.04
-"""Duration of a single answer, and the fraction that each concurrent one adds."""
-
-
-@dataclass(kw_only=True, eq=False)
-class Endpoint:
-    """A simulated endpoint and its requests in flight."""
-
-    entry: EndpointEntry
-    load: int = 0
-
-    @property
-    def name(self) -> EndpointId:
-        return self.entry.endpoint
-
 
 class SimulatedFleet:
     """Routers, endpoints and callers.
@@ -416,24 +384,3 @@
                 is_snapshot=True,
             )
         )
-
-
-async def simulate_fleet(
-    *,
-    fleet: SimulatedFleet,
-    script: Callable[[SimulatedFleet], Coroutine[Any, Any, None]],
-    seconds: float,
-) -> None:
-    """Start a fleet, and send it requests while a script runs.
-
-    Args:
-        fleet: The fleet.
-        script: Operator actions and faults.
-        seconds: Duration of the load.
-    """
-    async with anyio.create_task_group() as tasks:
-        fleet.tasks = tasks
-        await fleet.start_routers()
-        tasks.start_soon(script, fleet)
-        await fleet.send_requests(seconds=seconds)
-        tasks.cancel_scope.cancel()
--- a/dotterelpaddle/tests/owners/test_cold_incident.py
+++ b/dotterelpaddle/tests/owners/test_cold_incident.py
@@ -16,11 +16,9 @@
 import anyio
 
 from dotterelpaddle.forwarding.settings import ColdBounds
-from dotterelpaddle.tests.owners.fleet import (
-    SLOW_START,
-    SimulatedFleet,
-    simulate_fleet,
-)
+from dotterelpaddle.tests.owners.fleet import SimulatedFleet
+from dotterelpaddle.tests.owners.load import SLOW_START
+from dotterelpaddle.tests.owners.simulation import simulate_fleet
 from dotterelpaddle.tests.virtual_time import run_in_virtual_time
 
 if TYPE_CHECKING:
--- a/dotterelpaddle/tests/owners/test_incident.py
+++ b/dotterelpaddle/tests/owners/test_incident.py
@@ -28,8 +28,9 @@
     local_decision_share,
     worst_over_bound_share,
 )
-from dotterelpaddle.tests.owners.fleet import SimulatedFleet, simulate_fleet
+from dotterelpaddle.tests.owners.fleet import SimulatedFleet
 from dotterelpaddle.tests.owners.hosts import DOMAINS
+from dotterelpaddle.tests.owners.simulation import simulate_fleet
 from dotterelpaddle.tests.virtual_time import run_in_virtual_time
 
 MAX_SHARE = 0.03
