--- a/dotterelpaddle/forwarding/cold.py
+++ b/dotterelpaddle/forwarding/cold.py
@@ -108,14 +108,12 @@
         """Return the entries without cold endpoints that have reached their bound."""
         if self._bounds is None or not self._any_cold:
             return entries
-        return [entry for entry in entries if self.has_capacity(entry=entry)]
+        routers = self._router_count()
+        return [entry for entry in entries if self._has_capacity(entry, routers)]
 
     def has_capacity(self, *, entry: EndpointEntry) -> bool:
         """Return whether this router may send one more request to an endpoint."""
-        if self._bounds is None or not self.is_cold(entry=entry):
-            return True
-        sent = len(self._recent_requests(entry.endpoint))
-        return sent < self._allowed_requests(entry)
+        return self._has_capacity(entry, self._router_count())
 
     def record_request(self, *, entry: EndpointEntry) -> None:
         """Count a request that this router sends to an endpoint.
@@ -136,16 +134,21 @@
         self._cold_until[entry.endpoint] = max(until, known)
         self._last_cold_until = max(until, self._last_cold_until)
 
+    def _has_capacity(self, entry: EndpointEntry, routers: int | None) -> bool:
+        if self._bounds is None or not self.is_cold(entry=entry):
+            return True
+        sent = len(self._recent_requests(entry.endpoint))
+        return sent < self._allowed_requests(entry, routers)
+
     def _recent_requests(self, endpoint: EndpointId) -> deque[float]:
         sent = self._sent.setdefault(endpoint, deque())
         while sent and sent[0] <= self._clock() - WINDOW_SECONDS:
             sent.popleft()
         return sent
 
-    def _allowed_requests(self, entry: EndpointEntry) -> int:
+    def _allowed_requests(self, entry: EndpointEntry, routers: int | None) -> int:
         """Requests per window that this router may send."""
         slow_start = self._view.slow_starts.get(entry.service)
-        routers = self._router_count()
         if self._bounds is None or slow_start is None or routers is None:
             return 0
         if self._clock() - self._started_at < SETTLING_SECONDS:
