--- a/dotterelpaddle/peers/tunnel_server.py
+++ b/dotterelpaddle/peers/tunnel_server.py
@@ -42,6 +42,14 @@
 
 MAX_CHUNK_BYTES = 65536
 
+CONNECTION_ERRORS = (
+    anyio.BrokenResourceError,
+    anyio.ClosedResourceError,
+    anyio.EndOfStream,
+    httpcore.NetworkError,
+)
+"""Errors of a tunnel whose ends may close or reset it at any moment."""
+
 STATUS_ESTABLISHED = 200
 STATUS_UNKNOWN_ENDPOINT = 403
 STATUS_REFUSED = 502
@@ -112,9 +120,8 @@
         try:
             async with stream:
                 await self._serve_connection(stream)
-        except (anyio.BrokenResourceError, anyio.EndOfStream, httpcore.NetworkError):
-            # Either end may close or reset the tunnel at any moment.
-            log.debug("tunnel_broken")
+        except CONNECTION_ERRORS as error:
+            log.info("tunnel_broken", cause=repr(error))
         finally:
             self._open -= 1
             self._closed.set()
@@ -187,8 +194,11 @@
             read: Callable[[], Awaitable[bytes]],
             write: Callable[[bytes], Awaitable[None]],
         ) -> None:
-            while data := await read():
-                await write(data)
+            try:
+                while data := await read():
+                    await write(data)
+            except CONNECTION_ERRORS as error:
+                log.info("tunnel_broken", cause=repr(error))
             tasks.cancel_scope.cancel()
 
         async def _read_stream() -> bytes:
--- a/dotterelpaddle/tests/forwarding/test_tunnels.py
+++ b/dotterelpaddle/tests/forwarding/test_tunnels.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+import socket
+import struct
 from contextlib import AsyncExitStack
 from typing import TYPE_CHECKING
 
 import anyio
+import anyio.abc
 import pytest
 
 from dotterelpaddle.standins.runner import CutAnswer, Hang, Refuse, Unframed
@@ -157,6 +160,24 @@
     assert not runner.closed_early
 
 
+async def test_reset_of_a_tunnel_does_not_end_the_router_between() -> None:
+    """Guards against a router that ends as another one resets its connection."""
+    async with run_fleet(runners=1, routers=1) as fleet:
+        tunnels = _tunnels(fleet, 0)
+        target = str(fleet.addresses["runner-1"]).encode()
+        stream = await anyio.connect_tcp(tunnels.host, tunnels.port)
+        await stream.send(b"CONNECT %b HTTP/1.1\r\nHost: a\r\n\r\n" % target)
+        await stream.receive()
+        connection = stream.extra(anyio.abc.SocketAttribute.raw_socket)
+        connection.setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+        )
+        await stream.aclose()
+        await anyio.sleep(0.1)
+
+        assert (await fleet.call("/safe/1")).status == 200
+
+
 async def test_endpoint_learns_that_its_caller_has_left() -> None:
     """Guards against endpoints that work on for a caller behind a tunnel."""
     async with run_fleet(runners=1, routers=2) as fleet:
