--- a/dotterelpaddle/forwarding/request_totals.py
+++ b/dotterelpaddle/forwarding/request_totals.py
@@ -172,17 +172,12 @@
             case ReplyRequest.NOTHING:
                 self._requested_at.pop(router, None)
 
-    def current(
-        self, *, max_age: float = MAX_TOTALS_AGE_SECONDS
-    ) -> tuple[RequestTotals, ...]:
+    def current(self) -> tuple[RequestTotals, ...]:
         """Return totals that together count each other known router once."""
         others = self._others
         if others is not None and not self._is_aggregator and self._is_fresh(others):
             return (others.totals,)
-        same_domain = [
-            received.totals for received in self._same_domain(max_age=max_age).values()
-        ]
-        return (*same_domain, *self._other_domains(max_age=max_age))
+        return (*self._same_domain_totals(), *self._other_domains())
 
     def domain_totals(self, *, own: RequestTotals) -> RequestTotals:
         """Return the sum for this failure domain, to send to other domains."""
@@ -192,28 +187,24 @@
 
     def totals_except(self, *, own: RequestTotals, router: RouterId) -> RequestTotals:
         """Return the sum of all routers except `router`, to send to that router."""
-        same_domain = self._same_domain(max_age=MAX_TOTALS_AGE_SECONDS)
+        same_domain = self._same_domain()
         same_domain.pop(router, None)
         all_totals = [own, *(received.totals for received in same_domain.values())]
-        all_totals += self._other_domains(max_age=MAX_TOTALS_AGE_SECONDS)
+        all_totals += self._other_domains()
         return sum_totals(scope=TotalsScope.OTHERS, totals=all_totals)
 
     def _same_domain_totals(self) -> list[RequestTotals]:
-        return [
-            received.totals
-            for received in self._same_domain(max_age=MAX_TOTALS_AGE_SECONDS).values()
-        ]
+        return [received.totals for received in self._same_domain().values()]
 
-    def _same_domain(self, *, max_age: float) -> dict[RouterId, _ReceivedTotals]:
+    def _same_domain(self) -> dict[RouterId, _ReceivedTotals]:
         """Return the fresh totals of routers in this failure domain."""
         return {
             router: received
             for router, received in self._by_router.items()
-            if received.domain == self._failure_domain
-            and self._is_fresh(received, max_age=max_age)
+            if received.domain == self._failure_domain and self._is_fresh(received)
         }
 
-    def _other_domains(self, *, max_age: float) -> list[RequestTotals]:
+    def _other_domains(self) -> list[RequestTotals]:
         """Return the totals of other failure domains, preferring sums of a domain."""
         by_domain = {
             domain: received.totals
@@ -225,14 +216,12 @@
             for received in self._by_router.values()
             if received.domain != self._failure_domain
             and received.domain not in by_domain
-            and self._is_fresh(received, max_age=max_age)
+            and self._is_fresh(received)
         ]
         return [*by_domain.values(), *by_router]
 
-    def _is_fresh(
-        self, received: _ReceivedTotals, *, max_age: float = MAX_TOTALS_AGE_SECONDS
-    ) -> bool:
-        return self._clock() - received.received_at <= max_age
+    def _is_fresh(self, received: _ReceivedTotals) -> bool:
+        return self._clock() - received.received_at <= MAX_TOTALS_AGE_SECONDS
 
 
 def sum_totals(*, scope: TotalsScope, totals: Iterable[RequestTotals]) -> RequestTotals:
