--- a/dotterelpaddle/standins/store.py
+++ b/dotterelpaddle/standins/store.py
@@ -186,7 +186,9 @@
         rows = [
             _row(change) for change in self._since(table=query["table"], after=after)
         ]
-        await self._reply(send, 200, {"rows": rows, "ver": self._revision, "nowMs": 0})
+        await self._reply(
+            send, 200, {"rows": rows, "ver": self._revision, "nowMs": _now_ms()}
+        )
 
     def _has_history(self, *, after: int) -> bool:
         return self._oldest <= after <= self._revision
@@ -223,7 +225,7 @@
             "rows": rows[: self.page_rows],
             "truncated": len(rows) > self.page_rows,
             "ver": self._revision,
-            "nowMs": 0,
+            "nowMs": _now_ms(),
         }
 
     async def _reply(self, send: Any, status: int, document: Mapping[str, Any]) -> None:
@@ -249,6 +251,11 @@
         yield bound
 
 
+def _now_ms() -> int:
+    """Return the time of the store's clock, which is the event loop's."""
+    return round(1000 * anyio.current_time())
+
+
 def _row(change: _Change) -> dict[str, Any]:
     row: dict[str, Any] = {
         "table": change.table,
--- a/dotterelpaddle/tests/owners/hosts.py
+++ b/dotterelpaddle/tests/owners/hosts.py
@@ -117,8 +117,10 @@
     first_start: bool = False,
     cold_bounds: ColdBounds | None = None,
     protocols: Any = None,
+    source: Any = None,
+    documents: Any = None,
 ) -> Components:
-    """Build a router's components, without a platform or endpoints.
+    """Build a router's components, without endpoints.
 
     Args:
         router: Name of the router.
@@ -130,6 +132,8 @@
         first_start: Whether the whole fleet starts for the first time.
         cold_bounds: Bounds on the rate of cold endpoints, None for no bound.
         protocols: Translates requests and answers, None without any.
+        source: Store of configuration and endpoints, None without any.
+        documents: Decodes the documents of the store, None without any.
     """
     unused: Any = None
     return build_components(
@@ -150,9 +154,9 @@
             cold_bounds=cold_bounds,
         ),
         dependencies=Dependencies(
-            source=unused,
+            source=source,
             protocols=protocols,
-            documents=unused,
+            documents=documents,
             cache_reader=unused,
             links=Links(),
             clock=clock,
