--- a/dotterelpaddle/forwarding/components.py
+++ b/dotterelpaddle/forwarding/components.py
@@ -277,7 +277,6 @@
             crashes=state.crashes,
             directory=directory,
             plan=ReportPlan(directory=directory, totals=state.totals),
-            peer_summary=peer_summary,
             follower=follower,
             owners=owners,
             reachability=reachability,
--- a/dotterelpaddle/forwarding/follower.py
+++ b/dotterelpaddle/forwarding/follower.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+from enum import Enum
 from typing import TYPE_CHECKING
 
 import anyio
@@ -84,6 +86,14 @@
 """
 
 
+class CallReason(Enum):
+    """Why a router calls the source for endpoints itself."""
+
+    READER = "reader"
+    OLD = "old"
+    PEER_AHEAD = "peer_ahead"
+
+
 class Follower:
     """Polls the source until cancelled.
 
@@ -122,6 +132,7 @@
         self._failing = False
         self._failed_since_contact = False
         self._long_poll: anyio.CancelScope | None = None
+        self._last_call_reason: CallReason | None = None
 
     @property
     def age(self) -> float:
@@ -138,6 +149,16 @@
         """Seconds since the source last answered a call for endpoints."""
         return self._clock() - self._endpoints_at
 
+    @property
+    def confirmed_configuration_age(self) -> float:
+        """Seconds since the source confirmed the configuration to any router."""
+        return min(self.configuration_age, self._peer_summary.configuration_age)
+
+    @property
+    def confirmed_endpoints_age(self) -> float:
+        """Seconds since the source confirmed the endpoints to any router."""
+        return min(self.endpoints_age, self._peer_summary.endpoints_age)
+
     @property
     def failing(self) -> bool:
         """Whether this router's calls have failed since the source last answered."""
@@ -206,10 +227,9 @@
     @property
     def _must_poll(self) -> bool:
         """Whether the router can't rely on its peers for the configuration."""
-        age = min(self.configuration_age, self._peer_summary.configuration_age)
         return (
             self._peer_summary.is_platform_reader
-            or age >= MAX_CONFIGURATION_AGE_SECONDS
+            or self.confirmed_configuration_age >= MAX_CONFIGURATION_AGE_SECONDS
         )
 
     async def _wait_for_poll_duty(self) -> None:
@@ -248,18 +268,36 @@
         jitter = self._generator.uniform(0.8, 1.2)
         due_at = self._clock() + ENDPOINTS_INTERVAL_SECONDS * jitter
         await anyio.sleep(MIN_ENDPOINTS_INTERVAL_SECONDS * jitter)
-        while (
-            self._peer_summary.receives_endpoints
-            or not self._peer_summary.endpoints_outdated
-        ):
-            age = min(self.endpoints_age, self._peer_summary.endpoints_age)
-            due = (
-                self._peer_summary.is_platform_reader or age >= self._max_endpoints_age
-            )
-            if due and self._clock() >= due_at:
+        while True:
+            reason = self._call_reason
+            if reason is CallReason.PEER_AHEAD or (reason and self._clock() >= due_at):
+                self._log_call_reason(reason=reason)
                 return
             await anyio.sleep(self._check_interval)
 
+    @property
+    def _call_reason(self) -> CallReason | None:
+        """Why this router must call for endpoints now, None if it need not."""
+        summary = self._peer_summary
+        if not summary.receives_endpoints and summary.endpoints_outdated:
+            return CallReason.PEER_AHEAD
+        if summary.is_platform_reader:
+            return CallReason.READER
+        if self.confirmed_endpoints_age >= self._max_endpoints_age:
+            return CallReason.OLD
+        return None
+
+    def _log_call_reason(self, *, reason: CallReason) -> None:
+        if reason is self._last_call_reason:
+            return
+        age = self.confirmed_endpoints_age
+        log.info(
+            "endpoints_call_due",
+            reason=reason.value,
+            age=round(age, 3) if math.isfinite(age) else None,
+        )
+        self._last_call_reason = reason
+
     @property
     def _check_interval(self) -> float:
         return (
--- a/dotterelpaddle/forwarding/metrics.py
+++ b/dotterelpaddle/forwarding/metrics.py
@@ -11,6 +11,8 @@
 from dotterelpaddle.metrics import Metrics
 
 if TYPE_CHECKING:
+    from aioprometheus import Gauge
+
     from dotterelpaddle.forwarding.choice import Choice
     from dotterelpaddle.forwarding.crashes import CrashTracker
     from dotterelpaddle.forwarding.exchange import ForwardExchange
@@ -149,6 +151,10 @@
             name="platform_word_age_seconds",
             doc="Seconds since this router heard from the platform, by what it told.",
         )
+        self._data_age = gauge(
+            name="platform_data_age_seconds",
+            doc="Seconds since the platform confirmed the data to any router, by data.",
+        )
         self._endpoints = gauge(name="endpoints", doc="Endpoints known, by service.")
         self._in_flight = gauge(
             name="endpoint_in_flight",
@@ -169,14 +175,17 @@
         """Return the metrics in the Prometheus text format."""
         sources = self._sources
         self._version.set({}, sources.view.version)
-        ages = {
-            "configuration": sources.follower.configuration_age,
-            "endpoints": sources.follower.endpoints_age,
-        }
-        for what, age in ages.items():
-            self._platform_age.set(
-                {"what": what}, age if math.isfinite(age) else math.nan
-            )
+        follower = sources.follower
+        _set_ages(
+            gauge=self._platform_age,
+            configuration=follower.configuration_age,
+            endpoints=follower.endpoints_age,
+        )
+        _set_ages(
+            gauge=self._data_age,
+            configuration=follower.confirmed_configuration_age,
+            endpoints=follower.confirmed_endpoints_age,
+        )
         self._set_endpoints()
         self._suspected_requests.set(
             {"state": "suspected"}, sources.crashes.suspect_count
@@ -206,6 +215,12 @@
             self._retries_left.set({"service": service}, math.floor(retries_left))
 
 
+def _set_ages(*, gauge: Gauge, configuration: float, endpoints: float) -> None:
+    """Set the ages of both kinds of data; an infinite one is shown as NaN."""
+    for what, age in (("configuration", configuration), ("endpoints", endpoints)):
+        gauge.set({"what": what}, age if math.isfinite(age) else math.nan)
+
+
 def _resident_bytes() -> int:
     """Return the resident memory, 0 on systems without procfs such as macOS."""
     if not MEMORY_FILE.exists():
--- a/dotterelpaddle/peers/exchange.py
+++ b/dotterelpaddle/peers/exchange.py
@@ -45,7 +45,6 @@
     from dotterelpaddle.peers.directory import PeerDirectory
     from dotterelpaddle.peers.messages import PeerInfo
     from dotterelpaddle.peers.plan import Recipient, ReportPlan
-    from dotterelpaddle.peers.summary import PeerSummary
     from dotterelpaddle.peers.tunnel_server import TunnelServer
 
 log = get_logger(name=__name__)
@@ -89,8 +88,7 @@
         crashes: Requests during which endpoints crashed.
         directory: The other routers.
         plan: Chooses the recipients of reports.
-        peer_summary: Provides the age of platform data that peers confirm.
-        follower: Provides the age of this router's own platform data.
+        follower: Provides the age of the platform data.
         owners: Processes messages between routers and owners.
         reachability: Endpoints that this router can't connect to.
         tunnel_server: Connects other routers to endpoints.
@@ -108,7 +106,6 @@
         crashes: CrashTracker,
         directory: PeerDirectory,
         plan: ReportPlan,
-        peer_summary: PeerSummary,
         follower: Follower,
         owners: OwnerExchange,
         reachability: Reachability,
@@ -124,7 +121,6 @@
         self._crashes = crashes
         self._directory = directory
         self._plan = plan
-        self._peer_summary = peer_summary
         self._follower = follower
         self._owners = owners
         self._reachability = reachability
@@ -213,7 +209,6 @@
         """Build a report of this router's own state."""
         self._sequence += 1
         revision = self._view.endpoints_revision
-        follower, summary = self._follower, self._peer_summary
         return PeerReport(
             router=self._own.router,
             failure_domain=self._own.failure_domain,
@@ -223,10 +218,8 @@
             control=control,
             version=self._view.version,
             revision=UNKNOWN_REVISION if revision is None else revision,
-            configuration_age=min(
-                follower.configuration_age, summary.configuration_age
-            ),
-            endpoints_age=min(follower.endpoints_age, summary.endpoints_age),
+            configuration_age=self._follower.confirmed_configuration_age,
+            endpoints_age=self._follower.confirmed_endpoints_age,
             endpoints_tag=self._view.endpoints_tag,
             share=RequestTotals(
                 loads=self._loads.own,
--- a/dotterelpaddle/tests/peers/fleet.py
+++ b/dotterelpaddle/tests/peers/fleet.py
@@ -93,7 +93,7 @@
             retry_budget=state.retry_budget,
             caches=state.caches,
             plan=exchange._plan,
-            peer_summary=exchange._peer_summary,
+            peer_summary=components.fetcher._peer_summary,
             exchange=exchange,
         )
         self.nodes.append(node)
--- a/dotterelpaddle/tests/peers/test_confirmation_incident.py
+++ b/dotterelpaddle/tests/peers/test_confirmation_incident.py
@@ -42,8 +42,7 @@
 
 def _endpoints_age(host: Router) -> float:
     assert host.parts is not None
-    follower = host.parts.follower
-    return min(follower.endpoints_age, follower._peer_summary.endpoints_age)
+    return host.parts.follower.confirmed_endpoints_age
 
 
 # Guards against requests at an endpoint that has said that it leaves: routers took old
