Confirm data as of a point in the store's time, not with an age that shrinks on its way

Cause: a router that doesn't read the store relies on its peers until its endpoints are too old. Reports held that age, and recipients counted on from the moment at which they processed them: the time on links and in queues was lost, with each router that passed the age on. Routers with equal endpoints confirmed each other, each took the lowest age, and a single busy host made all of them believe old endpoints fresh.

Fix: reports name the point in time on the store's own clock (nowMs, with the era) as of which the store confirmed the data. It stays the same however often it is passed on. Each router derives the age by the latest time that the store's clock may show: the time of an answer plus the time since its request. A time later than that shows that the own clock stopped; the router then relies on no peer until the store answers. Reports of earlier releases confirm nothing, and tell them no ages.

--- a/dotterelpaddle/forwarding/components.py
+++ b/dotterelpaddle/forwarding/components.py
@@ -160,7 +160,6 @@
         view=state.view,
         directory=directory,
         totals=state.totals,
-        clock=clock,
     )
     metrics = ForwardMetrics()
     follower = Follower(
--- a/dotterelpaddle/forwarding/follower.py
+++ b/dotterelpaddle/forwarding/follower.py
@@ -9,6 +9,7 @@
 import anyio
 
 from dotterelpaddle.exceptions import HistoryLost, PlatformError
+from dotterelpaddle.forwarding.store_clock import StoreClock, latest_time
 from dotterelpaddle.logs import get_logger
 
 if TYPE_CHECKING:
@@ -23,6 +24,7 @@
     )
     from dotterelpaddle.forwarding.metrics import ForwardMetrics
     from dotterelpaddle.forwarding.revisions import StoreRevision
+    from dotterelpaddle.forwarding.store_clock import StoreTime
     from dotterelpaddle.forwarding.view import FleetView
 
 log = get_logger(name=__name__)
@@ -126,8 +128,9 @@
         self._max_endpoints_age = MAX_ENDPOINTS_AGE_SHARE * leaving_propagation_time
         self._clock = clock
         self._generator = generator
-        self._configuration_at = float("-inf")
-        self._endpoints_at = float("-inf")
+        self._store_clock = StoreClock(clock=clock)
+        self._own_configuration_as_of: StoreTime | None = None
+        self._own_endpoints_as_of: StoreTime | None = None
         self._last_contact_at = float("-inf")
         self._failing = False
         self._failed_since_contact = False
@@ -142,22 +145,36 @@
     @property
     def configuration_age(self) -> float:
         """Seconds since the source last answered a call for the configuration."""
-        return self._clock() - self._configuration_at
+        return self._store_clock.age(of=self._own_configuration_as_of)
 
     @property
     def endpoints_age(self) -> float:
         """Seconds since the source last answered a call for endpoints."""
-        return self._clock() - self._endpoints_at
+        return self._store_clock.age(of=self._own_endpoints_as_of)
+
+    @property
+    def configuration_as_of(self) -> StoreTime | None:
+        """When the source last confirmed the configuration to any router, if known."""
+        return latest_time(
+            (self._own_configuration_as_of, self._peer_summary.configuration_as_of)
+        )
+
+    @property
+    def endpoints_as_of(self) -> StoreTime | None:
+        """When the source last confirmed the endpoints to any router, if known."""
+        return latest_time(
+            (self._own_endpoints_as_of, self._peer_summary.endpoints_as_of)
+        )
 
     @property
     def confirmed_configuration_age(self) -> float:
         """Seconds since the source confirmed the configuration to any router."""
-        return min(self.configuration_age, self._peer_summary.configuration_age)
+        return self._store_clock.age(of=self.configuration_as_of)
 
     @property
     def confirmed_endpoints_age(self) -> float:
         """Seconds since the source confirmed the endpoints to any router."""
-        return min(self.endpoints_age, self._peer_summary.endpoints_age)
+        return self._store_clock.age(of=self.endpoints_as_of)
 
     @property
     def failing(self) -> bool:
@@ -202,6 +219,7 @@
     async def _read_configuration(
         self, after: StoreRevision | None
     ) -> StoreRevision | None:
+        requested_at = self._clock()
         if after is None:
             read = await self._source.configuration()
         elif self._must_poll:
@@ -217,7 +235,8 @@
             if answer is None:
                 return after
             read = answer
-        self._configuration_at = self._record_answer()
+        self._record_answer(as_of=read.as_of, requested_at=requested_at)
+        self._own_configuration_as_of = read.as_of
         self._view.apply_operator_update(update=read)
         if after is None and read.configuration is None:
             # Nothing is configured yet; the first version may come at any moment.
@@ -251,15 +270,18 @@
 
     async def _read_endpoints(self, after: StoreRevision | None) -> StoreRevision:
         if after is None:
+            requested_at = self._clock()
             read = await self._source.endpoints()
         else:
             await self._wait_until_due()
             # Peers may have passed on changes since the last call.
             after = max(after, self._view.endpoints_revision or after)
+            requested_at = self._clock()
             read = await self._source.endpoints_after(
                 after=after, wait=ENDPOINTS_WAIT_SECONDS
             )
-        self._endpoints_at = self._record_answer()
+        self._record_answer(as_of=read.as_of, requested_at=requested_at)
+        self._own_endpoints_as_of = read.as_of
         self._view.apply_endpoints_update(update=read)
         return read.revision
 
@@ -310,19 +332,22 @@
         while True:
             await anyio.sleep(self._check_interval)
             self._view.expire_holds()
-            peer_age = min(
-                self._peer_summary.configuration_age, self._peer_summary.endpoints_age
+            confirmed = latest_time(
+                (
+                    self._peer_summary.configuration_as_of,
+                    self._peer_summary.endpoints_as_of,
+                )
             )
-            self._record_contact(at=self._clock() - peer_age)
+            self._record_contact(at=self._clock() - self._store_clock.age(of=confirmed))
             if self._must_poll and self._long_poll is not None:
                 self._long_poll.cancel()
 
-    def _record_answer(self) -> float:
-        """Record that the source answered, and return the time of it."""
-        now = self._clock()
-        self._record_contact(at=now)
+    def _record_answer(self, *, as_of: StoreTime | None, requested_at: float) -> None:
+        """Record that the source answered."""
+        if as_of is not None:
+            self._store_clock.record_answer(time=as_of, requested_at=requested_at)
+        self._record_contact(at=self._clock())
         self._failing = False
-        return now
 
     def _record_contact(self, *, at: float) -> None:
         """Record when the source last answered any router, and detect outages."""
--- a/dotterelpaddle/forwarding/interface.py
+++ b/dotterelpaddle/forwarding/interface.py
@@ -17,6 +17,7 @@
         FleetConfiguration,
     )
     from dotterelpaddle.forwarding.revisions import StoreRevision
+    from dotterelpaddle.forwarding.store_clock import StoreTime
     from dotterelpaddle.forwarding.use_queue import PartTag
     from dotterelpaddle.ids import (
         EndpointId,
@@ -171,6 +172,7 @@
         undecodable: Failure domains whose evacuation row can't be decoded; their
             evacuation state stays as it is.
         is_snapshot: Whether `evacuations` lists all evacuations.
+        as_of: When the source made the answer, None if it does not say.
     """
 
     revision: StoreRevision
@@ -178,6 +180,7 @@
     evacuations: tuple[EvacuationChange, ...] = ()
     undecodable: frozenset[FailureDomain] = frozenset()
     is_snapshot: bool = False
+    as_of: StoreTime | None = None
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -190,12 +193,15 @@
         removed: Names of removed entries, each with the revision of the removal;
             empty in a snapshot.
         is_snapshot: Whether `entries` lists all entries.
+        as_of: When the source made the answer; None if it does not say, or if the
+            update comes from a peer.
     """
 
     revision: StoreRevision
     entries: tuple[EndpointEntry, ...]
     removed: Mapping[EndpointName, StoreRevision] = field(default_factory=dict)
     is_snapshot: bool = False
+    as_of: StoreTime | None = None
 
 
 class DocumentDecoder(Protocol):
@@ -261,12 +267,12 @@
         """Whether peers pass on endpoints, so that this router need not poll."""
 
     @property
-    def configuration_age(self) -> float:
-        """Seconds since a peer with the same version last read the source."""
+    def configuration_as_of(self) -> StoreTime | None:
+        """When the source last confirmed this configuration to a peer, if known."""
 
     @property
-    def endpoints_age(self) -> float:
-        """Seconds since a peer with the same endpoints last read the source."""
+    def endpoints_as_of(self) -> StoreTime | None:
+        """When the source last confirmed these endpoints to a peer, if known."""
 
     @property
     def endpoints_outdated(self) -> bool:
--- /dev/null
+++ b/dotterelpaddle/forwarding/store_clock.py
@@ -0,0 +1,123 @@
+"""Points in time on the clock of the platform's store, and their age.
+
+Routers confirm to each other how fresh their data is. An age would lose the time that a
+report spends on links and in queues, once for each router that passes it on. A point in
+time on the store's clock stays the same, however often it is passed on.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from dotterelpaddle.logs import get_logger
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from dotterelpaddle.clock import Clock
+    from dotterelpaddle.ids import StoreEra
+
+log = get_logger(name=__name__)
+
+MAX_CLOCK_DRIFT = 1e-4
+"""Maximum difference between the rates of two hosts' clocks."""
+
+TOLERANCE_SECONDS = 0.05
+"""Difference from the estimate that rounding and short delays of a clock explain."""
+
+
+@dataclass(frozen=True, order=True, kw_only=True, slots=True)
+class StoreTime:
+    """A point in time on the store's clock.
+
+    Any point of a later era is later, as the clock may start anew with an era.
+
+    Attributes:
+        era: Number of the store's returns from a copy.
+        seconds: Seconds on the store's clock.
+    """
+
+    era: StoreEra
+    seconds: float
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class _Reading:
+    """An answer of the store: its time, and when it was requested (own clock)."""
+
+    time: StoreTime
+    requested_at: float
+
+
+class StoreClock:
+    """Estimates the latest time that the store's clock may show, from its answers.
+
+    An answer was made after it was requested, so the store's clock shows at most the
+    time of the answer plus the time since the request.
+
+    Args:
+        clock: Monotonic clock of this host, which may stop while it is suspended.
+    """
+
+    def __init__(self, *, clock: Clock) -> None:
+        self._clock = clock
+        self._reading: _Reading | None = None
+
+    def record_answer(self, *, time: StoreTime, requested_at: float) -> None:
+        """Record an answer of the store.
+
+        Args:
+            time: Time of the answer on the store's clock.
+            requested_at: Time of the request on this host's clock.
+        """
+        self._check(time=time)
+        reading = _Reading(time=time, requested_at=requested_at)
+        if self._is_better(reading):
+            self._reading = reading
+
+    def age(self, *, of: StoreTime | None) -> float:
+        """Return the most seconds that may have passed since a point in time.
+
+        Infinite if this router can't tell: without an answer of the store, for an
+        unknown time, or for one of another era.
+        """
+        if of is None:
+            return float("inf")
+        self._check(time=of)
+        known = self._reading
+        if known is None or known.time.era != of.era:
+            return float("inf")
+        return max(0.0, self._latest_seconds(known) - of.seconds)
+
+    def _check(self, *, time: StoreTime) -> None:
+        """Drop the estimate if a time on the store's clock is later than it allows.
+
+        The clock of this host has stopped meanwhile, for example. The router relies on
+        no confirmation until the store has answered again.
+        """
+        known = self._reading
+        if known is None or known.time.era != time.era:
+            return
+        ahead = time.seconds - self._latest_seconds(known)
+        if ahead > TOLERANCE_SECONDS:
+            log.warning("store_clock_ahead", seconds=round(ahead, 3))
+            self._reading = None
+
+    def _is_better(self, reading: _Reading) -> bool:
+        """Return whether a reading is of a later era or gives a lower estimate."""
+        known = self._reading
+        if known is None:
+            return True
+        if reading.time.era != known.time.era:
+            return reading.time.era > known.time.era
+        return self._latest_seconds(reading) <= self._latest_seconds(known)
+
+    def _latest_seconds(self, reading: _Reading) -> float:
+        elapsed = self._clock() - reading.requested_at
+        return reading.time.seconds + elapsed * (1 + MAX_CLOCK_DRIFT)
+
+
+def latest_time(times: Iterable[StoreTime | None]) -> StoreTime | None:
+    """Return the latest of some points in time, None without any."""
+    return max((time for time in times if time is not None), default=None)
--- a/dotterelpaddle/peers/exchange.py
+++ b/dotterelpaddle/peers/exchange.py
@@ -88,7 +88,7 @@
         crashes: Requests during which endpoints crashed.
         directory: The other routers.
         plan: Chooses the recipients of reports.
-        follower: Provides the age of the platform data.
+        follower: Tells as of when the platform confirmed the data.
         owners: Processes messages between routers and owners.
         reachability: Endpoints that this router can't connect to.
         tunnel_server: Connects other routers to endpoints.
@@ -218,8 +218,8 @@
             control=control,
             version=self._view.version,
             revision=UNKNOWN_REVISION if revision is None else revision,
-            configuration_age=self._follower.confirmed_configuration_age,
-            endpoints_age=self._follower.confirmed_endpoints_age,
+            configuration_as_of=self._follower.configuration_as_of,
+            endpoints_as_of=self._follower.endpoints_as_of,
             endpoints_tag=self._view.endpoints_tag,
             share=RequestTotals(
                 loads=self._loads.own,
--- a/dotterelpaddle/peers/messages.py
+++ b/dotterelpaddle/peers/messages.py
@@ -5,7 +5,6 @@
 
 from __future__ import annotations
 
-import math
 from typing import TYPE_CHECKING
 
 import orjson
@@ -21,6 +20,7 @@
     TotalsScope,
 )
 from dotterelpaddle.forwarding.revisions import FIRST_ERA, StoreRevision
+from dotterelpaddle.forwarding.store_clock import StoreTime
 from dotterelpaddle.ids import (
     EndpointId,
     EndpointName,
@@ -75,6 +75,16 @@
 TUNNELS_INDEX = 29
 """Index of the address for tunnels, and of whether the sender reaches no endpoint."""
 
+AS_OF_INDEX = 30
+"""Index of the points in time as of which the platform confirmed the sender's data."""
+
+UNKNOWN_AGE = None
+"""Value of the fields in which earlier releases report the ages of their data.
+
+They rely on no data of unknown age. Their own ages are ignored: an age loses the time
+that a report spends on its way.
+"""
+
 MAX_LISTED_PEERS = 16
 """Routers listed in one report, so that it fits into one packet."""
 
@@ -100,8 +110,8 @@
             str(report.control),
             report.version,
             report.revision.number,
-            _milliseconds(report.configuration_age),
-            _milliseconds(report.endpoints_age),
+            UNKNOWN_AGE,
+            UNKNOWN_AGE,
             report.endpoints_tag,
             [
                 totals.scope.value,
@@ -144,6 +154,10 @@
             _evacuated_fields(report.evacuated),
             _era_fields(report),
             _tunnel_fields(report),
+            [
+                _time_fields(report.configuration_as_of),
+                _time_fields(report.endpoints_as_of),
+            ],
         ]
     )
 
@@ -174,6 +188,9 @@
             _optional_field(fields, ERAS_INDEX, (FIRST_ERA, FIRST_ERA))
         )
         tunnels, endpoints_lost = _optional_field(fields, TUNNELS_INDEX, (None, False))
+        configuration_as_of, endpoints_as_of = _optional_field(
+            fields, AS_OF_INDEX, (None, None)
+        )
         incarnations = _optional_field(fields, INCARNATIONS_INDEX, ())
         queued_tokens = _optional_field(fields, QUEUED_TOKENS_INDEX, {})
         endpoints = decode_endpoints(
@@ -189,8 +206,8 @@
             control=Address.parse(text=fields[6]),
             version=int(fields[7]),
             revision=StoreRevision(era=endpoints_era, number=Revision(int(fields[8]))),
-            configuration_age=_seconds(fields[9]),
-            endpoints_age=_seconds(fields[10]),
+            configuration_as_of=_time(configuration_as_of),
+            endpoints_as_of=_time(endpoints_as_of),
             endpoints_tag=int(fields[11]),
             share=_totals(
                 fields[12],
@@ -322,9 +339,12 @@
     )
 
 
-def _milliseconds(age: float) -> int | None:
-    return round(1000 * age) if math.isfinite(age) else None
+def _time_fields(time: StoreTime | None) -> list[Any] | None:
+    return None if time is None else [time.era, round(1000 * time.seconds)]
 
 
-def _seconds(milliseconds: int | None) -> float:
-    return float("inf") if milliseconds is None else max(0, milliseconds) / 1000
+def _time(fields: Any) -> StoreTime | None:
+    if fields is None:
+        return None
+    era, milliseconds = fields
+    return StoreTime(era=StoreEra(int(era)), seconds=int(milliseconds) / 1000)
--- a/dotterelpaddle/peers/report.py
+++ b/dotterelpaddle/peers/report.py
@@ -16,6 +16,7 @@
     from dotterelpaddle.forwarding.evacuations import EvacuationSnapshot
     from dotterelpaddle.forwarding.leaving import LeavingNotice
     from dotterelpaddle.forwarding.revisions import StoreRevision
+    from dotterelpaddle.forwarding.store_clock import StoreTime
     from dotterelpaddle.forwarding.use_queue import PartUse
     from dotterelpaddle.ids import (
         FailureDomain,
@@ -53,10 +54,10 @@
         control: Address at which it serves snapshots.
         version: Version of its configuration.
         revision: Revision up to which it knows the endpoints, -1 for none.
-        configuration_age: Seconds since the platform confirmed this configuration to
-            any router, infinite if unknown.
-        endpoints_age: Seconds since the platform confirmed these endpoints to any
-            router, infinite if unknown.
+        configuration_as_of: When the platform confirmed this configuration to any
+            router, None if unknown.
+        endpoints_as_of: When the platform confirmed these endpoints to any router, None
+            if unknown.
         endpoints_tag: Digest of the endpoints that it knows.
         share: Requests in flight and retries, its own or aggregated.
         ask: Reply that it requests.
@@ -85,8 +86,8 @@
     control: Address
     version: int
     revision: StoreRevision
-    configuration_age: float
-    endpoints_age: float
+    configuration_as_of: StoreTime | None
+    endpoints_as_of: StoreTime | None
     endpoints_tag: int
     share: RequestTotals
     ask: ReplyRequest = ReplyRequest.NOTHING
--- a/dotterelpaddle/peers/summary.py
+++ b/dotterelpaddle/peers/summary.py
@@ -1,21 +1,20 @@
 """Summary of the peers' reports, which saves calls to the platform.
 
-Each report holds the age of its sender's platform data and a digest of that data. If
-this router has the same data, the report confirms it as a platform call would; if the
-data differs, this router calls the platform at once.
+Each report tells as of when the platform confirmed its sender's data, and a digest of
+that data. If this router has the same data, the report confirms it as a platform call
+would; if the data differs, this router calls the platform at once.
 """
 
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
 
+from dotterelpaddle.forwarding.store_clock import latest_time
 from dotterelpaddle.peers.plan import MAX_MESH_ROUTERS
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
-
-    from dotterelpaddle.clock import Clock
     from dotterelpaddle.forwarding.request_totals import TotalsTracker
+    from dotterelpaddle.forwarding.store_clock import StoreTime
     from dotterelpaddle.forwarding.view import FleetView
     from dotterelpaddle.peers.directory import Peer, PeerDirectory
     from dotterelpaddle.peers.messages import PeerReport
@@ -28,7 +27,6 @@
         view: Configuration and endpoints in force.
         directory: The other routers.
         totals: Provides whether the fleet has aggregators.
-        clock: Monotonic clock.
     """
 
     def __init__(
@@ -37,12 +35,10 @@
         view: FleetView,
         directory: PeerDirectory,
         totals: TotalsTracker,
-        clock: Clock,
     ) -> None:
         self._totals = totals
         self._view = view
         self._directory = directory
-        self._clock = clock
 
     @property
     def is_platform_reader(self) -> bool:
@@ -91,24 +87,24 @@
         return self._totals.has_aggregators and not self.is_platform_reader
 
     @property
-    def configuration_age(self) -> float:
-        """Seconds since a peer with this configuration last read the platform.
+    def configuration_as_of(self) -> StoreTime | None:
+        """When the platform last confirmed this configuration to a peer, if known.
 
         A report without evacuations, of an earlier release, does not count: it can't
-        confirm them. Infinite if no peer confirms the configuration.
+        confirm them.
         """
-        return self._lowest_age(
-            (peer, peer.report.configuration_age)
+        return latest_time(
+            peer.report.configuration_as_of
             for peer in self._directory.alive
             if peer.report.version == self._view.version
             and peer.report.evacuated is not None
         )
 
     @property
-    def endpoints_age(self) -> float:
-        """Seconds since a peer with these endpoints last read the platform."""
-        return self._lowest_age(
-            (peer, peer.report.endpoints_age)
+    def endpoints_as_of(self) -> StoreTime | None:
+        """When the platform last confirmed these endpoints to a peer, if known."""
+        return latest_time(
+            peer.report.endpoints_as_of
             for peer in self._directory.alive
             if peer.report.endpoints_tag == self._view.endpoints_tag
         )
@@ -135,9 +131,3 @@
             return differs
         later_era = report.revision.era > revision.era
         return later_era or (differs and report.revision > revision)
-
-    def _lowest_age(self, reported: Iterable[tuple[Peer, float]]) -> float:
-        """Return the lowest of the reported ages, plus the time since each report."""
-        now = self._clock()
-        ages = (age + now - peer.received_at for peer, age in reported)
-        return min(ages, default=float("inf"))
--- a/dotterelpaddle/platform/names.py
+++ b/dotterelpaddle/platform/names.py
@@ -83,8 +83,10 @@
 
 
 class Field:
-    """Fields of rows, only those with misleading names."""
+    """Fields of rows and of the store's answers, only those with misleading names."""
 
+    # Of an answer: a steady clock of the store, in milliseconds; no time of day.
+    NOW_MS = "nowMs"
     # Start of the process, Unix milliseconds of the endpoint's clock.
     STARTED_AT_MS = "born"
     # Version of the endpoint's software, not of its model weights.
--- a/dotterelpaddle/platform/store.py
+++ b/dotterelpaddle/platform/store.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING, Any
 from urllib.parse import urlencode
 
@@ -13,10 +13,11 @@
 from dotterelpaddle.exceptions import HistoryLost, PlatformUnavailable
 from dotterelpaddle.forwarding.interface import EndpointsUpdate
 from dotterelpaddle.forwarding.revisions import FIRST_ERA, StoreRevision
+from dotterelpaddle.forwarding.store_clock import StoreTime
 from dotterelpaddle.ids import Revision, StoreEra
 from dotterelpaddle.logs import get_logger
 from dotterelpaddle.network import LinkedBackend
-from dotterelpaddle.platform.names import CallPath, Header, Table
+from dotterelpaddle.platform.names import CallPath, Field, Header, Table
 from dotterelpaddle.platform.operator_rows import OperatorRowDecoder
 from dotterelpaddle.platform.rows import EntryRowDecoder, check_rows
 
@@ -51,11 +52,13 @@
     Attributes:
         rows: The rows.
         revision: Position of the store's last change.
+        time: When the store made it, None if it does not say.
         truncated: Whether the store has further rows of the listing.
     """
 
     rows: list[Row]
     revision: StoreRevision
+    time: StoreTime | None
     truncated: bool
 
 
@@ -87,25 +90,32 @@
 
     async def configuration(self) -> OperatorUpdate:
         """Read all rows of the operator."""
-        rows, revision = await self._read_all(table=Table.OPERATOR)
-        return self._operator_decoder.decode(
-            rows=rows, revision=revision, is_snapshot=True
+        rows, first = await self._read_all(table=Table.OPERATOR)
+        update = self._operator_decoder.decode(
+            rows=rows, revision=first.revision, is_snapshot=True
         )
+        return replace(update, as_of=first.time)
 
     async def configuration_after(
         self, *, after: StoreRevision, wait: float
     ) -> OperatorUpdate:
         """Wait for changes of the operator's rows, at most `wait` seconds."""
         answer = await self._watch(table=Table.OPERATOR, after=after, wait=wait)
-        return self._operator_decoder.decode(
+        update = self._operator_decoder.decode(
             rows=answer.rows, revision=answer.revision, is_snapshot=False
         )
+        return replace(update, as_of=answer.time)
 
     async def endpoints(self) -> EndpointsUpdate:
         """Read all endpoints' entries."""
-        rows, revision = await self._read_all(table=Table.ENDPOINTS)
-        entries, _ = self._entry_decoder.decode(rows=rows, era=revision.era)
-        return EndpointsUpdate(revision=revision, entries=entries, is_snapshot=True)
+        rows, first = await self._read_all(table=Table.ENDPOINTS)
+        entries, _ = self._entry_decoder.decode(rows=rows, era=first.revision.era)
+        return EndpointsUpdate(
+            revision=first.revision,
+            entries=entries,
+            is_snapshot=True,
+            as_of=first.time,
+        )
 
     async def endpoints_after(
         self, *, after: StoreRevision, wait: float
@@ -116,27 +126,33 @@
             rows=answer.rows, era=answer.revision.era
         )
         return EndpointsUpdate(
-            revision=answer.revision, entries=entries, removed=removed
+            revision=answer.revision,
+            entries=entries,
+            removed=removed,
+            as_of=answer.time,
         )
 
-    async def _read_all(self, *, table: str) -> tuple[list[Row], StoreRevision]:
-        """Read all rows of a table and the revision of the first page.
+    async def _read_all(self, *, table: str) -> tuple[list[Row], _Answer]:
+        """Read all rows of a table.
+
+        Later pages may include later changes, which the next watch returns again.
+
+        Returns:
+            The rows, and the answer with the first of them.
 
         Raises:
             HistoryLost: If the store comes back from a copy between two pages.
             PlatformUnavailable: If the store returns no valid answer in time.
         """
         query = {"table": table, "part": "", "limit": MAX_PAGE_ROWS}
-        page = await self._get(path=CallPath.READ, query=query)
+        first = page = await self._get(path=CallPath.READ, query=query)
         rows = page.rows
-        # Later pages may include later changes, which the next watch returns again.
-        first_revision = page.revision
         while page.truncated and page.rows:
             query = {**query, "from": page.rows[-1]["key"] + "\0"}
             page = await self._get(path=CallPath.READ, query=query)
-            self._check_same_era(era=page.revision.era, earlier=first_revision.era)
+            self._check_same_era(era=page.revision.era, earlier=first.revision.era)
             rows = rows + page.rows
-        return rows, first_revision
+        return rows, first
 
     async def _watch(self, *, table: str, after: StoreRevision, wait: float) -> _Answer:
         """Wait for the changes of a table's rows after a revision.
@@ -260,5 +276,26 @@
     return _Answer(
         rows=document["rows"],
         revision=StoreRevision(era=era, number=Revision(number)),
+        time=_decode_time(document=document, era=era, peer=peer),
         truncated=bool(document.get("truncated")),
     )
+
+
+def _decode_time(
+    *, document: Mapping[str, Any], era: StoreEra, peer: str
+) -> StoreTime | None:
+    """Decode when the store made an answer, None if it does not say.
+
+    Raises:
+        PlatformUnavailable: If the time is no number.
+    """
+    milliseconds = document.get(Field.NOW_MS)
+    if milliseconds is None:
+        return None
+    if isinstance(milliseconds, bool) or not isinstance(milliseconds, int | float):
+        raise PlatformUnavailable(
+            f"'{Field.NOW_MS}' in the answer of the store is {milliseconds!r}, not a "
+            "number",
+            peer=peer,
+        )
+    return StoreTime(era=era, seconds=milliseconds / 1000)
--- a/dotterelpaddle/tests/forwarding/test_follower.py
+++ b/dotterelpaddle/tests/forwarding/test_follower.py
@@ -16,6 +16,8 @@
 from dotterelpaddle.forwarding.follower import Follower
 from dotterelpaddle.forwarding.interface import EndpointsUpdate, OperatorUpdate
 from dotterelpaddle.forwarding.metrics import ForwardMetrics
+from dotterelpaddle.forwarding.revisions import FIRST_ERA
+from dotterelpaddle.forwarding.store_clock import StoreTime
 from dotterelpaddle.forwarding.view import FleetView
 from dotterelpaddle.tests.forwarding.harness import wait_until
 from dotterelpaddle.tests.revisions import revision_at
@@ -42,6 +44,7 @@
     configuration_age: float = 0.0
     outdated: bool = False
     age: float = 0.0
+    clock: Clock = monotonic
     checks: int = 0
     age_reads: int = 0
 
@@ -51,9 +54,18 @@
         return self.outdated
 
     @property
-    def endpoints_age(self) -> float:
+    def configuration_as_of(self) -> StoreTime | None:
+        return self._time(self.configuration_age)
+
+    @property
+    def endpoints_as_of(self) -> StoreTime | None:
         self.age_reads += 1
-        return self.age
+        return self._time(self.age)
+
+    def _time(self, age: float) -> StoreTime | None:
+        if age == float("inf"):
+            return None
+        return StoreTime(era=FIRST_ERA, seconds=self.clock() - age)
 
 
 @dataclass(kw_only=True)
@@ -63,10 +75,18 @@
     waits: list[float] = field(default_factory=list)
     endpoint_calls: int = 0
     failing: bool = False
+    clock: Clock = monotonic
+
+    @property
+    def now(self) -> StoreTime:
+        return StoreTime(era=FIRST_ERA, seconds=self.clock())
 
     async def configuration(self) -> OperatorUpdate:
         return OperatorUpdate(
-            revision=revision_at(1), configuration=None, is_snapshot=True
+            revision=revision_at(1),
+            configuration=None,
+            is_snapshot=True,
+            as_of=self.now,
         )
 
     async def configuration_after(
@@ -77,7 +97,9 @@
         raise AssertionError(after)
 
     async def endpoints(self) -> EndpointsUpdate:
-        return EndpointsUpdate(revision=revision_at(1), entries=(), is_snapshot=True)
+        return EndpointsUpdate(
+            revision=revision_at(1), entries=(), is_snapshot=True, as_of=self.now
+        )
 
     async def endpoints_after(
         self, *, after: StoreRevision, wait: float
@@ -85,7 +107,7 @@
         self.endpoint_calls += 1
         if self.failing:
             raise PlatformUnavailable(f"nothing after {after} within {wait}")
-        return EndpointsUpdate(revision=after, entries=())
+        return EndpointsUpdate(revision=after, entries=(), as_of=self.now)
 
 
 class RecordingView(FleetView):
@@ -192,8 +214,9 @@
 
 async def test_answers_to_peers_are_no_outage() -> None:
     now = 0.0
-    peers = ScriptedPeers(outdated=True)
-    source, view = ScriptedSource(failing=True), RecordingView(clock=monotonic)
+    peers = ScriptedPeers(outdated=True, clock=lambda: now)
+    source = ScriptedSource(failing=True, clock=lambda: now)
+    view = RecordingView(clock=monotonic)
     async with _follow(peers, source, view, clock=lambda: now):
         await wait_until(lambda: source.endpoint_calls > 0)
         # Calls fail for long, but a peer gets an answer between any two checks.
--- a/dotterelpaddle/tests/peers/test_messages.py
+++ b/dotterelpaddle/tests/peers/test_messages.py
@@ -17,12 +17,14 @@
     RetryCounts,
     TotalsScope,
 )
+from dotterelpaddle.forwarding.store_clock import StoreTime
 from dotterelpaddle.ids import (
     EndpointId,
     FailureDomain,
     Fingerprint,
     RouterId,
     ServiceName,
+    StoreEra,
 )
 from dotterelpaddle.peers.directory import (
     FIRST_RETRY_SECONDS,
@@ -69,8 +71,8 @@
             "control": OTHER,
             "version": 3,
             "revision": revision_at(9, era=2),
-            "configuration_age": 0.25,
-            "endpoints_age": float("inf"),
+            "configuration_as_of": StoreTime(era=StoreEra(2), seconds=12.25),
+            "endpoints_as_of": None,
             "endpoints_tag": 77,
             "share": RequestTotals(
                 scope=TotalsScope.OTHERS,
@@ -151,9 +153,16 @@
     assert not decoded.platform_lost
     assert decoded.tunnels is None
     assert not decoded.endpoints_lost
+    assert decoded.configuration_as_of is None
     assert decoded.revision == revision_at(9)
 
 
+def test_earlier_releases_learn_no_age_that_loses_time_on_its_way() -> None:
+    fields = orjson.loads(encode_report(report=_report()))
+
+    assert fields[9:11] == [None, None]
+
+
 def test_leaving_endpoints_round_trip() -> None:
     notes = (LeavingNotice(endpoint=EndpointId("a@1"), age=1.5),)
     report = _report(leaving_endpoints=notes)
--- a/dotterelpaddle/tests/peers/test_summary.py
+++ b/dotterelpaddle/tests/peers/test_summary.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
-import pytest
-
 from dotterelpaddle.address import Address
 from dotterelpaddle.forwarding.evacuations import EvacuationSnapshot
 from dotterelpaddle.forwarding.interface import EndpointsUpdate
 from dotterelpaddle.forwarding.model import EndpointState
 from dotterelpaddle.forwarding.request_totals import RequestTotals, TotalsTracker
+from dotterelpaddle.forwarding.revisions import FIRST_ERA
+from dotterelpaddle.forwarding.store_clock import StoreTime
 from dotterelpaddle.forwarding.view import FleetView
 from dotterelpaddle.ids import FailureDomain, RouterId
 from dotterelpaddle.peers.directory import PEER_TIMEOUT_SECONDS, PeerDirectory
@@ -18,7 +18,8 @@
 from dotterelpaddle.tests.revisions import revision_at
 
 OWN = Address(host="10.0.0.1", port=1)
-UNKNOWN_AGE = float("inf")
+NOW = StoreTime(era=FIRST_ERA, seconds=50.0)
+LATER = StoreTime(era=FIRST_ERA, seconds=50.25)
 NONE_EVACUATED = EvacuationSnapshot(revision=revision_at(1), domains=frozenset())
 
 
@@ -55,7 +56,6 @@
             view=view,
             directory=self.directory,
             totals=self.totals,
-            clock=lambda: self.now,
         )
         self._sequence = 0
 
@@ -64,7 +64,7 @@
         router: str,
         *,
         view: FleetView,
-        age: float = 0.0,
+        as_of: StoreTime | None = NOW,
         platform_lost: bool = False,
         evacuated: EvacuationSnapshot | None = NONE_EVACUATED,
     ) -> None:
@@ -77,8 +77,8 @@
             control=OWN,
             version=view.version,
             revision=view.endpoints_revision or revision_at(-1),
-            configuration_age=age,
-            endpoints_age=age,
+            configuration_as_of=as_of,
+            endpoints_as_of=as_of,
             endpoints_tag=view.endpoints_tag,
             share=RequestTotals(),
             platform_lost=platform_lost,
@@ -91,8 +91,8 @@
     harness = Harness(view=_view(revision=1))
 
     assert harness.peer_summary.is_platform_reader
-    assert harness.peer_summary.endpoints_age == UNKNOWN_AGE
-    assert harness.peer_summary.configuration_age == UNKNOWN_AGE
+    assert harness.peer_summary.endpoints_as_of is None
+    assert harness.peer_summary.configuration_as_of is None
     assert not harness.peer_summary.endpoints_outdated
 
 
@@ -132,22 +132,24 @@
     ) == 1
 
 
-def test_age_of_confirmed_endpoints_grows_with_time() -> None:
+def test_latest_confirmation_of_equal_data_counts() -> None:
     harness = Harness(view=_view(revision=3))
-    harness.receive_report("other", view=_view(revision=8), age=0.25)
+    harness.receive_report("other", view=_view(revision=8), as_of=LATER)
+    harness.receive_report("third", view=_view(revision=8), as_of=NOW)
+    harness.receive_report("fourth", view=_view(revision=8), as_of=None)
     harness.now = 0.5
 
-    assert harness.peer_summary.endpoints_age == pytest.approx(0.75)
-    assert harness.peer_summary.configuration_age == pytest.approx(0.75)
+    assert harness.peer_summary.endpoints_as_of == LATER
+    assert harness.peer_summary.configuration_as_of == LATER
     assert not harness.peer_summary.endpoints_outdated
 
 
 def test_report_without_evacuations_confirms_no_configuration() -> None:
     """Guards against missed evacuations in a fleet with routers of earlier releases."""
     harness = Harness(view=_view(revision=3))
-    harness.receive_report("other", view=_view(revision=8), age=0.25, evacuated=None)
+    harness.receive_report("other", view=_view(revision=8), evacuated=None)
 
-    assert harness.peer_summary.configuration_age == UNKNOWN_AGE
+    assert harness.peer_summary.configuration_as_of is None
 
 
 def test_report_with_other_endpoints_confirms_nothing() -> None:
@@ -156,7 +158,7 @@
         "other", view=_view(revision=8, state=EndpointState.DRAINING)
     )
 
-    assert harness.peer_summary.endpoints_age == UNKNOWN_AGE
+    assert harness.peer_summary.endpoints_as_of is None
     assert harness.peer_summary.endpoints_outdated
 
 
@@ -165,7 +167,7 @@
     harness.receive_report("other", view=_view(revision=3))
 
     assert not harness.peer_summary.endpoints_outdated
-    assert harness.peer_summary.endpoints_age == UNKNOWN_AGE
+    assert harness.peer_summary.endpoints_as_of is None
 
 
 def test_equal_endpoints_of_a_later_era_outdate_own_ones() -> None:
@@ -190,7 +192,7 @@
     harness.now = 2 * PEER_TIMEOUT_SECONDS
     harness.directory.update_liveness()
 
-    assert harness.peer_summary.endpoints_age == UNKNOWN_AGE
+    assert harness.peer_summary.endpoints_as_of is None
     assert harness.peer_summary.is_platform_reader
 
 
