Let notices of leaving endpoints name a point in the store's time too

Now a notice says since when, by the earliest time that the store's clock may show, and the recipient counts by the latest one. Where it can't tell, as with notices of earlier releases, the endpoint gets nothing more. Ages in crash notes stay as they are: one that loses time only keeps a suspicion longer.

--- a/dotterelpaddle/forwarding/components.py
+++ b/dotterelpaddle/forwarding/components.py
@@ -168,6 +168,7 @@
         peer_summary=peer_summary,
         metrics=metrics,
         leaving_propagation_time=settings.leaving_propagation_time,
+        store_clock=state.store_clock,
         clock=clock,
         generator=generator,
     )
--- a/dotterelpaddle/forwarding/follower.py
+++ b/dotterelpaddle/forwarding/follower.py
@@ -9,7 +9,7 @@
 import anyio
 
 from dotterelpaddle.exceptions import HistoryLost, PlatformError
-from dotterelpaddle.forwarding.store_clock import StoreClock, latest_time
+from dotterelpaddle.forwarding.store_clock import latest_time
 from dotterelpaddle.logs import get_logger
 
 if TYPE_CHECKING:
@@ -24,7 +24,7 @@
     )
     from dotterelpaddle.forwarding.metrics import ForwardMetrics
     from dotterelpaddle.forwarding.revisions import StoreRevision
-    from dotterelpaddle.forwarding.store_clock import StoreTime
+    from dotterelpaddle.forwarding.store_clock import StoreClock, StoreTime
     from dotterelpaddle.forwarding.view import FleetView
 
 log = get_logger(name=__name__)
@@ -106,6 +106,7 @@
         metrics: Counts calls.
         leaving_propagation_time: Seconds within which all routers must know of a
             leaving endpoint.
+        store_clock: Receives the times of the source's answers.
         clock: Monotonic clock.
         generator: Source of jitter, so that routers do not call in step.
     """
@@ -118,6 +119,7 @@
         peer_summary: PeerStatus,
         metrics: ForwardMetrics,
         leaving_propagation_time: float,
+        store_clock: StoreClock,
         clock: Clock,
         generator: random.Random,
     ) -> None:
@@ -128,7 +130,7 @@
         self._max_endpoints_age = MAX_ENDPOINTS_AGE_SHARE * leaving_propagation_time
         self._clock = clock
         self._generator = generator
-        self._store_clock = StoreClock(clock=clock)
+        self._store_clock = store_clock
         self._own_configuration_as_of: StoreTime | None = None
         self._own_endpoints_as_of: StoreTime | None = None
         self._last_contact_at = float("-inf")
--- a/dotterelpaddle/forwarding/leaving.py
+++ b/dotterelpaddle/forwarding/leaving.py
@@ -12,6 +12,7 @@
 from typing import TYPE_CHECKING
 
 from dotterelpaddle.forwarding.report_state import ReportState
+from dotterelpaddle.forwarding.store_clock import StoreClock
 from dotterelpaddle.logs import get_logger
 
 if TYPE_CHECKING:
@@ -19,6 +20,7 @@
 
     from dotterelpaddle.clock import Clock
     from dotterelpaddle.forwarding.model import EndpointEntry
+    from dotterelpaddle.forwarding.store_clock import StoreTime
     from dotterelpaddle.ids import EndpointId
 
 log = get_logger(name=__name__)
@@ -44,16 +46,20 @@
 
     Attributes:
         endpoint: Id of the incarnation that reported it.
-        age: Seconds since a router first received the report.
+        since: When a router first received the report, None if unknown.
+        age: Seconds since then as the sender believes, for routers of earlier releases:
+            an age loses the time that a notice spends on its way.
     """
 
     endpoint: EndpointId
+    since: StoreTime | None
     age: float
 
 
 @dataclass(kw_only=True, slots=True)
 class _LeavingRecord:
     at: float
+    since: StoreTime | None
     report_state: ReportState = field(default_factory=ReportState)
 
 
@@ -62,11 +68,19 @@
 
     Args:
         clock: Monotonic clock.
+        store_clock: Measures the age of other routers' notices.
         serve_time: Seconds for which an endpoint still serves after its report.
     """
 
-    def __init__(self, *, clock: Clock, serve_time: float = 2.0) -> None:
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        store_clock: StoreClock | None = None,
+        serve_time: float = 2.0,
+    ) -> None:
         self._clock = clock
+        self._store_clock = store_clock or StoreClock(clock=clock)
         self._serve_time = serve_time
         self._records: dict[EndpointId, _LeavingRecord] = {}
 
@@ -75,21 +89,28 @@
 
     def record(self, *, endpoint: EndpointId) -> None:
         """Record that an endpoint reported in an answer that it is leaving."""
-        self._add(endpoint, _LeavingRecord(at=self._clock()), source="endpoint")
+        record = _LeavingRecord(
+            at=self._clock(), since=self._store_clock.earliest_time()
+        )
+        self._add(endpoint, record, source="endpoint")
 
     def record_draining(self, *, endpoint: EndpointId) -> None:
         """Record that an endpoint's entry stated earlier that it is leaving.
 
         When it stated that is not known, so that the endpoint gets no more requests.
         """
-        record = _LeavingRecord(at=self._clock() - self._serve_time)
+        record = _LeavingRecord(at=self._clock() - self._serve_time, since=None)
         self._add(endpoint, record, source="entry")
 
     def receive(self, *, notices: Iterable[LeavingNotice]) -> None:
-        """Process the notices of another router."""
+        """Process the notices of another router.
+
+        An endpoint gets nothing more if this router can't tell since when it leaves.
+        """
         now = self._clock()
         for notice in notices:
-            record = _LeavingRecord(at=now - notice.age)
+            age = min(self._store_clock.age(of=notice.since), self._serve_time)
+            record = _LeavingRecord(at=now - age, since=notice.since)
             self._add(notice.endpoint, record, source="router")
 
     def exclude_leaving(
@@ -125,7 +146,7 @@
         for _, record in due[:MAX_NOTICES_PER_REPORT]:
             record.report_state.mark_reported(now=now)
         return tuple(
-            LeavingNotice(endpoint=endpoint, age=now - record.at)
+            LeavingNotice(endpoint=endpoint, since=record.since, age=now - record.at)
             for endpoint, record in due[:MAX_NOTICES_PER_REPORT]
         )
 
--- a/dotterelpaddle/forwarding/shared_state.py
+++ b/dotterelpaddle/forwarding/shared_state.py
@@ -17,6 +17,7 @@
 from dotterelpaddle.forwarding.loads import LoadTracker
 from dotterelpaddle.forwarding.request_totals import TotalsTracker
 from dotterelpaddle.forwarding.retry_budget import RetryBudget
+from dotterelpaddle.forwarding.store_clock import StoreClock
 from dotterelpaddle.forwarding.view import FleetView
 from dotterelpaddle.peers.directory import PeerDirectory
 from dotterelpaddle.peers.messages import PeerInfo
@@ -32,6 +33,7 @@
 
     Attributes:
         view: Current configuration and endpoints.
+        store_clock: Estimates the clock of the platform's store.
         totals: Request totals that other routers reported.
         loads: Requests in flight per endpoint.
         health: Results of recent requests per endpoint.
@@ -46,6 +48,7 @@
     """
 
     view: FleetView
+    store_clock: StoreClock
     totals: TotalsTracker
     loads: LoadTracker
     health: HealthTracker
@@ -86,16 +89,20 @@
         has_seeds=directory.has_seeds,
         clock=clock,
     )
+    store_clock = StoreClock(clock=clock)
     view = FleetView(
         clock=clock,
         leaving=LeavingEndpoints(
-            clock=clock, serve_time=settings.leaving_propagation_time
+            clock=clock,
+            store_clock=store_clock,
+            serve_time=settings.leaving_propagation_time,
         ),
     )
     loads = LoadTracker(totals=totals)
     backoffs = EndpointBackoffs(clock=clock)
     return SharedState(
         view=view,
+        store_clock=store_clock,
         totals=totals,
         loads=loads,
         health=HealthTracker(clock=clock),
--- a/dotterelpaddle/forwarding/store_clock.py
+++ b/dotterelpaddle/forwarding/store_clock.py
@@ -44,17 +44,18 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class _Reading:
-    """An answer of the store: its time, and when it was requested (own clock)."""
+    """An answer of the store: its time, and a point in time on this host's clock."""
 
     time: StoreTime
-    requested_at: float
+    at: float
 
 
 class StoreClock:
-    """Estimates the latest time that the store's clock may show, from its answers.
+    """Estimates the latest and earliest time that the store's clock may show.
 
-    An answer was made after it was requested, so the store's clock shows at most the
-    time of the answer plus the time since the request.
+    An answer was made between its request and its arrival. So the store's clock shows
+    at most the time of the answer plus the time since the request, and at least the
+    time of the answer plus the time since its arrival.
 
     Args:
         clock: Monotonic clock of this host, which may stop while it is suspended.
@@ -62,7 +63,8 @@
 
     def __init__(self, *, clock: Clock) -> None:
         self._clock = clock
-        self._reading: _Reading | None = None
+        self._requested: _Reading | None = None
+        self._received: _Reading | None = None
 
     def record_answer(self, *, time: StoreTime, requested_at: float) -> None:
         """Record an answer of the store.
@@ -72,9 +74,21 @@
             requested_at: Time of the request on this host's clock.
         """
         self._check(time=time)
-        reading = _Reading(time=time, requested_at=requested_at)
+        reading = _Reading(time=time, at=requested_at)
         if self._is_better(reading):
-            self._reading = reading
+            self._requested = reading
+        self._received = _Reading(time=time, at=self._clock())
+
+    def earliest_time(self) -> StoreTime | None:
+        """Return the earliest time that the store's clock may show, None if unknown."""
+        known = self._received
+        if known is None:
+            return None
+        elapsed = self._clock() - known.at
+        return StoreTime(
+            era=known.time.era,
+            seconds=known.time.seconds + elapsed * (1 - MAX_CLOCK_DRIFT),
+        )
 
     def age(self, *, of: StoreTime | None) -> float:
         """Return the most seconds that may have passed since a point in time.
@@ -85,7 +99,7 @@
         if of is None:
             return float("inf")
         self._check(time=of)
-        known = self._reading
+        known = self._requested
         if known is None or known.time.era != of.era:
             return float("inf")
         return max(0.0, self._latest_seconds(known) - of.seconds)
@@ -96,17 +110,17 @@
         The clock of this host has stopped meanwhile, for example. The router relies on
         no confirmation until the store has answered again.
         """
-        known = self._reading
+        known = self._requested
         if known is None or known.time.era != time.era:
             return
         ahead = time.seconds - self._latest_seconds(known)
         if ahead > TOLERANCE_SECONDS:
             log.warning("store_clock_ahead", seconds=round(ahead, 3))
-            self._reading = None
+            self._requested = None
 
     def _is_better(self, reading: _Reading) -> bool:
         """Return whether a reading is of a later era or gives a lower estimate."""
-        known = self._reading
+        known = self._requested
         if known is None:
             return True
         if reading.time.era != known.time.era:
@@ -114,7 +128,7 @@
         return self._latest_seconds(reading) <= self._latest_seconds(known)
 
     def _latest_seconds(self, reading: _Reading) -> float:
-        elapsed = self._clock() - reading.requested_at
+        elapsed = self._clock() - reading.at
         return reading.time.seconds + elapsed * (1 + MAX_CLOCK_DRIFT)
 
 
--- a/dotterelpaddle/peers/messages.py
+++ b/dotterelpaddle/peers/messages.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+from itertools import zip_longest
 from typing import TYPE_CHECKING
 
 import orjson
@@ -78,6 +79,9 @@
 AS_OF_INDEX = 30
 """Index of the points in time as of which the platform confirmed the sender's data."""
 
+LEAVING_SINCE_INDEX = 31
+"""Index of the points in time since which leaving endpoints leave, in their order."""
+
 UNKNOWN_AGE = None
 """Value of the fields in which earlier releases report the ages of their data.
 
@@ -158,6 +162,7 @@
                 _time_fields(report.configuration_as_of),
                 _time_fields(report.endpoints_as_of),
             ],
+            [_time_fields(notice.since) for notice in report.leaving_endpoints],
         ]
     )
 
@@ -225,9 +230,9 @@
             ),
             leaving=bool(_optional_field(fields, LEAVING_INDEX, False)),
             crashes=decode_notes(fields=_optional_field(fields, CRASHES_INDEX, ())),
-            leaving_endpoints=tuple(
-                _leaving_notice(notice)
-                for notice in _optional_field(fields, LEAVING_ENDPOINTS_INDEX, ())
+            leaving_endpoints=_leaving_notices(
+                _optional_field(fields, LEAVING_ENDPOINTS_INDEX, ()),
+                _optional_field(fields, LEAVING_SINCE_INDEX, ()),
             ),
             silent_owners=tuple(
                 RouterId(str(router))
@@ -318,10 +323,15 @@
     )
 
 
-def _leaving_notice(fields: Any) -> LeavingNotice:
-    endpoint, age = fields
-    return LeavingNotice(
-        endpoint=EndpointId(str(endpoint)), age=max(0, int(age)) / 1000
+def _leaving_notices(fields: Any, since: Any) -> tuple[LeavingNotice, ...]:
+    """Decode notices; those of earlier releases lack the second list."""
+    return tuple(
+        LeavingNotice(
+            endpoint=EndpointId(str(endpoint)),
+            since=_time(time),
+            age=max(0, int(age)) / 1000,
+        )
+        for (endpoint, age), time in zip_longest(fields, since)
     )
 
 
--- a/dotterelpaddle/tests/forwarding/test_follower.py
+++ b/dotterelpaddle/tests/forwarding/test_follower.py
@@ -17,7 +17,7 @@
 from dotterelpaddle.forwarding.interface import EndpointsUpdate, OperatorUpdate
 from dotterelpaddle.forwarding.metrics import ForwardMetrics
 from dotterelpaddle.forwarding.revisions import FIRST_ERA
-from dotterelpaddle.forwarding.store_clock import StoreTime
+from dotterelpaddle.forwarding.store_clock import StoreClock, StoreTime
 from dotterelpaddle.forwarding.view import FleetView
 from dotterelpaddle.tests.forwarding.harness import wait_until
 from dotterelpaddle.tests.revisions import revision_at
@@ -132,6 +132,7 @@
         peer_summary=peers,
         metrics=ForwardMetrics(),
         leaving_propagation_time=2.0,
+        store_clock=StoreClock(clock=clock),
         clock=clock,
         generator=random.Random(1),
     )
--- a/dotterelpaddle/tests/forwarding/test_leaving.py
+++ b/dotterelpaddle/tests/forwarding/test_leaving.py
@@ -20,6 +20,8 @@
 from dotterelpaddle.forwarding.model import EndpointEntry, EndpointState, endpoint_id
 from dotterelpaddle.forwarding.notices import EndpointNotices
 from dotterelpaddle.forwarding.report_state import REPORTS_PER_UPDATE
+from dotterelpaddle.forwarding.revisions import FIRST_ERA
+from dotterelpaddle.forwarding.store_clock import StoreClock, StoreTime
 from dotterelpaddle.forwarding.view import FleetView
 from dotterelpaddle.ids import (
     EndpointId,
@@ -49,7 +51,11 @@
 
     def __init__(self) -> None:
         self.now = 100.0
-        self.leaving = LeavingEndpoints(clock=self.clock, serve_time=SERVE_TIME)
+        self.store_clock = StoreClock(clock=self.clock)
+        self.record_store_answer()
+        self.leaving = LeavingEndpoints(
+            clock=self.clock, store_clock=self.store_clock, serve_time=SERVE_TIME
+        )
         self.backoffs = EndpointBackoffs(clock=self.clock)
         self.view = FleetView(clock=self.clock, leaving=self.leaving)
         self.apply(make_entry("a"), make_entry("b"), revision=1)
@@ -57,6 +63,14 @@
     def clock(self) -> float:
         return self.now
 
+    def store_time(self) -> StoreTime:
+        """Return the time on the store's clock."""
+        return StoreTime(era=FIRST_ERA, seconds=self.now + 1000.0)
+
+    def record_store_answer(self) -> None:
+        """Process an answer of the store that takes no time."""
+        self.store_clock.record_answer(time=self.store_time(), requested_at=self.now)
+
     def apply(self, *entries: EndpointEntry, revision: int, **fields: object) -> None:
         self.view.apply_endpoints_update(
             update=EndpointsUpdate(
@@ -173,7 +187,34 @@
 def test_notice_of_a_peer_counts_from_its_first_report(
     world: World,
 ) -> None:
-    notice = LeavingNotice(endpoint=EndpointId("a"), age=SERVE_TIME)
+    reported_at = world.store_time()
+    world.now += SERVE_TIME
+    notice = LeavingNotice(endpoint=EndpointId("a"), since=reported_at, age=SERVE_TIME)
+    world.leaving.receive(notices=[notice])
+
+    assert world.ready == ["b"]
+    assert world.last_resort == []
+
+
+# Guards against requests at a leaving endpoint by a router that learns of it late and
+# takes the notice for a new one.
+def test_time_on_its_way_counts_for_a_notice(world: World) -> None:
+    sender, other = world, World()
+    sender.receive_answer("a", leaving=True)
+    (notice,) = sender.leaving.take_due_notices()
+    other.now += 0.5
+    other.leaving.receive(notices=[notice])
+    soon = other.last_resort
+    later = World()
+    later.now += SERVE_TIME - SERVE_MARGIN_SECONDS
+    later.leaving.receive(notices=[notice])
+
+    assert soon == ["a"]
+    assert later.last_resort == []
+
+
+def test_notice_without_a_time_makes_no_last_resort(world: World) -> None:
+    notice = LeavingNotice(endpoint=EndpointId("a"), since=None, age=0.1)
     world.leaving.receive(notices=[notice])
 
     assert world.ready == ["b"]
@@ -187,10 +228,13 @@
         len(world.leaving.take_due_notices()) for _ in range(REPORTS_PER_UPDATE + 1)
     ]
     assert sent == [1] * REPORTS_PER_UPDATE + [0]
+    reported_at = world.store_time()
     world.now += RESEND_INTERVAL_SECONDS
 
     assert world.leaving.take_due_notices() == (
-        LeavingNotice(endpoint=EndpointId("a"), age=RESEND_INTERVAL_SECONDS),
+        LeavingNotice(
+            endpoint=EndpointId("a"), since=reported_at, age=RESEND_INTERVAL_SECONDS
+        ),
     )
 
 
--- a/dotterelpaddle/tests/forwarding/test_store_clock.py
+++ b/dotterelpaddle/tests/forwarding/test_store_clock.py
@@ -98,6 +98,19 @@
     assert harness.store_clock.age(of=_time(1.0, era=1)) == pytest.approx(0.0)
 
 
+def test_earliest_time_counts_on_from_the_arrival_of_an_answer() -> None:
+    harness = Harness()
+    before = harness.store_clock.earliest_time()
+    harness.store_clock.record_answer(time=_time(7.0), requested_at=99.0)
+    harness.now = 101.0
+    earliest = harness.store_clock.earliest_time()
+
+    assert before is None
+    assert earliest is not None
+    assert earliest.seconds == pytest.approx(8.0, abs=2 * MAX_CLOCK_DRIFT)
+    assert earliest < _time(8.0)
+
+
 def test_latest_time_is_that_of_the_latest_era() -> None:
     times = (_time(7.0), None, _time(1.0, era=1))
 
--- a/dotterelpaddle/tests/peers/test_messages.py
+++ b/dotterelpaddle/tests/peers/test_messages.py
@@ -164,7 +164,11 @@
 
 
 def test_leaving_endpoints_round_trip() -> None:
-    notes = (LeavingNotice(endpoint=EndpointId("a@1"), age=1.5),)
+    since = StoreTime(era=StoreEra(1), seconds=8.5)
+    notes = (
+        LeavingNotice(endpoint=EndpointId("a@1"), since=since, age=1.5),
+        LeavingNotice(endpoint=EndpointId("b@1"), since=None, age=2.5),
+    )
     report = _report(leaving_endpoints=notes)
 
     assert decode_report(datagram=encode_report(report=report)) == report
