Resume a stream only at the software version that brought its first event

Fix: the version belongs to the endpoint's entry. The first event that goes to the caller fixes the version of the stream, and every choice after it takes no other: usable endpoints, the last resort, and what an owner grants. Before the first event any version will do. Where none of the version is left the answer ends without its end, as before without any endpoint. placed lines tell the version.

--- a/dotterelpaddle/forwarding/attempts.py
+++ b/dotterelpaddle/forwarding/attempts.py
@@ -174,6 +174,7 @@
             request=exchange.request,
             retryable=exchange.route.retryable,
             excluded=excluded | self._residency.forbidden_endpoints(exchange=exchange),
+            version=exchange.stream_version,
         )
 
     async def _send_attempt(
@@ -336,6 +337,7 @@
             service=exchange.service,
             version=exchange.configuration_version,
             endpoint=choice.entry.endpoint,
+            software_version=choice.entry.software_version,
             era=choice.entry.revision.era,
             revision=choice.entry.revision.number,
             reason=choice.reason.value,
--- a/dotterelpaddle/forwarding/candidates.py
+++ b/dotterelpaddle/forwarding/candidates.py
@@ -16,7 +16,7 @@
     from dotterelpaddle.forwarding.model import EndpointEntry
     from dotterelpaddle.forwarding.reachability import Reachability
     from dotterelpaddle.forwarding.view import FleetView
-    from dotterelpaddle.ids import EndpointId, ServiceName
+    from dotterelpaddle.ids import EndpointId, ServiceName, SoftwareVersion
     from dotterelpaddle.peers.tunnels import TunnelBackend
 
 NO_ENDPOINT_RETRY_AFTER_SECONDS = 0.3
@@ -64,9 +64,19 @@
         service: ServiceName,
         request: HasPrompt,
         excluded: frozenset[EndpointId],
+        version: SoftwareVersion | None = None,
     ) -> list[EndpointEntry]:
-        """Return the healthy, reachable endpoints of a service."""
-        untried = self._untried(service=service, request=request, excluded=excluded)
+        """Return the healthy, reachable endpoints of a service.
+
+        Args:
+            service: The service.
+            request: The request to send.
+            excluded: Endpoints to leave out.
+            version: The only software version that may serve it, None for any.
+        """
+        untried = self._untried(
+            service=service, request=request, excluded=excluded, version=version
+        )
         return self._health.usable(entries=self._reachable(untried))
 
     def matching(
@@ -88,13 +98,22 @@
         service: ServiceName,
         request: HasPrompt,
         excluded: frozenset[EndpointId],
+        version: SoftwareVersion | None = None,
     ) -> Sequence[EndpointEntry]:
         """Return the usable endpoints, or less suitable ones if there are none.
 
+        Args:
+            service: The service.
+            request: The request to send.
+            excluded: Endpoints to leave out.
+            version: The only software version that may serve it, None for any.
+
         Raises:
             NoEndpoint: If the service has no endpoint to try.
         """
-        untried = self._untried(service=service, request=request, excluded=excluded)
+        untried = self._untried(
+            service=service, request=request, excluded=excluded, version=version
+        )
         reachable = self._reachable(untried)
         usable = self._health.usable(entries=reachable)
         if usable:
@@ -104,6 +123,7 @@
             entry
             for entry in self._view.last_resort(service=service)
             if entry.endpoint not in excluded
+            and has_version(entry=entry, version=version)
             and serves_model(entry=entry, request=request)
             and not self._backoffs.is_backing_off(endpoint=entry.endpoint)
         ]
@@ -153,9 +173,20 @@
         service: ServiceName,
         request: HasPrompt,
         excluded: frozenset[EndpointId],
+        version: SoftwareVersion | None,
     ) -> list[EndpointEntry]:
         entries = self.matching(service=service, request=request)
-        return [entry for entry in entries if entry.endpoint not in excluded]
+        return [
+            entry
+            for entry in entries
+            if entry.endpoint not in excluded
+            and has_version(entry=entry, version=version)
+        ]
+
+
+def has_version(*, entry: EndpointEntry, version: SoftwareVersion | None) -> bool:
+    """Return whether an endpoint runs a software version, None for any."""
+    return version is None or entry.software_version == version
 
 
 def serves_model(*, entry: EndpointEntry, request: HasPrompt) -> bool:
--- a/dotterelpaddle/forwarding/cold.py
+++ b/dotterelpaddle/forwarding/cold.py
@@ -39,6 +39,10 @@
 
 _DIGEST_SCALE = 2.0**-64
 
+COLD_RETRY_AFTER_SECONDS = 0.5
+"""Retry-after for callers when only cold endpoints are left and all of them have
+reached their limit for the current second."""
+
 
 class ColdEndpoints:
     """Tracks cold endpoints and limits the requests that this router sends them.
--- a/dotterelpaddle/forwarding/cost.py
+++ b/dotterelpaddle/forwarding/cost.py
@@ -25,6 +25,13 @@
 shorter queues as well moves the caches of twice as many prompts and serves no request
 sooner."""
 
+NON_RETRYABLE_FAILURE_LOAD = 10.0
+"""Requests in flight that weigh as much as an error rate of 1, for a request that the
+router can't retry: an error rate of 0.2 weighs as much as two requests."""
+
+RETRYABLE_FAILURE_LOAD = 3.0
+"""NON_RETRYABLE_FAILURE_LOAD for a retryable request; a retry only costs time."""
+
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class PromptWork:
--- a/dotterelpaddle/forwarding/exchange.py
+++ b/dotterelpaddle/forwarding/exchange.py
@@ -11,7 +11,7 @@
     from dotterelpaddle.forwarding.interface import AnswerHead, ForwardRequest
     from dotterelpaddle.forwarding.model import ClientAccount, ForwardRoute
     from dotterelpaddle.forwarding.reply import ForwardReply
-    from dotterelpaddle.ids import Fingerprint, ServiceName
+    from dotterelpaddle.ids import Fingerprint, ServiceName, SoftwareVersion
 
 
 @dataclass(kw_only=True, slots=True)
@@ -31,6 +31,8 @@
         account: Its client account, None on public routes.
         fingerprint: Digest, equal for equal requests of one caller; None until the
             account is known.
+        stream_version: Software version that brought the first event of its stream,
+            None before; no other version continues the stream.
         last_endpoint: Endpoint of the last attempt, for the log.
         caller_disconnected: Whether the caller closed its connection before the end.
         error: Error that the caller received instead of an answer.
@@ -47,6 +49,7 @@
     service: ServiceName | None = None
     account: ClientAccount | None = None
     fingerprint: Fingerprint | None = None
+    stream_version: SoftwareVersion | None = None
     last_endpoint: str = ""
     caller_disconnected: bool = False
     error: RequestError | None = None
--- a/dotterelpaddle/forwarding/model.py
+++ b/dotterelpaddle/forwarding/model.py
@@ -6,7 +6,12 @@
 from enum import Enum
 from typing import TYPE_CHECKING
 
-from dotterelpaddle.ids import EndpointId, EndpointName, Incarnation
+from dotterelpaddle.ids import (
+    EndpointId,
+    EndpointName,
+    Incarnation,
+    SoftwareVersion,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -178,6 +183,7 @@
         slots: Number of requests that it processes concurrently.
         state: Whether it accepts new requests.
         models: Models that it has loaded; empty for plain services.
+        software_version: Version of its software, the same for all its incarnation.
         cold_left: Seconds for which it is still cold as of this entry, 0 if warm.
         revision: Position of this entry in the order of all changes.
         document: The encoded entry, which routers pass on unchanged.
@@ -192,6 +198,7 @@
     state: EndpointState
     revision: StoreRevision
     models: frozenset[ModelId] = field(default_factory=frozenset)
+    software_version: SoftwareVersion = SoftwareVersion("")
     cold_left: float = 0.0
     document: bytes = b""
 
--- a/dotterelpaddle/forwarding/placement.py
+++ b/dotterelpaddle/forwarding/placement.py
@@ -11,7 +11,12 @@
 from dotterelpaddle.forwarding.caches import part_tag, shared_parts
 from dotterelpaddle.forwarding.candidates import Candidates
 from dotterelpaddle.forwarding.choice import Choice, ChoiceReason
-from dotterelpaddle.forwarding.cost import prompt_cost
+from dotterelpaddle.forwarding.cold import COLD_RETRY_AFTER_SECONDS
+from dotterelpaddle.forwarding.cost import (
+    NON_RETRYABLE_FAILURE_LOAD,
+    RETRYABLE_FAILURE_LOAD,
+    prompt_cost,
+)
 from dotterelpaddle.forwarding.herding import (
     LARGE_FLEET_ROUTERS,
     MIN_BOUND_FRACTION,
@@ -37,7 +42,12 @@
     from dotterelpaddle.forwarding.model import EndpointEntry
     from dotterelpaddle.forwarding.reachability import Reachability
     from dotterelpaddle.forwarding.view import FleetView
-    from dotterelpaddle.ids import EndpointId, FailureDomain, ServiceName
+    from dotterelpaddle.ids import (
+        EndpointId,
+        FailureDomain,
+        ServiceName,
+        SoftwareVersion,
+    )
     from dotterelpaddle.peers.tunnels import TunnelBackend
 
 MIN_FETCH_TOKENS = 256
@@ -57,17 +67,6 @@
 of a cached prompt half a second later. After a restart of all routers the preferred
 endpoint still has most prompts, before any engine has listed its cache."""
 
-NON_RETRYABLE_FAILURE_LOAD = 10.0
-"""Requests in flight that weigh as much as an error rate of 1, for a request that the
-router can't retry: an error rate of 0.2 weighs as much as two requests."""
-
-COLD_RETRY_AFTER_SECONDS = 0.5
-"""Retry-after for callers when only cold endpoints are left and all of them have
-reached their limit for the current second."""
-
-RETRYABLE_FAILURE_LOAD = 3.0
-"""NON_RETRYABLE_FAILURE_LOAD for a retryable request; a retry only costs time."""
-
 
 class ForwardPlacer:
     """Selects an endpoint for each request.
@@ -133,6 +132,7 @@
         request: HasPrompt,
         retryable: bool,
         excluded: frozenset[EndpointId],
+        version: SoftwareVersion | None = None,
     ) -> Choice:
         """Choose an endpoint of a service.
 
@@ -141,12 +141,13 @@
             request: The request to send.
             retryable: Whether another endpoint can serve the request after a failure.
             excluded: Endpoints that earlier attempts have used.
+            version: The only software version that may serve it, None for any.
 
         Raises:
             NoEndpoint: If no endpoint, or only cold ones at their limit, are left.
         """
         eligible = self._candidates.usable_or_fallback(
-            service=service, request=request, excluded=excluded
+            service=service, request=request, excluded=excluded, version=version
         )
         loads = self._loads.loads()
         weight = RETRYABLE_FAILURE_LOAD if retryable else NON_RETRYABLE_FAILURE_LOAD
@@ -310,7 +311,6 @@
         affinity_tokens = (
             LARGE_FLEET_AFFINITY_TOKENS if large or exact_loads else AFFINITY_TOKENS
         )
-
         queued_tokens = self._loads.queued_tokens()
 
         def _cost(entry: EndpointEntry) -> float:
--- a/dotterelpaddle/forwarding/relays.py
+++ b/dotterelpaddle/forwarding/relays.py
@@ -78,7 +78,8 @@
 
     The caller's answer keeps the head of the first endpoint that sent an event. The
     relay forwards only complete events: an endpoint may fail in the middle of an
-    event, and the next endpoint starts after the last complete one.
+    event, and the next endpoint starts after the last complete one. Events of two
+    software versions don't fit together, so the next endpoint has the same one.
 
     Args:
         exchange: The request.
@@ -113,6 +114,7 @@
             if not events:
                 continue
             if not reply.started:
+                self._exchange.stream_version = call.entry.software_version
                 await reply.start(
                     status=answer.head.status, headers=answer.head.headers
                 )
--- a/dotterelpaddle/ids.py
+++ b/dotterelpaddle/ids.py
@@ -58,6 +58,9 @@
 ServiceName = NewType("ServiceName", str)
 """Service name by which a client account selects a route."""
 
+SoftwareVersion = NewType("SoftwareVersion", str)
+"""Version of an endpoint's software, without an order."""
+
 StoreEra = NewType("StoreEra", int)
 """Number of times that the platform's store has come back from a copy of itself."""
 
--- a/dotterelpaddle/owners/placer.py
+++ b/dotterelpaddle/owners/placer.py
@@ -19,7 +19,13 @@
     from dotterelpaddle.forwarding.model import EndpointEntry
     from dotterelpaddle.forwarding.placement import ForwardPlacer
     from dotterelpaddle.forwarding.view import FleetView
-    from dotterelpaddle.ids import EndpointId, FailureDomain, RouterId, ServiceName
+    from dotterelpaddle.ids import (
+        EndpointId,
+        FailureDomain,
+        RouterId,
+        ServiceName,
+        SoftwareVersion,
+    )
     from dotterelpaddle.owners.exchange import OwnerExchange
     from dotterelpaddle.owners.messages import Grant
     from dotterelpaddle.owners.reporting import InFlightReporter
@@ -73,6 +79,7 @@
         request: HasPrompt,
         retryable: bool,
         excluded: frozenset[EndpointId],
+        version: SoftwareVersion | None = None,
     ) -> Choice:
         """Choose an endpoint of a service.
 
@@ -83,6 +90,7 @@
             request: The request to place.
             retryable: Whether the router can retry it at another endpoint.
             excluded: Endpoints that the router has already tried.
+            version: The only software version that may serve it, None for any.
 
         Raises:
             NoEndpoint: If no endpoint takes work.
@@ -92,6 +100,7 @@
             request=request,
             retryable=retryable,
             excluded=excluded,
+            version=version,
         )
         if isinstance(choice_or_reason, Choice):
             return choice_or_reason
@@ -100,6 +109,7 @@
             request=request,
             retryable=retryable,
             excluded=excluded,
+            version=version,
         )
         return replace(choice, local_reason=choice_or_reason)
 
@@ -110,12 +120,13 @@
         request: HasPrompt,
         retryable: bool,
         excluded: frozenset[EndpointId],
+        version: SoftwareVersion | None,
     ) -> Choice | LocalChoiceReason:
         if not self._directory.owners():
             return LocalChoiceReason.NO_OWNER
         usable = self._cold.with_capacity(
             entries=self._placer.candidates.usable(
-                service=service, request=request, excluded=excluded
+                service=service, request=request, excluded=excluded, version=version
             )
         )
         if len(usable) < MIN_CANDIDATES:
--- a/dotterelpaddle/platform/endpoints.py
+++ b/dotterelpaddle/platform/endpoints.py
@@ -12,7 +12,13 @@
     EndpointState,
     endpoint_id,
 )
-from dotterelpaddle.ids import FailureDomain, Incarnation, ModelId, ServiceName
+from dotterelpaddle.ids import (
+    FailureDomain,
+    Incarnation,
+    ModelId,
+    ServiceName,
+    SoftwareVersion,
+)
 from dotterelpaddle.platform.decoding import (
     optional_field,
     parse_object,
@@ -44,7 +50,8 @@
     """
     row = parse_object(document)
     path = f"{name}."
-    _check_unused(row, path)
+    # Routers don't use it, but a row without it was not written by an endpoint.
+    required_field(row, Field.CHANGE_COUNT, int, path)
     address = required_field(row, "address", str, path)
     try:
         parsed_address = Address.parse(text=address)
@@ -60,6 +67,9 @@
         slots=_slots(row, path),
         state=_state(row, path),
         models=_models(row, path),
+        software_version=SoftwareVersion(
+            required_field(row, Field.SOFTWARE_VERSION, str, path)
+        ),
         cold_left=seconds_field(row, Field.COLD_LEFT_MS, path),
         revision=revision,
         document=document,
@@ -83,15 +93,6 @@
     return Incarnation(started_at)
 
 
-def _check_unused(row: Mapping[str, Any], path: str) -> None:
-    """Check fields that routers don't use but every endpoint writes.
-
-    A row without them was not written by an endpoint.
-    """
-    required_field(row, Field.SOFTWARE_VERSION, str, path)
-    required_field(row, Field.CHANGE_COUNT, int, path)
-
-
 def _slots(row: Mapping[str, Any], path: str) -> int:
     slots = required_field(row, "slots", int, path)
     if slots < 1:
