--- a/dotterelpaddle/forwarding/model.py
+++ b/dotterelpaddle/forwarding/model.py
@@ -183,7 +183,7 @@
         slots: Number of requests that it processes concurrently.
         state: Whether it accepts new requests.
         models: Models that it has loaded; empty for plain services.
-        software_version: Version of its software, the same for all its incarnation.
+        software_version: Version of its software, which its incarnation keeps.
         cold_left: Seconds for which it is still cold as of this entry, 0 if warm.
         revision: Position of this entry in the order of all changes.
         document: The encoded entry, which routers pass on unchanged.
