Tell in placed lines which attempt of the caller began the stream that it resumes

The lines told neither that a request resumes a stream nor which one, so that streams over a caller's tries could not be put together from them. Decoded once, from Resumes.

--- a/dotterelpaddle/forwarding/attempts.py
+++ b/dotterelpaddle/forwarding/attempts.py
@@ -333,6 +333,7 @@
         log.info(
             "placed",
             request_id=exchange.request.request_id,
+            resumes=exchange.request.resumes or "",
             attempt=exchange.attempts.count + 1,
             service=exchange.service,
             version=exchange.configuration_version,
--- a/dotterelpaddle/forwarding/interface.py
+++ b/dotterelpaddle/forwarding/interface.py
@@ -72,6 +72,8 @@
         model: Model that the caller asks for, empty for none.
         prompt: Parts of the prompt, in order; the last is unique to the request.
         last_event_id: Id of the last event that the caller has, empty for none.
+        resumes: Id of the caller's attempt that brought the first event of the stream
+            that it resumes, None if it names none.
     """
 
     request_id: RequestId
@@ -85,6 +87,7 @@
     model: ModelId
     prompt: tuple[PromptPart, ...] = ()
     last_event_id: str = ""
+    resumes: RequestId | None = None
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/dotterelpaddle/platform/protocols.py
+++ b/dotterelpaddle/platform/protocols.py
@@ -68,6 +68,7 @@
             model=ModelId(_text(headers, Header.MODEL)),
             prompt=_prompt(_text(headers, Header.PROMPT_PREFIX)),
             last_event_id=_text(headers, Header.LAST_EVENT_ID),
+            resumes=_resumes(headers),
         )
 
     def encode_headers(
@@ -128,6 +129,12 @@
     return headers.get(name, b"").decode("latin-1").strip()
 
 
+def _resumes(headers: Mapping[bytes, bytes]) -> RequestId | None:
+    """Decode which attempt of the caller began the stream that it resumes."""
+    text = _text(headers, Header.RESUMES)
+    return RequestId(text) if text else None
+
+
 def _host(headers: Mapping[bytes, bytes]) -> str:
     return _text(headers, b"host").rpartition(":")[0].lower() or (
         _text(headers, b"host").lower()
