Resume callers' streams at the software version that began them, at any router

Evidence: test_callers_take_streams_up_at_the_version_that_began_them, and two scenes that were not in the tests, all three failing on: a router that has never heard of the others, and a stream whose version is gone (200, where 503 is due).

Fix: the origin of a stream (service and version) is recorded under the id of the caller's attempt that brought the first event, before the caller gets it. The next two reports tell all routers of a mesh, and the aggregators of a large fleet. A router that has no record asks the others, and an aggregator answers once more when a record reaches it late. Where nobody knows, a stream goes on only if one version alone can have begun it: seen by a router whose memory is as long as any stream, with endpoints confirmed since the request came. Else 503, which is true: nothing has run.

Why it works: the record is in at least one process before the caller can come back, and in all that callers may reach 0.2 s later (0.4 s in large fleets), so that a stream whose router dies is known.

--- a/dotterelpaddle/forwarding/components.py
+++ b/dotterelpaddle/forwarding/components.py
@@ -40,6 +40,9 @@
 from dotterelpaddle.peers.tunnel_server import TunnelServer
 from dotterelpaddle.peers.tunnels import TunnelBackend
 from dotterelpaddle.pipeline import compose
+from dotterelpaddle.streams.finder import StreamFinder
+from dotterelpaddle.streams.lookup import StreamLookup
+from dotterelpaddle.streams.resumption import ResumptionFilter
 
 if TYPE_CHECKING:
     from dotterelpaddle.clock import Clock
@@ -92,6 +95,7 @@
         tunnel_server: Connects other routers to endpoints that they can't reach.
         owners: Exchanges placement requests and counts with shard owners.
         fetcher: Fetches missing state from other routers.
+        stream_finder: Finds where streams that callers resume began.
         metrics: Renders the metrics page.
     """
 
@@ -107,6 +111,7 @@
     tunnel_server: TunnelServer
     owners: OwnerExchange
     fetcher: Fetcher
+    stream_finder: StreamFinder
     metrics: MetricsPage
 
     def start_draining(self) -> None:
@@ -245,11 +250,32 @@
         metrics=metrics,
         clock=clock,
     )
+    plan = ReportPlan(directory=directory, totals=state.totals)
+    stream_lookup = StreamLookup(
+        origins=state.stream_origins,
+        history=state.version_history,
+        directory=directory,
+        plan=plan,
+        clock=clock,
+    )
+    stream_finder = StreamFinder(
+        origins=state.stream_origins,
+        lookup=stream_lookup,
+        history=state.version_history,
+        follower=follower,
+        metrics=metrics,
+        clock=clock,
+    )
     filters = (
         RouteFilter(view=state.view, generator=generator),
         DeadlineFilter(clock=clock),
+        ResumptionFilter(finder=stream_finder),
         ForwardFilter(
-            attempts=attempts, client=client, retry_budget=state.retry_budget
+            attempts=attempts,
+            client=client,
+            retry_budget=state.retry_budget,
+            stream_origins=state.stream_origins,
+            clock=clock,
         ),
     )
     return Components(
@@ -276,15 +302,18 @@
             caches=state.caches,
             crashes=state.crashes,
             directory=directory,
-            plan=ReportPlan(directory=directory, totals=state.totals),
+            plan=plan,
             follower=follower,
             owners=owners,
             reachability=reachability,
             tunnel_server=tunnel_server,
+            stream_origins=state.stream_origins,
+            stream_lookup=stream_lookup,
             generator=generator,
         ),
         tunnel_server=tunnel_server,
         owners=owners,
+        stream_finder=stream_finder,
         metrics=MetricsPage(
             metrics=metrics,
             sources=MetricsSources(
--- a/dotterelpaddle/forwarding/filters.py
+++ b/dotterelpaddle/forwarding/filters.py
@@ -37,6 +37,7 @@
     from dotterelpaddle.forwarding.retry_budget import RetryBudget
     from dotterelpaddle.forwarding.view import FleetView
     from dotterelpaddle.ids import ServiceName
+    from dotterelpaddle.streams.origins import StreamOrigins
 
     NextFilter = Callable[[ForwardExchange], Awaitable[None]]
 
@@ -141,6 +142,8 @@
         attempts: Selects endpoints and sends attempts.
         client: Sends requests to endpoints.
         retry_budget: Counts requests; the retry budget is a share of them.
+        stream_origins: Records where streams began.
+        clock: Monotonic clock.
     """
 
     def __init__(
@@ -149,10 +152,14 @@
         attempts: AttemptRunner,
         client: ForwardClient,
         retry_budget: RetryBudget,
+        stream_origins: StreamOrigins,
+        clock: Clock,
     ) -> None:
         self._attempts = attempts
         self._client = client
         self._retry_budget = retry_budget
+        self._stream_origins = stream_origins
+        self._clock = clock
 
     async def __call__(
         self, exchange: ForwardExchange, next_filter: NextFilter
@@ -190,6 +197,11 @@
         assert exchange.route is not None
         match exchange.route.kind:
             case RequestKind.STREAM:
-                return EventRelay(exchange=exchange, client=self._client)
+                return EventRelay(
+                    exchange=exchange,
+                    client=self._client,
+                    origins=self._stream_origins,
+                    clock=self._clock,
+                )
             case RequestKind.IDEMPOTENT | RequestKind.NON_IDEMPOTENT:
                 return BufferingRelay(exchange=exchange, client=self._client)
--- a/dotterelpaddle/forwarding/metrics.py
+++ b/dotterelpaddle/forwarding/metrics.py
@@ -62,6 +62,10 @@
             name="requests_blocked_total",
             doc="Requests that were sent to no endpoint as others ended under them.",
         )
+        self._streams_resumed = counter(
+            name="streams_resumed_total",
+            doc="Streams that callers resumed, by what told where they began.",
+        )
         self._platform_calls = counter(
             name="platform_calls_total",
             doc="Calls to the platform's store, by what was asked and result.",
@@ -106,6 +110,10 @@
         """Count a request blocked because endpoints crashed during it."""
         self._blocked.inc({"service": service})
 
+    def count_resumed_stream(self, *, source: str) -> None:
+        """Count a stream that a caller resumed, by what told where it began."""
+        self._streams_resumed.inc({"source": source})
+
     def count_platform_call(self, *, call: str, result: str) -> None:
         """Count a call to the platform."""
         self._platform_calls.inc({"what": call, "result": result})
--- a/dotterelpaddle/forwarding/relays.py
+++ b/dotterelpaddle/forwarding/relays.py
@@ -13,14 +13,22 @@
     BufferedAnswer,
     StreamedAnswer,
 )
+from dotterelpaddle.streams.origins import (
+    MAX_STREAM_SECONDS,
+    StreamOrigin,
+    StreamRecord,
+)
 
 if TYPE_CHECKING:
+    from dotterelpaddle.clock import Clock
     from dotterelpaddle.forwarding.client import (
         ForwardAnswer,
         ForwardCall,
         ForwardClient,
     )
     from dotterelpaddle.forwarding.exchange import ForwardExchange
+    from dotterelpaddle.forwarding.model import EndpointEntry
+    from dotterelpaddle.streams.origins import StreamOrigins
 
 SUCCESS_STATUSES = range(200, 300)
 MIN_SERVER_ERROR_STATUS = 500
@@ -84,11 +92,22 @@
     Args:
         exchange: The request.
         client: Sends requests to endpoints.
+        origins: Records where streams began, for callers that resume them.
+        clock: Monotonic clock.
     """
 
-    def __init__(self, *, exchange: ForwardExchange, client: ForwardClient) -> None:
+    def __init__(
+        self,
+        *,
+        exchange: ForwardExchange,
+        client: ForwardClient,
+        origins: StreamOrigins,
+        clock: Clock,
+    ) -> None:
         self._exchange = exchange
         self._client = client
+        self._origins = origins
+        self._clock = clock
         self._last_event_id = exchange.request.last_event_id
 
     @property
@@ -114,7 +133,7 @@
             if not events:
                 continue
             if not reply.started:
-                self._exchange.stream_version = call.entry.software_version
+                self._record_origin(entry=call.entry)
                 await reply.start(
                     status=answer.head.status, headers=answer.head.headers
                 )
@@ -129,6 +148,25 @@
                 "the stream ended without an event", peer=call.entry.endpoint
             )
 
+    def _record_origin(self, *, entry: EndpointEntry) -> None:
+        """Record where the first event comes from, before the caller gets it."""
+        exchange = self._exchange
+        exchange.stream_version = entry.software_version
+        request, route = exchange.request, exchange.route
+        if route is None or not route.resumable:
+            return
+        stream = request.resumes if request.last_event_id else request.request_id
+        if stream is None:
+            return
+        seconds = MAX_STREAM_SECONDS
+        if request.time_left is not None:
+            elapsed = self._clock() - exchange.received_at
+            seconds = request.time_left - elapsed
+        origin = StreamOrigin(service=entry.service, version=entry.software_version)
+        self._origins.begin(
+            record=StreamRecord(stream=stream, origin=origin, seconds=seconds)
+        )
+
     def _record_last_event_id(self, *, events: list[bytes]) -> None:
         for event in reversed(events):
             event_id = parse_event_id(event=event)
--- a/dotterelpaddle/forwarding/router.py
+++ b/dotterelpaddle/forwarding/router.py
@@ -146,3 +146,5 @@
         state.backoffs.retain(endpoints=known_endpoints)
         state.brittle.retain(endpoints=known_endpoints)
         state.cold.retain(endpoints=known_endpoints)
+        state.stream_origins.expire()
+        state.version_history.refresh()
--- a/dotterelpaddle/forwarding/shared_state.py
+++ b/dotterelpaddle/forwarding/shared_state.py
@@ -21,6 +21,8 @@
 from dotterelpaddle.forwarding.view import FleetView
 from dotterelpaddle.peers.directory import PeerDirectory
 from dotterelpaddle.peers.messages import PeerInfo
+from dotterelpaddle.streams.origins import StreamOrigins
+from dotterelpaddle.streams.version_history import VersionHistory
 
 if TYPE_CHECKING:
     from dotterelpaddle.clock import Clock
@@ -45,6 +47,8 @@
         crashes: Requests that were running when endpoints crashed.
         retry_budget: Limits the retries of all routers.
         directory: The other routers.
+        stream_origins: Where the streams that callers may resume began.
+        version_history: Software versions that services had recently.
     """
 
     view: FleetView
@@ -60,6 +64,8 @@
     crashes: CrashTracker
     retry_budget: RetryBudget
     directory: PeerDirectory
+    stream_origins: StreamOrigins
+    version_history: VersionHistory
 
 
 def build_shared_state(*, settings: ForwardSettings, clock: Clock) -> SharedState:
@@ -129,4 +135,8 @@
             clock=clock,
         ),
         directory=directory,
+        stream_origins=StreamOrigins(clock=clock),
+        version_history=VersionHistory(
+            view=view, first_start=settings.first_start, clock=clock
+        ),
     )
--- a/dotterelpaddle/forwarding/view.py
+++ b/dotterelpaddle/forwarding/view.py
@@ -64,7 +64,7 @@
         self._leaving = leaving or LeavingEndpoints(clock=clock)
         self._copied = CopiedEntries(leaving=self._leaving, clock=clock)
         self._evacuations = EvacuationTracker(clock=clock)
-        self._entry_observer: Callable[[EndpointEntry], None] | None = None
+        self._entry_observers: list[Callable[[EndpointEntry], None]] = []
         self._configuration: FleetConfiguration | None = None
         self._routes: dict[str, tuple[ForwardRoute, ...]] = {}
         self._routed_services: frozenset[ServiceName] = frozenset()
@@ -168,8 +168,8 @@
         )
 
     def on_entry(self, observer: Callable[[EndpointEntry], None]) -> None:
-        """Set the observer that the view calls with each entry that it accepts."""
-        self._entry_observer = observer
+        """Add an observer that the view calls with each entry that it accepts."""
+        self._entry_observers.append(observer)
 
     def current_endpoint_id(self, name: EndpointName) -> EndpointId:
         """Return the id of an endpoint's current incarnation."""
@@ -349,8 +349,8 @@
             self._copied.compare_states(earlier=known, later=entry)
         self._copied.check_removed(tombstone=self._removed.take(name=name), entry=entry)
         self._entries[name] = entry
-        if self._entry_observer is not None:
-            self._entry_observer(entry)
+        for observer in self._entry_observers:
+            observer(entry)
         was_withheld = self._copied.release_rewritten(entry=entry)
         if known is not None and same_content(known, entry):
             return was_withheld
--- a/dotterelpaddle/peers/exchange.py
+++ b/dotterelpaddle/peers/exchange.py
@@ -25,6 +25,9 @@
     decode_report,
     encode_report,
 )
+from dotterelpaddle.streams.messages import (
+    DATAGRAM_PREFIX as STREAM_DATAGRAM_PREFIX,
+)
 
 if TYPE_CHECKING:
     import random
@@ -46,6 +49,8 @@
     from dotterelpaddle.peers.messages import PeerInfo
     from dotterelpaddle.peers.plan import Recipient, ReportPlan
     from dotterelpaddle.peers.tunnel_server import TunnelServer
+    from dotterelpaddle.streams.lookup import StreamLookup
+    from dotterelpaddle.streams.origins import StreamOrigins, StreamRecord
 
 log = get_logger(name=__name__)
 
@@ -92,6 +97,8 @@
         owners: Processes messages between routers and owners.
         reachability: Endpoints that this router can't connect to.
         tunnel_server: Connects other routers to endpoints.
+        stream_origins: Where streams began.
+        stream_lookup: Answers other routers that ask for streams.
         generator: Source of jitter.
     """
 
@@ -110,6 +117,8 @@
         owners: OwnerExchange,
         reachability: Reachability,
         tunnel_server: TunnelServer,
+        stream_origins: StreamOrigins,
+        stream_lookup: StreamLookup,
         generator: random.Random,
     ) -> None:
         self._own = directory.own
@@ -125,6 +134,8 @@
         self._owners = owners
         self._reachability = reachability
         self._tunnel_server = tunnel_server
+        self._stream_origins = stream_origins
+        self._stream_lookup = stream_lookup
         self._generator = generator
         self._incarnation = secrets.randbits(53)
         self._sequence = 0
@@ -138,6 +149,7 @@
             socket: Socket for reports.
             control: Address at which this router serves snapshots.
         """
+        self._stream_lookup.connect(datagrams=socket)
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._receive, socket, control)
             tasks.start_soon(self._send_regularly, socket, control)
@@ -171,13 +183,20 @@
         uses = {
             origin: self._caches.take_pending(origin=origin) for origin in UseOrigin
         }
+        own_streams = self._stream_origins.take_own()
+        streams = {
+            TotalsScope.ROUTER: own_streams,
+            TotalsScope.DOMAIN: own_streams + self._stream_origins.take_forwarded(),
+        }
         encoded: dict[tuple[TotalsScope, ReplyRequest], bytes] = {}
         for recipient in recipients:
             # Recipients of one kind share a report, except for totals of all others.
             kind = (recipient.scope, recipient.reply_request)
             content = encoded.get(kind)
             if content is None:
-                report = self._report_for(report=base, recipient=recipient, uses=uses)
+                report = self._report_for(
+                    report=base, recipient=recipient, uses=uses, streams=streams
+                )
                 content = encode_report(report=report)
             if recipient.scope is not TotalsScope.OTHERS:
                 encoded[kind] = content
@@ -189,8 +208,12 @@
         report: PeerReport,
         recipient: Recipient,
         uses: Mapping[UseOrigin, list[PartUse]],
+        streams: Mapping[TotalsScope, tuple[StreamRecord, ...]],
     ) -> PeerReport:
-        """Fill in the fields that depend on the recipient."""
+        """Fill in the fields that depend on the recipient.
+
+        Members of a large fleet ask for the few streams that their callers resume.
+        """
         return replace(
             report,
             ask=recipient.reply_request,
@@ -201,6 +224,7 @@
                 for origin in ORIGINS_BY_SCOPE[recipient.scope]
                 for use in uses[origin]
             ),
+            streams=streams.get(recipient.scope, ()),
         )
 
     def _build_report(
@@ -275,6 +299,9 @@
     async def _receive(self, socket: DatagramSocket, control: Address) -> None:
         while True:
             datagram, address = await socket.receive()
+            if datagram.startswith(STREAM_DATAGRAM_PREFIX):
+                await self._stream_lookup.receive(datagram=datagram, address=address)
+                continue
             if datagram.startswith(DATAGRAM_PREFIX):
                 await self._owners.receive(datagram=datagram, address=address)
                 continue
@@ -294,6 +321,8 @@
                 continue
             if self._apply_report(report=report, address=address):
                 await self._send_answer(socket, control, address)
+            if report.streams:
+                await self._stream_lookup.answer_waiting()
 
     async def _send_answer(
         self, socket: DatagramSocket, control: Address, address: Address
@@ -322,6 +351,9 @@
         origin = self._origin(report=report)
         self._caches.receive(uses=report.uses, forward_as=origin)
         self._crashes.receive(notes=report.crashes, forward=origin is not None)
+        self._stream_origins.receive(
+            records=report.streams, forward=origin is UseOrigin.SAME_DOMAIN
+        )
         self._view.leaving.receive(notices=report.leaving_endpoints)
         if report.evacuated is not None:
             self._view.evacuations.apply_snapshot(snapshot=report.evacuated)
--- a/dotterelpaddle/peers/messages.py
+++ b/dotterelpaddle/peers/messages.py
@@ -34,6 +34,7 @@
 from dotterelpaddle.peers.crash_notes import decode_notes, encode_notes
 from dotterelpaddle.peers.incarnations import LatestIncarnations, decode_endpoints
 from dotterelpaddle.peers.report import PeerInfo, PeerReport
+from dotterelpaddle.streams.messages import decode_records, encode_records
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping
@@ -82,6 +83,9 @@
 LEAVING_SINCE_INDEX = 31
 """Index of the points in time since which leaving endpoints leave, in their order."""
 
+STREAMS_INDEX = 32
+"""Index of the records of streams; earlier releases record none."""
+
 UNKNOWN_AGE = None
 """Value of the fields in which earlier releases report the ages of their data.
 
@@ -163,6 +167,7 @@
                 _time_fields(report.endpoints_as_of),
             ],
             [_time_fields(notice.since) for notice in report.leaving_endpoints],
+            encode_records(records=report.streams),
         ]
     )
 
@@ -244,6 +249,8 @@
             ),
             tunnels=None if tunnels is None else Address.parse(text=tunnels),
             endpoints_lost=bool(endpoints_lost),
+            streams=decode_records(fields=_optional_field(fields, STREAMS_INDEX, ())),
+            tells_streams=len(fields) > STREAMS_INDEX,
         )
     except (
         orjson.JSONDecodeError,
--- a/dotterelpaddle/peers/report.py
+++ b/dotterelpaddle/peers/report.py
@@ -22,6 +22,7 @@
         FailureDomain,
         RouterId,
     )
+    from dotterelpaddle.streams.origins import StreamRecord
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -76,6 +77,8 @@
         evacuated: Evacuated failure domains, None if unknown.
         tunnels: Address at which it connects others to endpoints, None for none.
         endpoints_lost: Whether it reaches no endpoint itself.
+        streams: Where streams began whose first events have just been passed on.
+        tells_streams: Whether its release records where streams began.
     """
 
     router: RouterId
@@ -105,3 +108,5 @@
     evacuated: EvacuationSnapshot | None = None
     tunnels: Address | None = None
     endpoints_lost: bool = False
+    streams: tuple[StreamRecord, ...] = ()
+    tells_streams: bool = True
--- /dev/null
+++ b/dotterelpaddle/streams/exceptions.py
@@ -0,0 +1,12 @@
+"""Errors of streams that callers resume."""
+
+from __future__ import annotations
+
+from dotterelpaddle.exceptions import RequestError, Step
+
+
+class StreamOriginUnknown(RequestError):
+    """No router can tell where a stream may go on, so it must start anew."""
+
+    status = 503
+    default_step = Step.PLACEMENT
--- /dev/null
+++ b/dotterelpaddle/streams/finder.py
@@ -0,0 +1,185 @@
+"""Finds the service and software version at which a caller's stream may go on."""
+
+from __future__ import annotations
+
+from enum import Enum
+from typing import TYPE_CHECKING
+
+import anyio
+
+from dotterelpaddle.logs import get_logger
+from dotterelpaddle.streams.exceptions import StreamOriginUnknown
+from dotterelpaddle.streams.origins import StreamOrigin
+
+if TYPE_CHECKING:
+    from dotterelpaddle.clock import Clock
+    from dotterelpaddle.forwarding.follower import Follower
+    from dotterelpaddle.forwarding.interface import ForwardRequest
+    from dotterelpaddle.forwarding.metrics import ForwardMetrics
+    from dotterelpaddle.forwarding.model import ForwardRoute
+    from dotterelpaddle.ids import SoftwareVersion
+    from dotterelpaddle.streams.lookup import OpenQuestion, StreamLookup
+    from dotterelpaddle.streams.origins import StreamOrigins
+    from dotterelpaddle.streams.version_history import VersionHistory
+
+log = get_logger(name=__name__)
+
+LOOKUP_SECONDS = 0.5
+"""Seconds within which a record of a stream reaches this router, if any router that it
+hears has one: two rounds of reports and an answer."""
+
+MAX_WAIT_SECONDS = 1.6
+"""Seconds after its arrival that a request waits until the platform has confirmed the
+endpoints since then. Routers confirm them about once a second; callers give up after
+two seconds without an event."""
+
+CHECK_INTERVAL_SECONDS = 0.02
+
+UNKNOWN_RETRY_AFTER_SECONDS = 0.3
+"""Retry-after for a stream of unknown origin; another router may know it."""
+
+
+class OriginSource(Enum):
+    """What tells the origin of a stream."""
+
+    RECORD = "record"
+    PEER = "peer"
+    SOLE_VERSION = "sole_version"
+    UNKNOWN = "unknown"
+
+
+class StreamFinder:
+    """Finds the origin of a stream that a caller resumes.
+
+    Args:
+        origins: Known origins of streams.
+        lookup: Asks other routers.
+        history: Versions that this router has seen.
+        follower: Tells as of when the platform confirmed the endpoints.
+        metrics: Counts resumed streams.
+        clock: Monotonic clock.
+    """
+
+    def __init__(
+        self,
+        *,
+        origins: StreamOrigins,
+        lookup: StreamLookup,
+        history: VersionHistory,
+        follower: Follower,
+        metrics: ForwardMetrics,
+        clock: Clock,
+    ) -> None:
+        self._origins = origins
+        self._lookup = lookup
+        self._history = history
+        self._follower = follower
+        self._metrics = metrics
+        self._clock = clock
+
+    async def find(
+        self, *, request: ForwardRequest, route: ForwardRoute
+    ) -> StreamOrigin:
+        """Return the origin of the stream that a request resumes.
+
+        Args:
+            request: The request.
+            route: Its route.
+
+        Raises:
+            StreamOriginUnknown: If nobody knows it and several versions may have begun
+                the stream, or if the route no longer leads to its service.
+        """
+        started_at = self._clock()
+        origin, source = await self._look_up(request=request, route=route)
+        self._metrics.count_resumed_stream(source=source.value)
+        log.info(
+            "stream_origin",
+            request_id=request.request_id,
+            resumes=request.resumes or "",
+            service=origin.service,
+            software_version=origin.version,
+            source=source.value,
+            seconds=round(self._clock() - started_at, 4),
+        )
+        if all(each.service != origin.service for each in route.services):
+            raise StreamOriginUnknown(
+                f"route '{route.name}' no longer leads to service '{origin.service}', "
+                "which began this stream; start it anew",
+                retry_after=UNKNOWN_RETRY_AFTER_SECONDS,
+            )
+        return origin
+
+    async def _look_up(
+        self, *, request: ForwardRequest, route: ForwardRoute
+    ) -> tuple[StreamOrigin, OriginSource]:
+        stream, started_at = request.resumes, self._clock()
+        histories: list[frozenset[SoftwareVersion]] = []
+        if stream is not None:
+            known = self._origins.find(stream=stream)
+            if known is not None:
+                return known, OriginSource.RECORD
+            service = route.services[0].service
+            with self._lookup.open_question(stream=stream, service=service) as question:
+                known = await self._ask(question)
+            if known is not None:
+                return known, OriginSource.PEER
+            histories = question.histories
+        sole = self._sole_version(route=route, histories=histories)
+        if sole is None or not await self._endpoints_confirmed(since=started_at):
+            raise self._unknown(request=request, route=route)
+        # Confirmed endpoints may have brought another version.
+        if sole != self._sole_version(route=route, histories=histories):
+            raise self._unknown(request=request, route=route)
+        return sole, OriginSource.SOLE_VERSION
+
+    async def _ask(self, question: OpenQuestion) -> StreamOrigin | None:
+        with anyio.move_on_after(LOOKUP_SECONDS):
+            await self._lookup.ask(question=question)
+        return self._origins.find(stream=question.question.stream)
+
+    def _sole_version(
+        self, *, route: ForwardRoute, histories: list[frozenset[SoftwareVersion]]
+    ) -> StreamOrigin | None:
+        """Return the only origin that a stream of the route can have, if there is one.
+
+        Args:
+            route: The route.
+            histories: Versions that other routers with a complete history have seen.
+        """
+        if len(route.services) > 1:
+            return None
+        service = route.services[0].service
+        versions = self._history.recent(service=service).union(*histories)
+        if len(versions) != 1 or not (self._history.is_complete or histories):
+            return None
+        return StreamOrigin(service=service, version=next(iter(versions)))
+
+    async def _endpoints_confirmed(self, *, since: float) -> bool:
+        """Wait until the platform has confirmed the endpoints since a point in time.
+
+        A router with older endpoints may not know a version that has begun streams.
+        """
+        with anyio.move_on_after(MAX_WAIT_SECONDS - (self._clock() - since)):
+            while self._follower.confirmed_endpoints_age > self._clock() - since:
+                await anyio.sleep(CHECK_INTERVAL_SECONDS)
+            return True
+        return False
+
+    def _unknown(
+        self, *, request: ForwardRequest, route: ForwardRoute
+    ) -> StreamOriginUnknown:
+        service = route.services[0].service
+        self._metrics.count_resumed_stream(source=OriginSource.UNKNOWN.value)
+        log.warning(
+            "stream_origin_unknown",
+            request_id=request.request_id,
+            resumes=request.resumes or "",
+            service=service,
+            versions=sorted(self._history.recent(service=service)),
+            history_complete=self._history.is_complete,
+        )
+        return StreamOriginUnknown(
+            "no router knows which software version began this stream; start it anew",
+            retry_after=UNKNOWN_RETRY_AFTER_SECONDS,
+        )
--- /dev/null
+++ b/dotterelpaddle/streams/version_history.py
@@ -0,0 +1,68 @@
+"""The software versions that each service has had while streams of today began.
+
+A stream of unknown origin may go on where a service has had one version only, for as
+long as any stream lasts. A router that has just started can't tell.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from dotterelpaddle.streams.origins import MAX_STREAM_SECONDS, StreamOrigin
+
+if TYPE_CHECKING:
+    from dotterelpaddle.clock import Clock
+    from dotterelpaddle.forwarding.model import EndpointEntry
+    from dotterelpaddle.forwarding.view import FleetView
+    from dotterelpaddle.ids import EndpointName, ServiceName, SoftwareVersion
+
+
+class VersionHistory:
+    """Remembers which versions of a service had endpoints recently.
+
+    Args:
+        view: The current endpoints.
+        first_start: Whether this is the first start of the whole fleet, so that no
+            stream is older than this router.
+        clock: Monotonic clock.
+    """
+
+    def __init__(self, *, view: FleetView, first_start: bool, clock: Clock) -> None:
+        self._view = view
+        self._clock = clock
+        self._since = float("-inf") if first_start else float("inf")
+        self._current: dict[EndpointName, StreamOrigin] = {}
+        self._gone_at: dict[StreamOrigin, float] = {}
+        view.on_entry(self._record_entry)
+
+    @property
+    def is_complete(self) -> bool:
+        """Whether the history goes back as far as any stream."""
+        return self._clock() - self._since >= MAX_STREAM_SECONDS
+
+    def recent(self, *, service: ServiceName) -> frozenset[SoftwareVersion]:
+        """Return the versions of a service that may have begun a stream of today."""
+        self.refresh()
+        origins = (*self._current.values(), *self._gone_at)
+        return frozenset(
+            origin.version for origin in origins if origin.service == service
+        )
+
+    def refresh(self) -> None:
+        """Record removed endpoints, and forget versions that are gone for long."""
+        now = self._clock()
+        known = {entry.name for entry in self._view.entries}
+        for name in self._current.keys() - known:
+            self._gone_at[self._current.pop(name)] = now
+        oldest = now - MAX_STREAM_SECONDS
+        self._gone_at = {
+            origin: at for origin, at in self._gone_at.items() if at >= oldest
+        }
+
+    def _record_entry(self, entry: EndpointEntry) -> None:
+        self._since = min(self._since, self._clock())
+        origin = StreamOrigin(service=entry.service, version=entry.software_version)
+        earlier = self._current.get(entry.name)
+        if earlier is not None and earlier != origin:
+            self._gone_at[earlier] = self._clock()
+        self._current[entry.name] = origin
--- a/dotterelpaddle/tests/forwarding/test_versions_incident.py
+++ b/dotterelpaddle/tests/forwarding/test_versions_incident.py
@@ -6,10 +6,12 @@
 import re
 from dataclasses import dataclass, field
 
+import anyio
 import httpcore
 import pytest
 
-from dotterelpaddle.platform.names import Header
+from dotterelpaddle.forwarding.removals import LAST_RESORT_SECONDS
+from dotterelpaddle.platform.names import Header, Table
 from dotterelpaddle.standins.runner import CutAnswer
 from dotterelpaddle.tests.forwarding.harness import Fleet, run_fleet, wait_until
 
@@ -120,3 +122,58 @@
 
     assert all(len(stream.versions) == 1 for stream in streams)
     assert sum(stream.whole for stream in streams) >= MIN_RESUMED
+
+
+# Guards against a router that has never heard of the others and continues streams at
+# whatever version it finds.
+async def test_router_that_knows_nobody_continues_no_stream_of_unknown_origin() -> None:
+    streams: list[Stream] = []
+    statuses: list[int] = []
+    async with run_fleet(runners=0, routers=1) as fleet:
+        await fleet.add_router(seeds=())
+        await _add_runners(fleet, v1=3, v1_1=3)
+        for _ in range(STREAMS):
+            stream = Stream(request_id=b"")
+            await _read(fleet, stream, router=0, events=READ_EVENTS)
+            statuses.append(await _read(fleet, stream, router=1))
+            streams.append(stream)
+
+    assert set(statuses) == {503}
+    assert all(len(stream.versions) == 1 for stream in streams)
+
+
+# Guards against a stream whose version is gone and that goes on at another one.
+async def test_stream_whose_version_is_gone_is_refused() -> None:
+    async with run_fleet(runners=0, routers=2) as fleet:
+        await _add_runners(fleet, v1=2)
+        stream = Stream(request_id=b"")
+        await _read(fleet, stream, router=0, events=READ_EVENTS)
+        await _add_runners(fleet, v1_1=2)
+        for name in ("runner-1", "runner-2"):
+            fleet.store.remove(table=Table.ENDPOINTS, key=name)
+        for router in fleet.routers:
+            view = router.components.state.view
+            await wait_until(
+                lambda view=view: all(  # type: ignore[misc]
+                    entry.software_version == "v1.1" for entry in view.entries
+                )
+            )
+        await anyio.sleep(LAST_RESORT_SECONDS)
+        statuses = [await _read(fleet, stream, router=router) for router in range(2)]
+
+    assert statuses == [503, 503]
+    assert stream.versions == {"v1"}
+
+
+# Guards against refusing streams of unknown origin where only one version can have
+# begun them, such as those that an earlier release of the routers began.
+async def test_stream_of_unknown_origin_goes_on_at_the_only_version() -> None:
+    async with run_fleet(runners=0, routers=2) as fleet:
+        await _add_runners(fleet, v1=2)
+        stream = Stream(request_id=b"")
+        await _read(fleet, stream, router=0, events=READ_EVENTS)
+        stream.request_id = b"of-an-earlier-release"
+        status = await _read(fleet, stream, router=1)
+
+    assert status == 200
+    assert stream.whole
--- /dev/null
+++ b/dotterelpaddle/tests/streams/test_version_history.py
@@ -0,0 +1,99 @@
+"""Tests of the versions that a router remembers of each service."""
+
+from __future__ import annotations
+
+from dotterelpaddle.forwarding.interface import EndpointsUpdate
+from dotterelpaddle.forwarding.view import FleetView
+from dotterelpaddle.ids import EndpointName, ServiceName, SoftwareVersion
+from dotterelpaddle.streams.origins import MAX_STREAM_SECONDS
+from dotterelpaddle.streams.version_history import VersionHistory
+from dotterelpaddle.tests.forwarding.entries import make_entry
+from dotterelpaddle.tests.revisions import revision_at
+
+SERVICE = ServiceName("records")
+
+
+class History:
+    """A history on a clock that the test sets."""
+
+    def __init__(self, *, first_start: bool = False) -> None:
+        self.now = 0.0
+        self._number = 0
+        self.view = FleetView(clock=lambda: self.now)
+        self.history = VersionHistory(
+            view=self.view, first_start=first_start, clock=lambda: self.now
+        )
+
+    def register(self, name: str, version: str) -> None:
+        self._number += 1
+        revision = revision_at(self._number)
+        entry = make_entry(
+            name,
+            service=SERVICE,
+            software_version=SoftwareVersion(version),
+            revision=revision,
+        )
+        self._apply(entries=(entry,))
+
+    def remove(self, name: str) -> None:
+        self._number += 1
+        self._apply(removed={EndpointName(name): revision_at(self._number)})
+
+    def _apply(self, **fields) -> None:
+        revision = revision_at(self._number)
+        fields = {"entries": (), **fields}
+        self.view.apply_endpoints_update(
+            update=EndpointsUpdate(revision=revision, **fields)
+        )
+
+    @property
+    def versions(self) -> set[str]:
+        return set(self.history.recent(service=SERVICE))
+
+
+def test_version_counts_until_no_stream_of_it_can_go_on() -> None:
+    history = History()
+    history.register("a", "v1")
+    history.register("b", "v2")
+    history.remove("a")
+    history.history.refresh()
+    history.now = MAX_STREAM_SECONDS - 1.0
+    soon = history.versions
+    history.now = MAX_STREAM_SECONDS + 1.0
+
+    assert soon == {"v1", "v2"}
+    assert history.versions == {"v2"}
+
+
+def test_endpoint_that_starts_again_under_its_name_leaves_its_version() -> None:
+    history = History()
+    history.register("a", "v1")
+    history.register("a", "v2")
+
+    assert history.versions == {"v1", "v2"}
+
+
+def test_other_services_do_not_count() -> None:
+    history = History()
+    history.register("a", "v1")
+
+    assert not history.history.recent(service=ServiceName("other"))
+
+
+# Guards against a router that has just started and takes its short view for all.
+def test_history_is_complete_once_it_goes_back_as_far_as_any_stream() -> None:
+    history = History()
+    empty = history.history.is_complete
+    history.now = 5.0
+    history.register("a", "v1")
+    history.now = 5.0 + MAX_STREAM_SECONDS - 0.1
+    short = history.history.is_complete
+    history.now += 0.1
+
+    assert not empty
+    assert not short
+    assert history.history.is_complete
+
+
+def test_history_of_the_first_start_is_complete() -> None:
+    assert History(first_start=True).history.is_complete
