Keep records of streams in the store, where they outlive all routers

Fix: while a service with streams to resume has several versions, the router that reads the store for all writes the new records there, every 0.15 s, into rows that repeat after the longest stream. It always keeps there which versions there are, so that routers which all start anew may let streams of unknown origin go on where there is one version only, and know no less than before. A router reads the rows only for a stream that no other router knows.

--- a/dotterelpaddle/daemon/process.py
+++ b/dotterelpaddle/daemon/process.py
@@ -47,6 +47,7 @@
     source = StoreSource(address=settings.store, documents=documents, links=links)
     dependencies = Dependencies(
         source=source,
+        stream_store=source,
         protocols=PlatformCodec(),
         documents=documents,
         cache_reader=EngineCacheReader(links=links),
--- a/dotterelpaddle/forwarding/components.py
+++ b/dotterelpaddle/forwarding/components.py
@@ -40,6 +40,8 @@
 from dotterelpaddle.peers.tunnel_server import TunnelServer
 from dotterelpaddle.peers.tunnels import TunnelBackend
 from dotterelpaddle.pipeline import compose
+from dotterelpaddle.streams.archive import StreamArchive
+from dotterelpaddle.streams.confirmation import EndpointsConfirmation
 from dotterelpaddle.streams.finder import StreamFinder
 from dotterelpaddle.streams.lookup import StreamLookup
 from dotterelpaddle.streams.resumption import ResumptionFilter
@@ -54,6 +56,7 @@
     )
     from dotterelpaddle.forwarding.settings import ForwardSettings
     from dotterelpaddle.links import Links
+    from dotterelpaddle.streams.archive import StreamStore
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -62,6 +65,7 @@
 
     Attributes:
         source: Store of the configuration and the endpoints.
+        stream_store: Keeps records of streams, None to keep none.
         protocols: Translates callers' requests and endpoints' answers.
         documents: Decodes the documents of the source.
         cache_reader: Requests the list of cached prompt parts from an endpoint.
@@ -75,6 +79,7 @@
     cache_reader: CacheReader
     links: Links
     clock: Clock
+    stream_store: StreamStore | None = None
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -96,6 +101,7 @@
         owners: Exchanges placement requests and counts with shard owners.
         fetcher: Fetches missing state from other routers.
         stream_finder: Finds where streams that callers resume began.
+        stream_archive: Keeps records of streams in the platform's store.
         metrics: Renders the metrics page.
     """
 
@@ -112,6 +118,7 @@
     owners: OwnerExchange
     fetcher: Fetcher
     stream_finder: StreamFinder
+    stream_archive: StreamArchive
     metrics: MetricsPage
 
     def start_draining(self) -> None:
@@ -258,11 +265,23 @@
         plan=plan,
         clock=clock,
     )
+    stream_archive = StreamArchive(
+        store=dependencies.stream_store,
+        origins=state.stream_origins,
+        history=state.version_history,
+        view=state.view,
+        is_writer=lambda: peer_summary.is_platform_reader,
+        store_clock=state.store_clock,
+        clock=clock,
+    )
     stream_finder = StreamFinder(
         origins=state.stream_origins,
         lookup=stream_lookup,
+        archive=stream_archive,
         history=state.version_history,
-        follower=follower,
+        confirmation=EndpointsConfirmation(
+            source=dependencies.source, view=state.view, clock=clock
+        ),
         metrics=metrics,
         clock=clock,
     )
@@ -314,6 +333,7 @@
         tunnel_server=tunnel_server,
         owners=owners,
         stream_finder=stream_finder,
+        stream_archive=stream_archive,
         metrics=MetricsPage(
             metrics=metrics,
             sources=MetricsSources(
--- a/dotterelpaddle/platform/names.py
+++ b/dotterelpaddle/platform/names.py
@@ -83,6 +83,8 @@
     OPERATOR = "op"
     # Written by endpoints, one row each with the endpoint's name as key.
     ENDPOINTS = "servers"
+    # Written and read by the routers.
+    STREAMS = "streams"
 
 
 class Field:
@@ -122,4 +124,5 @@
 
     READ = "/-/rows-get"
     WATCH = "/-/rows-feed"
+    WRITE = "/-/rows-tx"
     CACHE_LIST = "/-/kv-list"
--- a/dotterelpaddle/platform/store.py
+++ b/dotterelpaddle/platform/store.py
@@ -1,7 +1,8 @@
-"""Reads configuration and endpoints' entries from the platform's store."""
+"""Calls the platform's store: reads what others write, keeps rows of the routers."""
 
 from __future__ import annotations
 
+import base64
 from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING, Any
 from urllib.parse import urlencode
@@ -10,7 +11,12 @@
 import httpcore
 import orjson
 
-from dotterelpaddle.exceptions import HistoryLost, PlatformUnavailable
+from dotterelpaddle.exceptions import (
+    HistoryLost,
+    PlatformAnswerLost,
+    PlatformUnavailable,
+    RecordError,
+)
 from dotterelpaddle.forwarding.interface import EndpointsUpdate
 from dotterelpaddle.forwarding.revisions import FIRST_ERA, StoreRevision
 from dotterelpaddle.forwarding.store_clock import StoreTime
@@ -19,7 +25,7 @@
 from dotterelpaddle.network import LinkedBackend
 from dotterelpaddle.platform.names import CallPath, Field, Header, Table
 from dotterelpaddle.platform.operator_rows import OperatorRowDecoder
-from dotterelpaddle.platform.rows import EntryRowDecoder, check_rows
+from dotterelpaddle.platform.rows import EntryRowDecoder, check_rows, row_value
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Mapping
@@ -63,7 +69,10 @@
 
 
 class StoreSource:
-    """Reads configuration and endpoints' entries from the platform's store.
+    """Calls the platform's store.
+
+    It reads the configuration and the endpoints' entries, and reads and writes the rows
+    that belong to the routers.
 
     Args:
         address: Address of the store.
@@ -132,6 +141,44 @@
             as_of=answer.time,
         )
 
+    async def stream_rows(self) -> dict[str, bytes]:
+        """Read all rows with records of streams, by their keys.
+
+        Raises:
+            PlatformError: If the store returns no valid answer in time.
+        """
+        rows, _ = await self._read_all(table=Table.STREAMS)
+        values = {}
+        for row in rows:
+            try:
+                values[row["key"]] = row_value(row=row)
+            except RecordError as error:
+                log.warning("row_unusable", key=row["key"], cause=error.message)
+        return values
+
+    async def put_stream_rows(self, *, rows: Mapping[str, bytes]) -> None:
+        """Write rows with records of streams, all or none.
+
+        Raises:
+            PlatformError: If the store does not confirm them in time.
+        """
+        entries = [
+            {
+                "table": Table.STREAMS,
+                "part": "",
+                "key": key,
+                "value": base64.b64encode(value).decode(),
+            }
+            for key, value in rows.items()
+        ]
+        body = orjson.dumps({"expectedRev": [], "put": entries, "remove": []})
+        response = await self._request(method="POST", target=CallPath.WRITE, body=body)
+        if response.status != OK:
+            raise PlatformUnavailable(
+                f"the store answered with status {response.status}",
+                peer=str(self._address),
+            )
+
     async def _read_all(self, *, table: str) -> tuple[list[Row], _Answer]:
         """Read all rows of a table.
 
@@ -184,38 +231,54 @@
             HistoryLost: If the store has discarded the requested changes.
             PlatformUnavailable: If the store returns no valid answer in time.
         """
+        peer = str(self._address)
+        response = await self._request(
+            method="GET", target=f"{path}?{urlencode(query)}", wait=wait
+        )
+        era = self._current_era(headers=response.headers, peer=peer)
+        if response.status == GONE:
+            raise HistoryLost(
+                "the store has discarded the requested changes", peer=peer
+            )
+        if response.status != OK:
+            raise PlatformUnavailable(
+                f"the store answered with status {response.status}", peer=peer
+            )
+        return _decode_answer(content=response.content, era=era, peer=peer)
+
+    async def _request(
+        self, *, method: str, target: str, body: bytes = b"", wait: float = 0.0
+    ) -> httpcore.Response:
+        """Send one request to the store and return the answer, whatever its status.
+
+        Raises:
+            PlatformAnswerLost: If a write may have taken effect without an answer.
+            PlatformUnavailable: If the store returns no answer to a read in time.
+        """
         url = httpcore.URL(
             scheme=b"http",
             host=self._address.host.encode(),
             port=self._address.port,
-            target=f"{path}?{urlencode(query)}".encode(),
+            target=target.encode(),
         )
         peer = str(self._address)
+        headers = [(b"content-type", b"application/json")] if body else []
+        failure = PlatformAnswerLost if body else PlatformUnavailable
         try:
             with anyio.fail_after(wait + ANSWER_TIMEOUT_SECONDS):
-                response = await self._pool.request("GET", url)
+                return await self._pool.request(
+                    method, url, headers=headers, content=body
+                )
         except TimeoutError as error:
-            raise PlatformUnavailable(
-                "the store did not answer in time", peer=peer
-            ) from error
+            raise failure("the store did not answer in time", peer=peer) from error
         except (
             httpcore.NetworkError,
             httpcore.ProtocolError,
             httpcore.TimeoutException,
         ) as error:
-            raise PlatformUnavailable(
+            raise failure(
                 f"the request to the store failed: {error!r}", peer=peer
             ) from error
-        era = self._current_era(headers=response.headers, peer=peer)
-        if response.status == GONE:
-            raise HistoryLost(
-                "the store has discarded the requested changes", peer=peer
-            )
-        if response.status != OK:
-            raise PlatformUnavailable(
-                f"the store answered with status {response.status}", peer=peer
-            )
-        return _decode_answer(content=response.content, era=era, peer=peer)
 
     def _current_era(
         self, *, headers: Iterable[tuple[bytes, bytes]], peer: str
--- a/dotterelpaddle/standins/store.py
+++ b/dotterelpaddle/standins/store.py
@@ -22,6 +22,7 @@
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Mapping
 
+FORBIDDEN = 403
 NOT_FOUND = 404
 HISTORY_LOST = 410
 ANYWHERE = Address(host="127.0.0.1", port=0)
@@ -155,6 +156,8 @@
                 await self._reply(send, 200, self._page(query=query))
             case CallPath.WATCH:
                 await self._watch(send=send, query=query)
+            case CallPath.WRITE:
+                await self._write(receive=receive, send=send)
             case _:
                 await self._reply(send, NOT_FOUND, {})
 
@@ -190,6 +193,26 @@
             send, 200, {"rows": rows, "ver": self._revision, "nowMs": _now_ms()}
         )
 
+    async def _write(self, *, receive: Any, send: Any) -> None:
+        """Apply a transaction, without conditions, to the tables of the routers."""
+        body, more = b"", True
+        while more:
+            message = await receive()
+            body += message.get("body", b"")
+            more = message.get("more_body", False)
+        transaction = orjson.loads(body)
+        tables = {each["table"] for each in transaction["put"]}
+        if tables & {Table.OPERATOR, Table.ENDPOINTS}:
+            await self._reply(send, FORBIDDEN, {})
+            return
+        for each in transaction["put"]:
+            self.put(
+                table=each["table"],
+                key=each["key"],
+                value=base64.b64decode(each["value"], validate=True),
+            )
+        await self._reply(send, 200, {"ver": self._revision, "nowMs": _now_ms()})
+
     def _has_history(self, *, after: int) -> bool:
         return self._oldest <= after <= self._revision
 
--- /dev/null
+++ b/dotterelpaddle/streams/archive.py
@@ -0,0 +1,235 @@
+"""Keeps records of streams in the platform's store, where they outlive all routers.
+
+One router writes for all, and only while a service has several software versions: with
+one version any endpoint may continue a stream. It also writes which versions there
+are, so that routers which all start anew know as much. Routers read the rows only for
+a stream that none of them knows.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Protocol
+
+import anyio
+
+from dotterelpaddle.exceptions import ControlError, PlatformError
+from dotterelpaddle.logs import get_logger
+from dotterelpaddle.streams.rows import (
+    VERSIONS_KEY,
+    decode_records_row,
+    decode_versions_row,
+    encode_records_row,
+    encode_versions_row,
+    records_key,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Mapping
+
+    from dotterelpaddle.clock import Clock
+    from dotterelpaddle.forwarding.store_clock import StoreClock
+    from dotterelpaddle.forwarding.view import FleetView
+    from dotterelpaddle.ids import ServiceName, SoftwareVersion
+    from dotterelpaddle.streams.origins import StreamOrigins, StreamRecord
+    from dotterelpaddle.streams.version_history import VersionHistory
+
+log = get_logger(name=__name__)
+
+WRITE_INTERVAL_SECONDS = 0.15
+"""Seconds between two writes. Streams that began since the last one are forgotten if
+all routers are lost."""
+
+REWRITE_SECONDS = 30.0
+"""Seconds after which the versions are written again without a change: the store may
+have come back from an older copy."""
+
+MIN_READ_INTERVAL_SECONDS = 0.3
+
+MAX_RECORDS_PER_ROW = 500
+"""Records in one row, about 20 KB."""
+
+
+class StreamStore(Protocol):
+    """The rows of the platform's store that belong to the streams of this fleet."""
+
+    async def stream_rows(self) -> dict[str, bytes]:
+        """Read all rows.
+
+        Raises:
+            PlatformError: If the store returns no usable answer in time.
+        """
+
+    async def put_stream_rows(self, *, rows: Mapping[str, bytes]) -> None:
+        """Write some rows, all or none.
+
+        Raises:
+            PlatformError: If the store does not confirm them in time.
+        """
+
+
+class StreamArchive:
+    """Writes records of streams to the platform's store, and reads them.
+
+    Args:
+        store: Keeps the rows; None to keep none.
+        origins: Known origins of streams.
+        history: Versions that this router has seen.
+        view: Provides the services whose streams may be resumed.
+        is_writer: Returns whether this router writes for all.
+        store_clock: Estimates the clock of the store.
+        clock: Monotonic clock.
+    """
+
+    def __init__(
+        self,
+        *,
+        store: StreamStore | None,
+        origins: StreamOrigins,
+        history: VersionHistory,
+        view: FleetView,
+        is_writer: Callable[[], bool],
+        store_clock: StoreClock,
+        clock: Clock,
+    ) -> None:
+        self._store = store
+        self._origins = origins
+        self._history = history
+        self._view = view
+        self._is_writer = is_writer
+        self._store_clock = store_clock
+        self._clock = clock
+        self._read_lock = anyio.Lock()
+        self._read_at = float("-inf")
+        self._written_count = 0
+        self._written_versions: bytes | None = None
+        self._versions_written_at = float("-inf")
+        self._has_recalled = False
+        self._failing = False
+
+    async def run(self) -> None:
+        """Write what is due until cancelled."""
+        if self._store is None:
+            return
+        while True:
+            await anyio.sleep(WRITE_INTERVAL_SECONDS)
+            if not self._is_writer():
+                self._begin_term()
+                continue
+            try:
+                await self._write_due(store=self._store)
+                self._failing = False
+            except PlatformError as error:
+                self._log_failure(error=error)
+
+    async def read(self) -> None:
+        """Add what the store has, unless it has just been read."""
+        if self._store is None:
+            return
+        called_at = self._clock()
+        async with self._read_lock:
+            if self._read_at >= called_at - MIN_READ_INTERVAL_SECONDS:
+                return
+            self._read_at = self._clock()
+            try:
+                rows = await self._store.stream_rows()
+            except PlatformError as error:
+                self._log_failure(error=error)
+                return
+            self._failing = False
+            self._apply(rows=rows)
+
+    def _begin_term(self) -> None:
+        """Prepare for writing everything again: another router writes at present."""
+        self._written_count = 0
+        self._written_versions = None
+        self._has_recalled = False
+
+    async def _write_due(self, *, store: StreamStore) -> None:
+        if not self._history.is_complete and not self._has_recalled:
+            # An earlier writer may have known more.
+            await self.read()
+            self._has_recalled = not self._failing
+        rows = self._versions_row()
+        records, count = self._records_due()
+        rows.update(self._records_rows(records=records))
+        if not rows:
+            return
+        await store.put_stream_rows(rows=rows)
+        self._written_count = count
+        if VERSIONS_KEY in rows:
+            self._written_versions = rows[VERSIONS_KEY]
+            self._versions_written_at = self._clock()
+        log.info(
+            "streams_archived",
+            records=len(records),
+            versions=VERSIONS_KEY in rows,
+        )
+
+    def _versions_row(self) -> dict[str, bytes]:
+        """Return the row with the versions if it is due.
+
+        A router that has not seen all versions yet writes none.
+        """
+        if not self._history.is_complete:
+            return {}
+        row = encode_versions_row(versions=self._versions())
+        elapsed = self._clock() - self._versions_written_at
+        if row == self._written_versions and elapsed < REWRITE_SECONDS:
+            return {}
+        return {VERSIONS_KEY: row}
+
+    def _versions(self) -> dict[ServiceName, frozenset[SoftwareVersion]]:
+        """Return the recent versions of the services with streams to resume."""
+        configuration = self._view.configuration
+        routes = () if configuration is None else configuration.routes
+        services = {
+            each.service
+            for route in routes
+            if route.resumable
+            for each in route.services
+        }
+        return {
+            service: self._history.recent(service=service)
+            for service in sorted(services)
+        }
+
+    def _records_due(self) -> tuple[list[StreamRecord], int]:
+        """Return the records to write, and the count of all records until then."""
+        if all(len(versions) < 2 for versions in self._versions().values()):
+            return [], 0
+        return self._origins.added_after(count=self._written_count)
+
+    def _records_rows(self, *, records: list[StreamRecord]) -> dict[str, bytes]:
+        now = self._store_clock.earliest_time()
+        if now is None:
+            return {}
+        return {
+            records_key(
+                time=now, interval=WRITE_INTERVAL_SECONDS, part=first
+            ): encode_records_row(records=records[first : first + MAX_RECORDS_PER_ROW])
+            for first in range(0, len(records), MAX_RECORDS_PER_ROW)
+        }
+
+    def _apply(self, *, rows: Mapping[str, bytes]) -> None:
+        known = self._origins.count
+        for key, row in rows.items():
+            try:
+                if key == VERSIONS_KEY:
+                    self._history.restore(versions=decode_versions_row(row=row))
+                else:
+                    self._origins.receive(
+                        records=decode_records_row(row=row), forward=False
+                    )
+            except ControlError as error:
+                log.warning("stream_row_unusable", key=key, cause=error.message)
+        log.info(
+            "streams_recalled",
+            rows=len(rows),
+            records=self._origins.count - known,
+            versions=VERSIONS_KEY in rows,
+        )
+
+    def _log_failure(self, *, error: PlatformError) -> None:
+        if not self._failing:
+            log.warning("stream_archive_failing", cause=error.message, peer=error.peer)
+        self._failing = True
--- a/dotterelpaddle/streams/finder.py
+++ b/dotterelpaddle/streams/finder.py
@@ -13,11 +13,12 @@
 
 if TYPE_CHECKING:
     from dotterelpaddle.clock import Clock
-    from dotterelpaddle.forwarding.follower import Follower
     from dotterelpaddle.forwarding.interface import ForwardRequest
     from dotterelpaddle.forwarding.metrics import ForwardMetrics
     from dotterelpaddle.forwarding.model import ForwardRoute
     from dotterelpaddle.ids import SoftwareVersion
+    from dotterelpaddle.streams.archive import StreamArchive
+    from dotterelpaddle.streams.confirmation import EndpointsConfirmation
     from dotterelpaddle.streams.lookup import OpenQuestion, StreamLookup
     from dotterelpaddle.streams.origins import StreamOrigins
     from dotterelpaddle.streams.version_history import VersionHistory
@@ -28,13 +29,6 @@
 """Seconds within which a record of a stream reaches this router, if any router that it
 hears has one: two rounds of reports and an answer."""
 
-MAX_WAIT_SECONDS = 1.6
-"""Seconds after its arrival that a request waits until the platform has confirmed the
-endpoints since then. Routers confirm them about once a second; callers give up after
-two seconds without an event."""
-
-CHECK_INTERVAL_SECONDS = 0.02
-
 UNKNOWN_RETRY_AFTER_SECONDS = 0.3
 """Retry-after for a stream of unknown origin; another router may know it."""
 
@@ -44,6 +38,7 @@
 
     RECORD = "record"
     PEER = "peer"
+    ARCHIVE = "archive"
     SOLE_VERSION = "sole_version"
     UNKNOWN = "unknown"
 
@@ -54,8 +49,9 @@
     Args:
         origins: Known origins of streams.
         lookup: Asks other routers.
+        archive: Reads what the platform's store keeps.
         history: Versions that this router has seen.
-        follower: Tells as of when the platform confirmed the endpoints.
+        confirmation: Confirms the endpoints with the platform's store.
         metrics: Counts resumed streams.
         clock: Monotonic clock.
     """
@@ -65,15 +61,17 @@
         *,
         origins: StreamOrigins,
         lookup: StreamLookup,
+        archive: StreamArchive,
         history: VersionHistory,
-        follower: Follower,
+        confirmation: EndpointsConfirmation,
         metrics: ForwardMetrics,
         clock: Clock,
     ) -> None:
         self._origins = origins
         self._lookup = lookup
+        self._archive = archive
         self._history = history
-        self._follower = follower
+        self._confirmation = confirmation
         self._metrics = metrics
         self._clock = clock
 
@@ -113,7 +111,7 @@
     async def _look_up(
         self, *, request: ForwardRequest, route: ForwardRoute
     ) -> tuple[StreamOrigin, OriginSource]:
-        stream, started_at = request.resumes, self._clock()
+        stream = request.resumes
         histories: list[frozenset[SoftwareVersion]] = []
         if stream is not None:
             known = self._origins.find(stream=stream)
@@ -124,11 +122,15 @@
                 known = await self._ask(question)
             if known is not None:
                 return known, OriginSource.PEER
+            await self._archive.read()
+            known = self._origins.find(stream=stream)
+            if known is not None:
+                return known, OriginSource.ARCHIVE
             histories = question.histories
         sole = self._sole_version(route=route, histories=histories)
-        if sole is None or not await self._endpoints_confirmed(since=started_at):
+        # A router with older endpoints may not know a version that has begun streams.
+        if sole is None or not await self._confirmation.confirm():
             raise self._unknown(request=request, route=route)
-        # Confirmed endpoints may have brought another version.
         if sole != self._sole_version(route=route, histories=histories):
             raise self._unknown(request=request, route=route)
         return sole, OriginSource.SOLE_VERSION
@@ -155,17 +157,6 @@
             return None
         return StreamOrigin(service=service, version=next(iter(versions)))
 
-    async def _endpoints_confirmed(self, *, since: float) -> bool:
-        """Wait until the platform has confirmed the endpoints since a point in time.
-
-        A router with older endpoints may not know a version that has begun streams.
-        """
-        with anyio.move_on_after(MAX_WAIT_SECONDS - (self._clock() - since)):
-            while self._follower.confirmed_endpoints_age > self._clock() - since:
-                await anyio.sleep(CHECK_INTERVAL_SECONDS)
-            return True
-        return False
-
     def _unknown(
         self, *, request: ForwardRequest, route: ForwardRoute
     ) -> StreamOriginUnknown:
--- a/dotterelpaddle/streams/origins.py
+++ b/dotterelpaddle/streams/origins.py
@@ -70,10 +70,17 @@
 
 @dataclass(kw_only=True, slots=True)
 class _Known:
-    """A known origin, and when it expires (monotonic clock)."""
+    """A known origin.
+
+    Attributes:
+        origin: The origin.
+        until: When it expires, seconds on the monotonic clock.
+        number: Number of the record in the order in which records became known.
+    """
 
     origin: StreamOrigin
     until: float
+    number: int
 
 
 class StreamOrigins:
@@ -86,6 +93,7 @@
     def __init__(self, *, clock: Clock) -> None:
         self._clock = clock
         self._known: dict[RequestId, _Known] = {}
+        self._added = 0
         self._own_reports_left: dict[RequestId, int] = {}
         self._forwarded_reports_left: dict[RequestId, int] = {}
         self._watchers: dict[RequestId, list[anyio.Event]] = {}
@@ -95,11 +103,6 @@
         """Number of streams whose origin is known."""
         return len(self._known)
 
-    @property
-    def records(self) -> list[StreamRecord]:
-        """The records of all streams that may still be resumed."""
-        return [self._record(stream) for stream in self._known]
-
     def find(self, *, stream: RequestId) -> StreamOrigin | None:
         """Return the origin of a stream, None if unknown."""
         known = self._known.get(stream)
@@ -109,6 +112,22 @@
         """Return the record of a stream, None if unknown."""
         return self._record(stream) if stream in self._known else None
 
+    def added_after(self, *, count: int) -> tuple[list[StreamRecord], int]:
+        """Return the records that became known later than some number of others.
+
+        Args:
+            count: Number of the records that became known first and are left out.
+
+        Returns:
+            The records, and the number of all that became known until now.
+        """
+        added = []
+        for stream, known in reversed(self._known.items()):
+            if known.number <= count:
+                break
+            added.append(self._record(stream))
+        return added, self._added
+
     def begin(self, *, record: StreamRecord) -> None:
         """Record a stream whose first event this router is about to pass on."""
         if self._add(record):
@@ -172,7 +191,10 @@
             oldest = next(iter(self._known))
             del self._known[oldest]
             log.warning("stream_forgotten", stream=oldest, known=MAX_STREAMS)
-        self._known[record.stream] = _Known(origin=record.origin, until=until)
+        self._added += 1
+        self._known[record.stream] = _Known(
+            origin=record.origin, until=until, number=self._added
+        )
         for event in self._watchers.get(record.stream, ()):
             event.set()
         return True
--- /dev/null
+++ b/dotterelpaddle/streams/rows.py
@@ -0,0 +1,83 @@
+"""Formats of the rows that keep records of streams in the platform's store.
+
+Rows with records have keys that repeat: each overwrites one whose streams have ended.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+import orjson
+
+from dotterelpaddle.exceptions import ControlError
+from dotterelpaddle.ids import ServiceName, SoftwareVersion
+from dotterelpaddle.streams.messages import decode_records, encode_records
+from dotterelpaddle.streams.origins import MAX_STREAM_SECONDS
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Mapping
+
+    from dotterelpaddle.forwarding.store_clock import StoreTime
+    from dotterelpaddle.streams.origins import StreamRecord
+
+VERSIONS_KEY = "versions"
+"""Key of the row with the versions of each service."""
+
+Versions = dict[ServiceName, frozenset[SoftwareVersion]]
+
+
+def records_key(*, time: StoreTime, interval: float, part: int) -> str:
+    """Return the key of a row with records.
+
+    Args:
+        time: When the row is written.
+        interval: Seconds between two writes.
+        part: Number of the row among those of one write.
+    """
+    key_count = round(MAX_STREAM_SECONDS / interval) + 1
+    return f"records-{int(time.seconds / interval) % key_count:03}-{part}"
+
+
+def encode_records_row(*, records: Iterable[StreamRecord]) -> bytes:
+    """Encode records."""
+    return orjson.dumps(encode_records(records=records))
+
+
+def decode_records_row(*, row: bytes) -> tuple[StreamRecord, ...]:
+    """Decode records.
+
+    Raises:
+        ControlError: If the row is malformed.
+    """
+    try:
+        return decode_records(fields=orjson.loads(row))
+    except (orjson.JSONDecodeError, TypeError, ValueError) as error:
+        raise ControlError(f"row has no records of streams: {error!r}") from error
+
+
+def encode_versions_row(
+    *, versions: Mapping[ServiceName, frozenset[SoftwareVersion]]
+) -> bytes:
+    """Encode the versions of each service."""
+    return orjson.dumps(
+        {service: sorted(each) for service, each in versions.items()},
+        option=orjson.OPT_SORT_KEYS,
+    )
+
+
+def decode_versions_row(*, row: bytes) -> Versions:
+    """Decode the versions of each service.
+
+    Raises:
+        ControlError: If the row is malformed.
+    """
+    try:
+        fields: Any = orjson.loads(row)
+        return {
+            ServiceName(service): frozenset(
+                SoftwareVersion(str(version)) for version in versions
+            )
+            for service, versions in fields.items()
+        }
+    except (orjson.JSONDecodeError, AttributeError, TypeError) as error:
+        raise ControlError(f"row has no versions: {error!r}") from error
--- a/dotterelpaddle/streams/version_history.py
+++ b/dotterelpaddle/streams/version_history.py
@@ -11,6 +11,8 @@
 from dotterelpaddle.streams.origins import MAX_STREAM_SECONDS, StreamOrigin
 
 if TYPE_CHECKING:
+    from collections.abc import Mapping
+
     from dotterelpaddle.clock import Clock
     from dotterelpaddle.forwarding.model import EndpointEntry
     from dotterelpaddle.forwarding.view import FleetView
@@ -48,6 +50,19 @@
             origin.version for origin in origins if origin.service == service
         )
 
+    def restore(
+        self, *, versions: Mapping[ServiceName, frozenset[SoftwareVersion]]
+    ) -> None:
+        """Add the versions that services had before this router started.
+
+        The history then goes back as far as that of the router which recorded them.
+        """
+        now = self._clock()
+        for service, restored in versions.items():
+            for version in restored:
+                self._gone_at[StreamOrigin(service=service, version=version)] = now
+        self._since = float("-inf")
+
     def refresh(self) -> None:
         """Record removed endpoints, and forget versions that are gone for long."""
         now = self._clock()
--- a/dotterelpaddle/tests/forwarding/harness.py
+++ b/dotterelpaddle/tests/forwarding/harness.py
@@ -162,6 +162,7 @@
                 settings=settings,
                 dependencies=Dependencies(
                     source=source,
+                    stream_store=source,
                     protocols=PlatformCodec(),
                     documents=PlatformDocumentDecoder(),
                     cache_reader=EngineCacheReader(links=links),
--- /dev/null
+++ b/dotterelpaddle/tests/forwarding/test_versions_soak.py
@@ -0,0 +1,114 @@
+"""Streams of two versions over their callers' tries, at real router processes.
+
+The environment variable VERSIONS_SEEDS sets the first seed, the number of seeds and the
+number of routers, such as "1 50 4"; VERSIONS_SOURCES names directories with the
+releases that the first routers run, separated by colons.
+"""
+
+from __future__ import annotations
+
+import os
+from typing import TYPE_CHECKING
+
+import anyio
+import pytest
+
+from dotterelpaddle.tests.forwarding.versions_world import run_versions_world
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+    from pathlib import Path
+
+    from dotterelpaddle.tests.forwarding.versions_world import VersionsWorld
+
+pytestmark = pytest.mark.anyio
+
+FIRST_SEED, SEED_COUNT, ROUTERS = (
+    int(each) for each in os.environ.get("VERSIONS_SEEDS", "1 1 3").split()
+)
+SOURCES = tuple(filter(None, os.environ.get("VERSIONS_SOURCES", "").split(":")))
+SEEDS = range(FIRST_SEED, FIRST_SEED + SEED_COUNT)
+
+CALLERS = 40
+MAX_MIXED_STREAMS = 0
+MIN_SHARE_OF_NEW_STREAMS = 0.5
+"""Streams taken up go on at least half as often as new ones begin."""
+
+FROZEN_SECONDS = 1.5
+
+
+async def callers_hang_up(world: VersionsWorld) -> None:
+    await anyio.sleep(3.0)
+
+
+async def endpoints_break_streams(world: VersionsWorld) -> None:
+    for _ in range(8):
+        world.break_streams()
+        await anyio.sleep(0.4)
+
+
+async def routers_are_killed_in_turn(world: VersionsWorld) -> None:
+    for router in world.routers:
+        await anyio.sleep(world.generator.uniform(0.3, 1.0))
+        await world.kill(router)
+
+
+async def all_routers_are_killed_at_once(world: VersionsWorld) -> None:
+    for _ in range(2):
+        await anyio.sleep(world.generator.uniform(1.2, 2.0))
+        await world.kill(*world.routers)
+
+
+async def routers_freeze_in_turn(world: VersionsWorld) -> None:
+    for router in world.routers:
+        await anyio.sleep(world.generator.uniform(0.3, 1.0))
+        await world.freeze(router, seconds=FROZEN_SECONDS)
+
+
+async def routers_are_released(world: VersionsWorld) -> None:
+    for router in world.routers:
+        await anyio.sleep(world.generator.uniform(0.1, 0.5))
+        await world.stop(router)
+
+
+async def endpoints_are_released(world: VersionsWorld) -> None:
+    """Replace the endpoints of one version while routers are killed."""
+    for number in range(3):
+        await world.add_runner("v1.2")
+        await anyio.sleep(0.4)
+        world.store.remove(table="servers", key=world.runners[2 * number].name)
+        await world.kill(world.routers[number % len(world.routers)])
+
+
+SCENES = [
+    callers_hang_up,
+    endpoints_break_streams,
+    routers_are_killed_in_turn,
+    all_routers_are_killed_at_once,
+    routers_freeze_in_turn,
+    routers_are_released,
+    endpoints_are_released,
+]
+
+
+# Guards against streams that go on at another version over their callers' tries, and
+# against refusing them instead.
+@pytest.mark.parametrize("scene", SCENES, ids=lambda scene: scene.__name__)
+@pytest.mark.parametrize("seed", SEEDS)
+async def test_streams_go_on_at_the_version_that_began_them(
+    seed: int, scene: Callable[[VersionsWorld], Awaitable[None]], tmp_path: Path
+) -> None:
+    hang_up_share = 0.4 if scene is callers_hang_up else 0.05
+    async with run_versions_world(
+        directory=tmp_path, seed=seed, routers=ROUTERS, sources=SOURCES
+    ) as world:
+        world.start_callers(count=CALLERS, hang_up_share=hang_up_share)
+        await scene(world)
+        await world.finish()
+        counts = world.counts
+
+    print(scene.__name__, seed, counts)
+    assert counts.mixed <= MAX_MIXED_STREAMS, counts
+    assert counts.taken_up
+    required = MIN_SHARE_OF_NEW_STREAMS * counts.begun_share
+    assert counts.gone_on_share >= required, counts
--- a/dotterelpaddle/tests/memory_http.py
+++ b/dotterelpaddle/tests/memory_http.py
@@ -48,7 +48,13 @@
     async def __aexit__(self, *_: object) -> None:
         return None
 
-    async def request(self, method: str, url: httpcore.URL) -> httpcore.Response:
+    async def request(
+        self,
+        method: str,
+        url: httpcore.URL,
+        headers: list[tuple[bytes, bytes]] | None = None,
+        content: bytes = b"",
+    ) -> httpcore.Response:
         """Send a request; one that gets lost has no answer."""
         host, port = url.host.decode(), url.port or 0
         if self._is_cut is not None and self._is_cut(host, port):
@@ -60,9 +66,14 @@
             "method": method,
             "path": path.decode(),
             "query_string": query,
+            "headers": headers or [],
         }
+
+        async def receive() -> dict[str, Any]:
+            return {"type": "http.request", "body": content}
+
         answer = _Answer()
-        await self._http.apps[host, port](scope, None, answer.send)
+        await self._http.apps[host, port](scope, receive, answer.send)
         await anyio.sleep(ONE_WAY_SECONDS)
         response = httpcore.Response(
             answer.status, headers=answer.headers, content=bytes(answer.body)
--- a/dotterelpaddle/tests/owners/hosts.py
+++ b/dotterelpaddle/tests/owners/hosts.py
@@ -118,6 +118,7 @@
     cold_bounds: ColdBounds | None = None,
     protocols: Any = None,
     source: Any = None,
+    stream_store: Any = None,
     documents: Any = None,
 ) -> Components:
     """Build a router's components, without endpoints.
@@ -133,6 +134,7 @@
         cold_bounds: Bounds on the rate of cold endpoints, None for no bound.
         protocols: Translates requests and answers, None without any.
         source: Store of configuration and endpoints, None without any.
+        stream_store: Keeps records of streams, None for none.
         documents: Decodes the documents of the store, None without any.
     """
     unused: Any = None
@@ -155,6 +157,7 @@
         ),
         dependencies=Dependencies(
             source=source,
+            stream_store=stream_store,
             protocols=protocols,
             documents=documents,
             cache_reader=unused,
--- a/dotterelpaddle/tests/peers/updates.py
+++ b/dotterelpaddle/tests/peers/updates.py
@@ -129,6 +129,7 @@
             clock=anyio.current_time,
             first_start=True,
             source=source,
+            stream_store=source,
             documents=documents,
         )
         parts.fetcher._pool = MemoryPool(http=self.http)  # type: ignore[assignment]
@@ -143,6 +144,7 @@
             tasks.start_soon(parts.exchange.run, datagrams, host.address)
             tasks.start_soon(parts.follower.run)
             tasks.start_soon(parts.fetcher.run)
+            tasks.start_soon(parts.stream_archive.run)
 
     def _send_datagram(self, datagram: bytes, sender: Router, target: Address) -> None:
         host = self._by_address.get(target)
--- a/dotterelpaddle/tests/platform/test_store.py
+++ b/dotterelpaddle/tests/platform/test_store.py
@@ -1,4 +1,4 @@
-"""Tests reading a store that comes back from a copy, against the store's stand-in."""
+"""Tests calling the store, also one that comes back from a copy, at its stand-in."""
 
 from __future__ import annotations
 
@@ -8,12 +8,16 @@
 import anyio
 import pytest
 
-from dotterelpaddle.exceptions import HistoryLost, PlatformUnavailable
+from dotterelpaddle.exceptions import (
+    HistoryLost,
+    PlatformAnswerLost,
+    PlatformUnavailable,
+)
 from dotterelpaddle.links import Links
 from dotterelpaddle.platform.documents import PlatformDocumentDecoder
 from dotterelpaddle.platform.names import Table
 from dotterelpaddle.platform.store import StoreSource
-from dotterelpaddle.standins.store import StoreStandin, run_store
+from dotterelpaddle.standins.store import Cutting, Refusing, StoreStandin, run_store
 from dotterelpaddle.tests.platform.test_protocols import ENTRY
 from dotterelpaddle.tests.revisions import revision_at
 
@@ -106,3 +110,30 @@
 
         with pytest.raises(PlatformUnavailable, match="era .* is b'-1', not a number"):
             await source.endpoints()
+
+
+async def test_rows_of_streams_round_trip() -> None:
+    store = StoreStandin(page_rows=1)
+    rows = {"versions": b"{}", "records-000-0": b"[]"}
+    async with _running(store) as source:
+        await source.put_stream_rows(rows=rows)
+
+        assert await source.stream_rows() == rows
+
+
+async def test_refused_write_is_no_success() -> None:
+    store = StoreStandin()
+    async with _running(store) as source:
+        store.condition = Refusing(status=429)
+
+        with pytest.raises(PlatformUnavailable, match="429"):
+            await source.put_stream_rows(rows={"versions": b"{}"})
+
+
+async def test_write_without_an_answer_may_have_taken_effect() -> None:
+    store = StoreStandin()
+    async with _running(store) as source:
+        store.condition = Cutting()
+
+        with pytest.raises(PlatformAnswerLost):
+            await source.put_stream_rows(rows={"versions": b"{}"})
