Tell a router that has just started which requests crash endpoints, before its first request

Crashes are told again every two seconds only, while a router serves as soon as it knows configuration and endpoints.

--- a/dotterelpaddle/forwarding/components.py
+++ b/dotterelpaddle/forwarding/components.py
@@ -286,7 +286,9 @@
         clock=clock,
     )
     filters = (
-        RouteFilter(view=state.view, generator=generator),
+        RouteFilter(
+            view=state.view, introduction=state.introduction, generator=generator
+        ),
         DeadlineFilter(clock=clock),
         ResumptionFilter(finder=stream_finder),
         ForwardFilter(
@@ -320,6 +322,7 @@
             totals=state.totals,
             caches=state.caches,
             crashes=state.crashes,
+            introduction=state.introduction,
             directory=directory,
             plan=plan,
             follower=follower,
--- /dev/null
+++ b/dotterelpaddle/forwarding/crash_note.py
@@ -0,0 +1,37 @@
+"""What routers report to each other of requests during which endpoints crashed."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from dotterelpaddle.ids import EndpointId, Fingerprint
+
+
+class NoteKind(Enum):
+    """Kind of event that a note reports."""
+
+    ENDED = "ended"
+    TRIED = "tried"
+    SERVED = "served"
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class CrashNote:
+    """An event of a request, as one router reports it to others.
+
+    Attributes:
+        kind: Kind of event.
+        fingerprint: Fingerprint of the request.
+        endpoint: Incarnation that crashed or runs an attempt; None if served.
+        age: Seconds since the event.
+        begun: Whether the answer had begun at the endpoint, without any output yet.
+    """
+
+    kind: NoteKind
+    fingerprint: Fingerprint
+    endpoint: EndpointId | None = None
+    age: float = 0.0
+    begun: bool = False
--- a/dotterelpaddle/forwarding/crashes.py
+++ b/dotterelpaddle/forwarding/crashes.py
@@ -8,11 +8,11 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
-from enum import Enum
 from typing import TYPE_CHECKING
 
 from dotterelpaddle.exceptions import RequestBlocked
 from dotterelpaddle.forwarding.crash_causes import Suspicion, find_causes
+from dotterelpaddle.forwarding.crash_note import CrashNote, NoteKind
 from dotterelpaddle.forwarding.report_state import ReportState
 from dotterelpaddle.logs import get_logger
 
@@ -55,32 +55,8 @@
 MAX_NOTES_PER_REPORT = 12
 """Maximum number of notes in one report, 0.7 KB."""
 
-
-class NoteKind(Enum):
-    """Kind of event that a note reports."""
-
-    ENDED = "ended"
-    TRIED = "tried"
-    SERVED = "served"
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class CrashNote:
-    """An event of a request, as one router reports it to others.
-
-    Attributes:
-        kind: Kind of event.
-        fingerprint: Fingerprint of the request.
-        endpoint: Incarnation that crashed or runs an attempt; None if served.
-        age: Seconds since the event.
-        begun: Whether the answer had begun at the endpoint, without any output yet.
-    """
-
-    kind: NoteKind
-    fingerprint: Fingerprint
-    endpoint: EndpointId | None = None
-    age: float = 0.0
-    begun: bool = False
+MAX_NOTES_FOR_NEW_ROUTER = 36
+"""Maximum number of notes in the report to a router that has just started."""
 
 
 @dataclass(kw_only=True, slots=True)
@@ -234,6 +210,13 @@
             each.event.report_state.mark_reported(now=now)
         return [each.note(now=now) for each in reported]
 
+    def notes_for_new_router(self) -> list[CrashNote]:
+        """Return the notes for a router that has just started and knows none."""
+        now = self._clock()
+        self._expire(now=now)
+        known = sorted(self._events(), key=lambda each: each.crash_count, reverse=True)
+        return [each.note(now=now) for each in known[:MAX_NOTES_FOR_NEW_ROUTER]]
+
     def _apply_crash(
         self, fingerprint: Fingerprint, endpoint: EndpointId, event: _Event
     ) -> None:
--- a/dotterelpaddle/forwarding/filters.py
+++ b/dotterelpaddle/forwarding/filters.py
@@ -35,6 +35,7 @@
     from dotterelpaddle.forwarding.model import ForwardRoute
     from dotterelpaddle.forwarding.relays import Relay
     from dotterelpaddle.forwarding.retry_budget import RetryBudget
+    from dotterelpaddle.forwarding.startup import Startup
     from dotterelpaddle.forwarding.view import FleetView
     from dotterelpaddle.ids import ServiceName
     from dotterelpaddle.streams.origins import StreamOrigins
@@ -56,11 +57,15 @@
 
     Args:
         view: Provides the active configuration.
+        introduction: Ends once another router has told what it knows.
         generator: Random generator that splits requests among the services of a route.
     """
 
-    def __init__(self, *, view: FleetView, generator: random.Random) -> None:
+    def __init__(
+        self, *, view: FleetView, introduction: Startup, generator: random.Random
+    ) -> None:
         self._view = view
+        self._introduction = introduction
         self._generator = generator
 
     async def __call__(
@@ -74,6 +79,7 @@
             NotAuthenticated: If the key is missing or unknown.
         """
         await self._view.wait_until_complete()
+        await self._introduction.wait()
         configuration = self._view.configuration
         if configuration is None:
             raise NotAccepting(
--- a/dotterelpaddle/forwarding/shared_state.py
+++ b/dotterelpaddle/forwarding/shared_state.py
@@ -17,6 +17,7 @@
 from dotterelpaddle.forwarding.loads import LoadTracker
 from dotterelpaddle.forwarding.request_totals import TotalsTracker
 from dotterelpaddle.forwarding.retry_budget import RetryBudget
+from dotterelpaddle.forwarding.startup import Startup
 from dotterelpaddle.forwarding.store_clock import StoreClock
 from dotterelpaddle.forwarding.view import FleetView
 from dotterelpaddle.peers.directory import PeerDirectory
@@ -45,6 +46,8 @@
         cold: Limits for endpoints that have just started.
         caches: Prompt parts that each endpoint has cached.
         crashes: Requests that were running when endpoints crashed.
+        introduction: Lets the first requests after a start wait for what other routers
+            know of such requests.
         retry_budget: Limits the retries of all routers.
         directory: The other routers.
         stream_origins: Where the streams that callers may resume began.
@@ -62,6 +65,7 @@
     cold: ColdEndpoints
     caches: CacheMap
     crashes: CrashTracker
+    introduction: Startup
     retry_budget: RetryBudget
     directory: PeerDirectory
     stream_origins: StreamOrigins
@@ -79,6 +83,10 @@
     if settings.first_start:
         # On the first start of the whole fleet no endpoint has cached anything.
         caches.mark_populated()
+    introduction = Startup(clock=clock)
+    if settings.first_start or not settings.seeds:
+        # No other router can know of earlier crashes.
+        introduction.end()
     directory = PeerDirectory(
         own=PeerInfo(
             router=settings.router,
@@ -128,6 +136,7 @@
         ),
         caches=caches,
         crashes=CrashTracker(clock=clock),
+        introduction=introduction,
         retry_budget=RetryBudget(
             limits=settings.retry_limits,
             routers=lambda: fleet_size.count,
--- a/dotterelpaddle/peers/crash_notes.py
+++ b/dotterelpaddle/peers/crash_notes.py
@@ -7,7 +7,7 @@
 
 from typing import TYPE_CHECKING, Any
 
-from dotterelpaddle.forwarding.crashes import CrashNote, NoteKind
+from dotterelpaddle.forwarding.crash_note import CrashNote, NoteKind
 from dotterelpaddle.ids import EndpointId, Fingerprint
 
 if TYPE_CHECKING:
--- a/dotterelpaddle/peers/exchange.py
+++ b/dotterelpaddle/peers/exchange.py
@@ -41,6 +41,7 @@
     from dotterelpaddle.forwarding.reachability import Reachability
     from dotterelpaddle.forwarding.request_totals import TotalsTracker
     from dotterelpaddle.forwarding.retry_budget import RetryBudget
+    from dotterelpaddle.forwarding.startup import Startup
     from dotterelpaddle.forwarding.use_queue import PartUse
     from dotterelpaddle.forwarding.view import FleetView
     from dotterelpaddle.owners.exchange import OwnerExchange
@@ -91,6 +92,7 @@
         totals: Totals that other routers sent.
         caches: Prompt parts that endpoints have cached.
         crashes: Requests during which endpoints crashed.
+        introduction: Ends once another router has told what it knows.
         directory: The other routers.
         plan: Chooses the recipients of reports.
         follower: Tells as of when the platform confirmed the data.
@@ -111,6 +113,7 @@
         totals: TotalsTracker,
         caches: CacheMap,
         crashes: CrashTracker,
+        introduction: Startup,
         directory: PeerDirectory,
         plan: ReportPlan,
         follower: Follower,
@@ -128,6 +131,7 @@
         self._totals = totals
         self._caches = caches
         self._crashes = crashes
+        self._introduction = introduction
         self._directory = directory
         self._plan = plan
         self._follower = follower
@@ -327,8 +331,11 @@
     async def _send_answer(
         self, socket: DatagramSocket, control: Address, address: Address
     ) -> None:
-        """Send a router a report with a list of peers at once."""
-        answer = self._build_report(control=control, peers=self._peers_to_list())
+        """Send a router a report at once, with what a router lacks after its start."""
+        answer = replace(
+            self._build_report(control=control, peers=self._peers_to_list()),
+            crashes=tuple(self._crashes.notes_for_new_router()),
+        )
         await socket.send(encode_report(report=answer), address)
 
     def _apply_report(self, *, report: PeerReport, address: Address) -> bool:
@@ -351,6 +358,7 @@
         origin = self._origin(report=report)
         self._caches.receive(uses=report.uses, forward_as=origin)
         self._crashes.receive(notes=report.crashes, forward=origin is not None)
+        self._introduction.end()
         self._stream_origins.receive(
             records=report.streams, forward=origin is UseOrigin.SAME_DOMAIN
         )
--- a/dotterelpaddle/tests/forwarding/test_crash_incident.py
+++ b/dotterelpaddle/tests/forwarding/test_crash_incident.py
@@ -20,6 +20,7 @@
 
 from dotterelpaddle.tests.forwarding.crash_callers import CALL_TIMEOUT_SECONDS, Callers
 from dotterelpaddle.tests.forwarding.crash_world import (
+    CULPRIT,
     DISCOVERY_SECONDS,
     MIN_STABLE_SECONDS,
     CrashWorld,
@@ -195,3 +196,29 @@
         await anyio.sleep(world.dice.expovariate(25 / 20.0))
         if len(world.live) > 1:
             world.end_engine(engine=world.dice.choice(world.live))
+
+
+# Guards against the first requests of a router that has just started and does not know
+# yet which requests crash endpoints.
+@pytest.mark.parametrize("number", [1, 5, 8])
+def test_router_that_has_just_started_knows_what_is_blocked(number: int) -> None:
+    statuses: list[int] = []
+
+    async def _restart(world: CrashWorld, callers: Callers) -> None:
+        path = f"/stream/again/{CULPRIT}"
+        while len(world.ended.get(path, ())) < 3:
+            await callers.call(path)
+        await anyio.sleep(MIN_STABLE_SECONDS)
+        host = world.hosts[number]
+        host.stopping.set()
+        while host.parts is not None:
+            await anyio.sleep(0.01)
+        while host.parts is None:
+            await anyio.sleep(0.01)
+        answer = await callers.call(path, router=number)
+        statuses.append(answer.status)
+
+    world, _ = _run_script(_restart, seed=7)
+
+    assert statuses == [503]
+    assert world.culprits_later_than(seconds=MIN_STABLE_SECONDS) == 0
--- a/dotterelpaddle/tests/peers/test_messages.py
+++ b/dotterelpaddle/tests/peers/test_messages.py
@@ -8,7 +8,7 @@
 
 from dotterelpaddle.address import Address
 from dotterelpaddle.exceptions import ControlError
-from dotterelpaddle.forwarding.crashes import CrashNote, NoteKind
+from dotterelpaddle.forwarding.crash_note import CrashNote, NoteKind
 from dotterelpaddle.forwarding.evacuations import EvacuationSnapshot
 from dotterelpaddle.forwarding.leaving import LeavingNotice
 from dotterelpaddle.forwarding.request_totals import (
