Tell a router that has just started which endpoints leave, before its first request

Same cause as of requests that crash endpoints while routers stop: what a router must know is told again every two seconds only. A router that started sent requests to an endpoint that had said in an answer that it leaves, until that endpoint said it again or the notice came.

Run before: test_router_that_has_just_started_knows_who_leaves, 2 == 1 requests received. After: passes.

--- a/dotterelpaddle/forwarding/leaving.py
+++ b/dotterelpaddle/forwarding/leaving.py
@@ -142,12 +142,23 @@
             for endpoint, record in self._records.items()
             if record.report_state.is_due(now=now, interval=RESEND_INTERVAL_SECONDS)
         ]
-        due.sort(key=lambda item: item[1].at, reverse=True)
-        for _, record in due[:MAX_NOTICES_PER_REPORT]:
+        reported = _latest(due)
+        for _, record in reported:
             record.report_state.mark_reported(now=now)
+        return self._notices(reported)
+
+    def notices_for_new_router(self) -> tuple[LeavingNotice, ...]:
+        """Return the notices for a router that has just started and knows none."""
+        self._expire(now=self._clock())
+        return self._notices(_latest(list(self._records.items())))
+
+    def _notices(
+        self, records: list[tuple[EndpointId, _LeavingRecord]]
+    ) -> tuple[LeavingNotice, ...]:
+        now = self._clock()
         return tuple(
             LeavingNotice(endpoint=endpoint, since=record.since, age=now - record.at)
-            for endpoint, record in due[:MAX_NOTICES_PER_REPORT]
+            for endpoint, record in records
         )
 
     def _add(
@@ -167,3 +178,11 @@
         for endpoint, record in tuple(self._records.items()):
             if now - record.at > RETENTION_SECONDS:
                 del self._records[endpoint]
+
+
+def _latest(
+    records: list[tuple[EndpointId, _LeavingRecord]],
+) -> list[tuple[EndpointId, _LeavingRecord]]:
+    """Return the latest records, as many as fit into a report."""
+    latest = sorted(records, key=lambda item: item[1].at, reverse=True)
+    return latest[:MAX_NOTICES_PER_REPORT]
--- a/dotterelpaddle/peers/exchange.py
+++ b/dotterelpaddle/peers/exchange.py
@@ -335,6 +335,7 @@
         answer = replace(
             self._build_report(control=control, peers=self._peers_to_list()),
             crashes=tuple(self._crashes.notes_for_new_router()),
+            leaving_endpoints=self._view.leaving.notices_for_new_router(),
         )
         await socket.send(encode_report(report=answer), address)
 
--- a/dotterelpaddle/tests/forwarding/test_leaving_incident.py
+++ b/dotterelpaddle/tests/forwarding/test_leaving_incident.py
@@ -10,6 +10,7 @@
 
 from typing import TYPE_CHECKING
 
+import anyio
 import pytest
 
 from dotterelpaddle.ids import EndpointId, ServiceName
@@ -23,6 +24,9 @@
 
 pytestmark = pytest.mark.anyio
 
+NOTICES_SECONDS = 1.0
+"""Seconds after which notices have been told to all routers, and not again yet."""
+
 ANSWERS: list[tuple[str, list[Behaviour]]] = [
     ("/unsafe/", []),
     ("/stream/x", []),
@@ -131,3 +135,19 @@
     assert {answer.status for answer in first} == {200}
     assert last.status == 503
     assert received == sent
+
+
+# Guards against the first requests of a router that has just started and does not know
+# yet which endpoints have said in an answer that they leave.
+async def test_router_that_has_just_started_knows_who_leaves() -> None:
+    async with run_fleet(runners=2, routers=2) as fleet:
+        leaving = fleet.runners["runner-1"]
+        leaving.leaving = True
+        await _call_until_reached(fleet, "/safe/1", "runner-1")
+        await anyio.sleep(NOTICES_SECONDS)
+        before = len(leaving.received)
+        await fleet.add_router(first_start=False)
+        for _ in range(10):
+            assert (await fleet.call("/safe/1", router=2)).status == 200
+
+    assert len(leaving.received) == before
