Send brittle endpoints no more than they have room for, and let callers wait for a place

Some were rejected at the first moment, and those routers sent nothing for a second, longer than their callers kept coming.

Fix: a router keeps no more in flight than its part of the places, so that nobody is rejected by intent and nobody pauses. A request beyond that waits for a place of its router, in order, for half of the latency objective at most; no more wait than are in flight.

A test asked for the old division. It is replaced by one that lets no router send more than before.

--- a/dotterelpaddle/forwarding/brittle.py
+++ b/dotterelpaddle/forwarding/brittle.py
@@ -1,9 +1,10 @@
 """Endpoints that end if they have to reject too many requests within a second.
 
 Such endpoints say so in all their answers, with the number of rejections that they
-bear. The bound holds for all routers together, so that it is divided among them: each
-keeps no more requests in flight than its part of what an endpoint has room for and may
-reject, and after a rejection sends nothing for a while.
+bear. The bound holds for all routers together. Each keeps no more requests in flight
+than its part of what an endpoint has room for, so that none is rejected. Where routers
+outnumber the places each still sends one request at a time. After a rejection, which
+then shows that somebody holds more than a part, a router sends nothing for a while.
 """
 
 from __future__ import annotations
@@ -47,6 +48,11 @@
         self._router_count = router_count
         self._limits: dict[EndpointId, int] = {}
 
+    @property
+    def any_known(self) -> bool:
+        """Whether this router knows any brittle endpoint."""
+        return bool(self._limits)
+
     def record_answer(
         self, *, endpoint: EndpointId, limit: int | None, rejected: bool
     ) -> None:
@@ -75,7 +81,7 @@
         if limit is None:
             return True
         routers = self._router_count()
-        allowed = 1 if routers is None else max(1, (entry.slots + limit) // routers)
+        allowed = 1 if routers is None else max(1, entry.slots // routers)
         return self._in_flight().get(entry.endpoint, 0) < allowed
 
     def _backoff_seconds(self, limit: int) -> float:
--- a/dotterelpaddle/forwarding/components.py
+++ b/dotterelpaddle/forwarding/components.py
@@ -22,6 +22,7 @@
 from dotterelpaddle.forwarding.placement import ForwardPlacer
 from dotterelpaddle.forwarding.reachability import Reachability
 from dotterelpaddle.forwarding.residency import ResidencyPolicy
+from dotterelpaddle.forwarding.room import RoomFilter
 from dotterelpaddle.forwarding.shared_state import SharedState, build_shared_state
 from dotterelpaddle.forwarding.termination_probes import TerminationProber
 from dotterelpaddle.forwarding.timeouts import TimeoutEstimator
@@ -291,6 +292,7 @@
         ),
         DeadlineFilter(clock=clock),
         ResumptionFilter(finder=stream_finder),
+        RoomFilter(view=state.view, brittle=state.brittle, loads=state.loads),
         ForwardFilter(
             attempts=attempts,
             client=client,
--- a/dotterelpaddle/forwarding/loads.py
+++ b/dotterelpaddle/forwarding/loads.py
@@ -50,7 +50,7 @@
     def __init__(self, *, totals: TotalsTracker) -> None:
         self._totals = totals
         self._own: Counter[EndpointId] = Counter()
-        self._observer: Callable[[EndpointId, int], None] | None = None
+        self._observers: list[Callable[[EndpointId, int], None]] = []
         self._own_queued_tokens: Counter[EndpointId] = Counter()
 
     @property
@@ -69,8 +69,8 @@
         return self._totals.router_count
 
     def on_change(self, observer: Callable[[EndpointId, int], None]) -> None:
-        """Set the observer called for each request that starts (1) or ends (-1)."""
-        self._observer = observer
+        """Add an observer called for each request that starts (1) or ends (-1)."""
+        self._observers.append(observer)
 
     @contextmanager
     def track(
@@ -96,8 +96,8 @@
 
     def _change(self, endpoint: EndpointId, count: int) -> None:
         _add(self._own, endpoint, count)
-        if self._observer is not None:
-            self._observer(endpoint, count)
+        for observer in self._observers:
+            observer(endpoint, count)
 
     def loads(self) -> Counter[EndpointId]:
         """Requests in flight by endpoint, as far as this router knows."""
--- a/dotterelpaddle/tests/forwarding/test_sensitive_endpoints.py
+++ b/dotterelpaddle/tests/forwarding/test_sensitive_endpoints.py
@@ -85,11 +85,14 @@
         self.brittle.record_answer(endpoint=ENDPOINT, limit=limit, rejected=rejected)
 
 
-def test_routers_divide_what_a_brittle_endpoint_bears() -> None:
-    router = Router(routers=4)
+# Guards against routers that together send more than a brittle endpoint has room for,
+# are rejected, and then serve none of their callers for a second.
+@pytest.mark.parametrize("routers", [1, 2, 4, 6, 9])
+def test_routers_divide_the_room_of_a_brittle_endpoint(routers: int) -> None:
+    router = Router(routers=routers)
     router.answer()
 
-    assert router.room() == (6 + 6) // 4
+    assert router.room() == max(1, 6 // routers)
 
 
 # Guards against a router that has just started and takes itself for the only one.
