Check the role of the writer of streams seldom, and look its services up once

Each router woke 6.7 times a second for a role that one of them has, and that one went through all routes of the configuration twice each time. Found in reading; no measurement was made.

--- a/dotterelpaddle/streams/archive.py
+++ b/dotterelpaddle/streams/archive.py
@@ -27,6 +27,7 @@
     from collections.abc import Callable, Mapping
 
     from dotterelpaddle.clock import Clock
+    from dotterelpaddle.forwarding.model import FleetConfiguration
     from dotterelpaddle.forwarding.store_clock import StoreClock
     from dotterelpaddle.forwarding.view import FleetView
     from dotterelpaddle.ids import ServiceName, SoftwareVersion
@@ -39,6 +40,9 @@
 """Seconds between two writes. Streams that began since the last one are forgotten if
 all routers are lost."""
 
+ROLE_CHECK_SECONDS = 0.6
+"""Seconds after which a router that does not write checks whether it has to."""
+
 REWRITE_SECONDS = 30.0
 """Seconds after which the versions are written again without a change: the store may
 have come back from an older copy."""
@@ -98,6 +102,8 @@
         self._is_writer = is_writer
         self._store_clock = store_clock
         self._clock = clock
+        self._configuration: FleetConfiguration | None = None
+        self._services: tuple[ServiceName, ...] = ()
         self._read_lock = anyio.Lock()
         self._read_at = float("-inf")
         self._written_count = 0
@@ -111,10 +117,11 @@
         if self._store is None:
             return
         while True:
-            await anyio.sleep(WRITE_INTERVAL_SECONDS)
             if not self._is_writer():
                 self._begin_term()
+                await anyio.sleep(ROLE_CHECK_SECONDS)
                 continue
+            await anyio.sleep(WRITE_INTERVAL_SECONDS)
             try:
                 await self._write_due(store=self._store)
                 self._failing = False
@@ -181,16 +188,11 @@
     def _versions(self) -> dict[ServiceName, frozenset[SoftwareVersion]]:
         """Return the recent versions of the services with streams to resume."""
         configuration = self._view.configuration
-        routes = () if configuration is None else configuration.routes
-        services = {
-            each.service
-            for route in routes
-            if route.resumable
-            for each in route.services
-        }
+        if configuration is not self._configuration:
+            self._configuration = configuration
+            self._services = _resumable_services(configuration=configuration)
         return {
-            service: self._history.recent(service=service)
-            for service in sorted(services)
+            service: self._history.recent(service=service) for service in self._services
         }
 
     def _records_due(self) -> tuple[list[StreamRecord], int]:
@@ -233,3 +235,14 @@
         if not self._failing:
             log.warning("stream_archive_failing", cause=error.message, peer=error.peer)
         self._failing = True
+
+
+def _resumable_services(
+    *, configuration: FleetConfiguration | None
+) -> tuple[ServiceName, ...]:
+    """Return the services to which routes with resumable streams lead."""
+    routes = () if configuration is None else configuration.routes
+    services = {
+        each.service for route in routes if route.resumable for each in route.services
+    }
+    return tuple(sorted(services))
--- a/dotterelpaddle/tests/forwarding/versions_world.py
+++ b/dotterelpaddle/tests/forwarding/versions_world.py
@@ -109,6 +109,7 @@
     runners: list[RunnerStandin] = field(default_factory=list)
     counts: Counts = field(default_factory=Counts)
     calling: bool = True
+    _callers: int = 0
     _requests: int = 0
 
     async def add_runner(self, version: str) -> RunnerStandin:
@@ -202,9 +203,11 @@
 
     async def call(self, *, delay: float, hang_up_share: float) -> None:
         """Read one stream after the other, as a caller that comes back."""
+        self._callers += 1
         await anyio.sleep(delay)
         while self.calling:
             await self._read_stream(hang_up_share=hang_up_share)
+        self._callers -= 1
 
     def start_callers(self, *, count: int, hang_up_share: float = 0.0) -> None:
         """Start callers.
@@ -222,7 +225,8 @@
     async def finish(self) -> None:
         """Let all callers finish their streams."""
         self.calling = False
-        await anyio.sleep(TIME_LEFT_SECONDS)
+        while self._callers:
+            await anyio.sleep(0.02)
 
     async def _read_stream(self, *, hang_up_share: float) -> None:
         counts, deadline = self.counts, anyio.current_time() + TIME_LEFT_SECONDS
