Refuse a stream of unknown origin sooner where the store is away; ask the store for callers without Resumes

A router that reached neither peers nor the store waited for two reads, 2.5 s, before it refused; callers give up after two. The failed read of the archive answers for the read of the endpoints as well. The archive is asked also for callers that name no stream, since it tells which versions there were.

The test of a router that knows nobody asked for 503 always; since the archive such a router may know a stream from the store. It is split: without the store 503 always, with it no mixed stream. Both hold one version per stream.

--- a/dotterelpaddle/streams/archive.py
+++ b/dotterelpaddle/streams/archive.py
@@ -132,24 +132,29 @@
             except PlatformError as error:
                 self._log_failure(error=error)
 
-    async def read(self) -> None:
-        """Add what the store has, unless it has just been read."""
+    async def read(self) -> bool:
+        """Add what the store has, unless it has just been read.
+
+        Returns:
+            Whether the store has answered.
+        """
         if self._store is None:
-            return
+            return True
         called_at = self._clock()
         async with self._read_lock:
-            if self._read_at >= called_at - MIN_READ_INTERVAL_SECONDS:
-                return
             if self._clock() - self._failed_at < FAILURE_COOLDOWN_SECONDS:
-                return
+                return False
+            if self._read_at >= called_at - MIN_READ_INTERVAL_SECONDS:
+                return True
             self._read_at = self._clock()
             try:
                 rows = await self._store.stream_rows()
             except PlatformError as error:
                 self._log_failure(error=error)
-                return
+                return False
             self._failing = False
             self._apply(rows=rows)
+            return True
 
     def _begin_term(self) -> None:
         """Prepare for writing everything again: another router writes at present."""
@@ -160,8 +165,7 @@
     async def _write_due(self, *, store: StreamStore) -> None:
         if not self._history.is_complete and not self._has_recalled:
             # An earlier writer may have known more.
-            await self.read()
-            self._has_recalled = not self._failing
+            self._has_recalled = await self.read()
         rows = self._versions_row()
         records, count = self._records_due()
         rows.update(self._records_rows(records=records))
--- a/dotterelpaddle/streams/finder.py
+++ b/dotterelpaddle/streams/finder.py
@@ -122,14 +122,14 @@
                 known = await self._ask(question)
             if known is not None:
                 return known, OriginSource.PEER
-            await self._archive.read()
-            known = self._origins.find(stream=stream)
-            if known is not None:
-                return known, OriginSource.ARCHIVE
             histories = question.histories
+        reaches_store = await self._archive.read()
+        known = None if stream is None else self._origins.find(stream=stream)
+        if known is not None:
+            return known, OriginSource.ARCHIVE
         sole = self._sole_version(route=route, histories=histories)
         # A router with older endpoints may not know a version that has begun streams.
-        if sole is None or not await self._confirmation.confirm():
+        if sole is None or not reaches_store or not await self._confirmation.confirm():
             raise self._unknown(request=request, route=route)
         if sole != self._sole_version(route=route, histories=histories):
             raise self._unknown(request=request, route=route)
--- a/dotterelpaddle/tests/forwarding/test_versions_incident.py
+++ b/dotterelpaddle/tests/forwarding/test_versions_incident.py
@@ -124,21 +124,41 @@
     assert sum(stream.whole for stream in streams) >= MIN_RESUMED
 
 
-# Guards against a router that has never heard of the others and continues streams at
-# whatever version it finds.
-async def test_router_that_knows_nobody_continues_no_stream_of_unknown_origin() -> None:
+async def _take_up_at_a_router_that_knows_nobody(
+    *, reaches_store: bool
+) -> tuple[list[Stream], set[int]]:
+    """Return streams taken up there, and the statuses of its answers."""
     streams: list[Stream] = []
-    statuses: list[int] = []
+    statuses: set[int] = set()
     async with run_fleet(runners=0, routers=1) as fleet:
         await fleet.add_router(seeds=())
         await _add_runners(fleet, v1=3, v1_1=3)
+        if not reaches_store:
+            fleet.links[1].cut(peers=frozenset({fleet.store_address}))
         for _ in range(STREAMS):
             stream = Stream(request_id=b"")
             await _read(fleet, stream, router=0, events=READ_EVENTS)
-            statuses.append(await _read(fleet, stream, router=1))
+            statuses.add(await _read(fleet, stream, router=1))
             streams.append(stream)
+    return streams, statuses
 
-    assert set(statuses) == {503}
+
+# Guards against a router that has never heard of the others and continues streams at
+# whatever version it finds.
+async def test_router_that_knows_nobody_continues_no_stream_of_unknown_origin() -> None:
+    streams, statuses = await _take_up_at_a_router_that_knows_nobody(
+        reaches_store=False
+    )
+
+    assert statuses == {503}
+    assert all(len(stream.versions) == 1 for stream in streams)
+
+
+# Guards against the same where the store may tell it of some streams.
+async def test_router_that_knows_only_the_store_mixes_no_versions() -> None:
+    streams, statuses = await _take_up_at_a_router_that_knows_nobody(reaches_store=True)
+
+    assert statuses <= {200, 503}
     assert all(len(stream.versions) == 1 for stream in streams)
 
 
@@ -177,3 +197,29 @@
 
     assert status == 200
     assert stream.whole
+
+
+# Guards against a router that is cut off, knows the only version of before, and takes
+# it for the only one of now.
+async def test_router_with_an_old_view_continues_no_stream_of_unknown_origin() -> None:
+    streams: list[Stream] = []
+    statuses: list[int] = []
+    async with run_fleet(runners=0, routers=2) as fleet:
+        await _add_runners(fleet, v1=1)
+        other = fleet.routers[0]
+        fleet.links[1].cut(
+            peers=frozenset({fleet.store_address, other.peers, other.control})
+        )
+        for number in range(3):
+            runner = await fleet.add_runner(f"later-{number}", version="v1.1")
+            runner.pause = PAUSE_SECONDS
+        view = other.components.state.view
+        await wait_until(lambda: len(view.entries) == 4)
+        for _ in range(STREAMS // 4):
+            stream = Stream(request_id=b"")
+            await _read(fleet, stream, router=0, events=READ_EVENTS)
+            statuses.append(await _read(fleet, stream, router=1))
+            streams.append(stream)
+
+    assert set(statuses) == {503}
+    assert all(len(stream.versions) == 1 for stream in streams)
--- a/dotterelpaddle/tests/forwarding/test_versions_soak.py
+++ b/dotterelpaddle/tests/forwarding/test_versions_soak.py
@@ -112,3 +112,23 @@
     assert counts.taken_up
     required = MIN_SHARE_OF_NEW_STREAMS * counts.begun_share
     assert counts.gone_on_share >= required, counts
+
+
+# Guards against refusing streams after the loss of all routers though only one version
+# can have begun them; nothing is written of single streams then.
+@pytest.mark.parametrize("seed", SEEDS)
+async def test_streams_of_the_only_version_go_on_after_the_loss_of_all_routers(
+    seed: int, tmp_path: Path
+) -> None:
+    async with run_versions_world(
+        directory=tmp_path, seed=seed, routers=ROUTERS, versions=("v1",)
+    ) as world:
+        world.start_callers(count=CALLERS)
+        await all_routers_are_killed_at_once(world)
+        await world.finish()
+        counts = world.counts
+
+    print("only version", seed, counts)
+    assert counts.taken_up
+    required = MIN_SHARE_OF_NEW_STREAMS * counts.begun_share
+    assert counts.gone_on_share >= required, counts
