Tell in attempt_failed lines which prompt parts a request shares with others

Lines named one tag for a prompt, which stands for all parts up to the longest shared one; which part is common to the requests that end endpoints could not be read.

--- a/dotterelpaddle/forwarding/attempts.py
+++ b/dotterelpaddle/forwarding/attempts.py
@@ -19,6 +19,7 @@
     NoEndpoint,
     RequestBlocked,
 )
+from dotterelpaddle.forwarding.attempt_log import log_choice, log_failed_attempt
 from dotterelpaddle.forwarding.client import ForwardCall
 from dotterelpaddle.forwarding.exceptions import (
     EndpointReplaced,
@@ -189,7 +190,7 @@
         route = exchange.route
         assert route is not None
         entry = choice.entry
-        self._log_choice(exchange=exchange, choice=choice)
+        log_choice(exchange=exchange, choice=choice)
         self._metrics.count_choice(choice=choice)
         attempt = exchange.attempts.begin(idempotent=route.retryable)
         exchange.last_endpoint = entry.endpoint
@@ -328,32 +329,6 @@
             return RetryObstacle.BUDGET
         return None
 
-    def _log_choice(self, *, exchange: ForwardExchange, choice: Choice) -> None:
-        source = choice.fetch_from
-        log.info(
-            "placed",
-            request_id=exchange.request.request_id,
-            resumes=exchange.request.resumes or "",
-            attempt=exchange.attempts.count + 1,
-            service=exchange.service,
-            version=exchange.configuration_version,
-            endpoint=choice.entry.endpoint,
-            software_version=choice.entry.software_version,
-            era=choice.entry.revision.era,
-            revision=choice.entry.revision.number,
-            reason=choice.reason.value,
-            decided_by=choice.decided_by or "",
-            alone_because=choice.local_reason.value
-            if choice.local_reason is not None
-            else "",
-            load=choice.load,
-            mean_load=round(choice.mean_load, 2),
-            candidates=choice.candidate_count,
-            part=choice.part_tag,
-            missing_tokens=choice.missing_tokens,
-            fetch_from=source.endpoint if source is not None else "",
-        )
-
     def _record_failure(
         self,
         *,
@@ -385,15 +360,10 @@
         self._metrics.count_failed_attempt(
             service=entry.service, error=type(error).__name__
         )
-        log.warning(
-            "attempt_failed",
-            request_id=exchange.request.request_id,
-            fingerprint=exchange.fingerprint or "",
+        log_failed_attempt(
+            exchange=exchange,
             endpoint=entry.endpoint,
-            attempt=exchange.attempts.count,
-            state=progress.attempt.state.value,
-            error=type(error).__name__,
-            cause=error.message,
-            seconds=round(self._clock() - progress.started_at, 4),
-            streaming=exchange.reply.started,
+            progress=progress,
+            error=error,
+            seconds=self._clock() - progress.started_at,
         )
