--- a/dotterelpaddle/endpoint/evidence.py
+++ b/dotterelpaddle/endpoint/evidence.py
@@ -13,6 +13,7 @@
     SENT = "sent"
     REFUSED = "refused"
     ANSWER_BEGUN = "answer_begun"
+    OUTPUT = "output"
     ANSWER_COMPLETE = "answer_complete"
 
 
--- a/dotterelpaddle/forwarding/attempts.py
+++ b/dotterelpaddle/forwarding/attempts.py
@@ -131,6 +131,7 @@
             try:
                 self._guard.check(exchange=exchange)
                 choice = await self._choose(exchange=exchange, tried=tried)
+                self._check_again(exchange=exchange, choice=choice)
             except (NoEndpoint, RequestBlocked) as error:
                 if failure is None:
                     raise
@@ -153,6 +154,20 @@
             if not self._claim_retry(exchange=exchange, failure=failure):
                 raise failure
 
+    def _check_again(self, *, exchange: ForwardExchange, choice: Choice) -> None:
+        """Refuse a request that has been blocked while an endpoint was chosen.
+
+        Raises:
+            RequestBlocked: If the request may not go to an endpoint any more.
+        """
+        try:
+            self._guard.check(exchange=exchange)
+        except RequestBlocked:
+            self._caches.retract_parts(
+                endpoint=choice.entry.endpoint, parts=choice.new_parts
+            )
+            raise
+
     async def _choose(
         self, *, exchange: ForwardExchange, tried: TriedEndpoints
     ) -> Choice:
@@ -196,7 +211,7 @@
         exchange.last_endpoint = entry.endpoint
         progress = AttemptProgress(attempt=attempt, clock=self._clock)
         crash_watch = self._guard.watch(
-            exchange=exchange, relay=relay, entry=entry, progress=progress
+            exchange=exchange, entry=entry, progress=progress
         )
         tracking = self._loads.track(
             endpoint=entry.endpoint, work_tokens=choice.work_tokens
--- a/dotterelpaddle/forwarding/crash_guard.py
+++ b/dotterelpaddle/forwarding/crash_guard.py
@@ -7,19 +7,26 @@
 
 from dotterelpaddle.dispatch.outcome import AttemptState
 from dotterelpaddle.exceptions import AnswerBroken, RequestBlocked
+from dotterelpaddle.forwarding.caches import shared_parts
+from dotterelpaddle.forwarding.crash_subjects import (
+    PartSubject,
+    RequestSubject,
+    part_subjects,
+)
 from dotterelpaddle.forwarding.exceptions import FailedAnswer
+from dotterelpaddle.forwarding.model import RequestKind
 from dotterelpaddle.logs import get_logger
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
     from dotterelpaddle.clock import Clock
+    from dotterelpaddle.forwarding.crash_subjects import CrashSubject
     from dotterelpaddle.forwarding.crashes import CrashTracker
     from dotterelpaddle.forwarding.exchange import ForwardExchange
     from dotterelpaddle.forwarding.metrics import ForwardMetrics
     from dotterelpaddle.forwarding.model import EndpointEntry
     from dotterelpaddle.forwarding.progress import AttemptProgress
-    from dotterelpaddle.forwarding.relays import Relay
     from dotterelpaddle.forwarding.termination_probes import TerminationProber
 
 log = get_logger(name=__name__)
@@ -33,7 +40,7 @@
     """Refuses blocked requests, and tracks the outcome of attempts.
 
     Args:
-        crashes: Requests that were running when endpoints crashed.
+        crashes: Requests and prompt parts that were running when endpoints crashed.
         termination_prober: Determines whether an endpoint that broke a connection
             has crashed.
         metrics: Counts blocked requests.
@@ -54,68 +61,119 @@
         self._clock = clock
 
     def check(self, *, exchange: ForwardExchange) -> None:
-        """Refuse a request that causes crashes.
+        """Refuse a request that causes crashes, or that has a part which does.
 
         Raises:
             RequestBlocked: If the request may not go to an endpoint now.
         """
-        assert exchange.fingerprint is not None
-        try:
-            self._crashes.check(fingerprint=exchange.fingerprint)
-        except RequestBlocked as error:
-            log.warning(
-                "request_blocked",
-                request_id=exchange.request.request_id,
-                fingerprint=exchange.fingerprint,
-                service=exchange.service,
-                cause=error.message,
-                retry_after=error.retry_after,
-            )
-            self._metrics.count_blocked_request(service=exchange.service or "")
-            raise
+        if not exchange.crash_subjects:
+            exchange.crash_subjects = _subjects_of(exchange)
+        for subject in exchange.crash_subjects:
+            try:
+                self._crashes.check(subject=subject)
+            except RequestBlocked as error:
+                log.warning(
+                    "request_blocked",
+                    request_id=exchange.request.request_id,
+                    fingerprint=exchange.fingerprint,
+                    part=_digest(exchange, subject),
+                    service=exchange.service,
+                    cause=error.message,
+                    retry_after=error.retry_after,
+                )
+                self._metrics.count_blocked_request(service=exchange.service or "")
+                raise
 
     @contextmanager
     def watch(
         self,
         *,
         exchange: ForwardExchange,
-        relay: Relay,
         entry: EndpointEntry,
         progress: AttemptProgress,
     ) -> Iterator[None]:
         """Record the outcome of the attempt that runs inside the context."""
-        fingerprint = exchange.fingerprint
-        assert fingerprint is not None
-        crashes, endpoint = self._crashes, entry.endpoint
-        last_event = relay.last_event_id
-        crashes.begin_attempt(fingerprint=fingerprint, endpoint=endpoint)
+        subjects, endpoint = exchange.crash_subjects, entry.endpoint
+        crashes = self._crashes
+        for subject in subjects:
+            crashes.begin_attempt(subject=subject, endpoint=endpoint)
+        progress.on_output = lambda: self._record_output(subjects)
+        crashed: frozenset[CrashSubject] = frozenset()
         try:
             yield
         except FailedAnswer:
-            crashes.record_served(fingerprint=fingerprint)
+            crashes.record_served(subject=subjects[0])
             raise
         except AnswerBroken:
-            had_output = relay.last_event_id != last_event
-            if self._is_harmless(progress=progress, had_output=had_output):
-                crashes.end_attempt(fingerprint=fingerprint, endpoint=endpoint)
-            else:
+            crashed = self._possible_causes(exchange=exchange, progress=progress)
+            for subject in crashed:
                 self._termination_prober.report_broken_connection(
                     entry=entry,
-                    fingerprint=fingerprint,
-                    answer_begun=progress.attempt.state is not AttemptState.SENT
-                    and not had_output,
+                    subject=subject,
+                    answer_begun=_has_begun_without_output(progress),
                 )
             raise
-        except BaseException:
-            crashes.end_attempt(fingerprint=fingerprint, endpoint=endpoint)
-            raise
-        crashes.record_served(fingerprint=fingerprint)
+        else:
+            for subject in subjects:
+                crashes.record_served(subject=subject)
+        finally:
+            for subject in subjects:
+                if subject not in crashed:
+                    crashes.end_attempt(subject=subject, endpoint=endpoint)
+
+    def _record_output(self, subjects: tuple[CrashSubject, ...]) -> None:
+        """Record that an endpoint writes an answer on the parts of a prompt."""
+        for subject in subjects:
+            if isinstance(subject, PartSubject):
+                self._crashes.record_served(subject=subject)
+
+    def _possible_causes(
+        self, *, exchange: ForwardExchange, progress: AttemptProgress
+    ) -> frozenset[CrashSubject]:
+        """Return what in a request may have crashed the endpoint that broke off.
+
+        A part crashes endpoints that begin to answer, so it brings no output.
+        """
+        if self._is_harmless(progress=progress):
+            return frozenset()
+        assert exchange.route is not None
+        may_have_begun = (
+            _has_begun_without_output(progress)
+            or exchange.route.kind is not RequestKind.STREAM
+        )
+        return frozenset(
+            subject
+            for subject in exchange.crash_subjects
+            if may_have_begun or isinstance(subject, RequestSubject)
+        )
 
-    def _is_harmless(self, *, progress: AttemptProgress, had_output: bool) -> bool:
+    def _is_harmless(self, *, progress: AttemptProgress) -> bool:
         """Return whether the attempt can't have caused a crash of its endpoint."""
         if progress.attempt.proves_not_run:
             return True
-        if not had_output or progress.first_byte_seconds is None:
+        if not progress.has_output or progress.first_byte_seconds is None:
             return False
         answer_started_at = progress.started_at + progress.first_byte_seconds
         return self._clock() - answer_started_at >= HARMLESS_OUTPUT_SECONDS
+
+
+def _subjects_of(exchange: ForwardExchange) -> tuple[CrashSubject, ...]:
+    """Return a request and the parts of its prompt; the request is the first."""
+    assert exchange.fingerprint is not None
+    assert exchange.service is not None
+    return (
+        RequestSubject(fingerprint=exchange.fingerprint),
+        *part_subjects(request=exchange.request, service=exchange.service),
+    )
+
+
+def _has_begun_without_output(progress: AttemptProgress) -> bool:
+    return progress.attempt.state is not AttemptState.SENT and not progress.has_output
+
+
+def _digest(exchange: ForwardExchange, subject: CrashSubject) -> str:
+    """Return the caller's digest of a prompt part, empty for a request."""
+    match subject:
+        case PartSubject(position=position):
+            return shared_parts(request=exchange.request)[position].digest
+    return ""
--- a/dotterelpaddle/forwarding/crash_note.py
+++ b/dotterelpaddle/forwarding/crash_note.py
@@ -1,4 +1,4 @@
-"""What routers report to each other of requests during which endpoints crashed."""
+"""What routers report to each other of what ran when endpoints crashed."""
 
 from __future__ import annotations
 
@@ -7,7 +7,8 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from dotterelpaddle.ids import EndpointId, Fingerprint
+    from dotterelpaddle.forwarding.crash_subjects import CrashSubject
+    from dotterelpaddle.ids import EndpointId
 
 
 class NoteKind(Enum):
@@ -20,18 +21,18 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class CrashNote:
-    """An event of a request, as one router reports it to others.
+    """An event of a request or a prompt part, as one router reports it to others.
 
     Attributes:
         kind: Kind of event.
-        fingerprint: Fingerprint of the request.
+        subject: The request or the part.
         endpoint: Incarnation that crashed or runs an attempt; None if served.
         age: Seconds since the event.
         begun: Whether the answer had begun at the endpoint, without any output yet.
     """
 
     kind: NoteKind
-    fingerprint: Fingerprint
+    subject: CrashSubject
     endpoint: EndpointId | None = None
     age: float = 0.0
     begun: bool = False
--- a/dotterelpaddle/forwarding/crashes.py
+++ b/dotterelpaddle/forwarding/crashes.py
@@ -1,41 +1,51 @@
-"""Tracks requests that were running when endpoints crashed, and blocks the causes.
+"""Tracks what was running when endpoints crashed, and blocks the causes.
 
 A request may crash every endpoint that runs it. Its caller retries with a new id at any
 router, so routers track it by its fingerprint and report to each other. Most requests
 that ran during a crash didn't cause it; a complete answer clears them at all routers.
+
+A part of a prompt may crash every endpoint that begins to answer a request with it, and
+no two of these requests need be alike. Most parts are sound and bring answers all the
+time: one answer clears a part, also of the crashes within some time after it.
 """
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 from dotterelpaddle.exceptions import RequestBlocked
-from dotterelpaddle.forwarding.crash_causes import Suspicion, find_causes
+from dotterelpaddle.forwarding.crash_causes import find_causes
 from dotterelpaddle.forwarding.crash_note import CrashNote, NoteKind
+from dotterelpaddle.forwarding.crash_subjects import PartSubject, RequestSubject
+from dotterelpaddle.forwarding.crash_suspects import Event, ReportableEvent, Suspect
 from dotterelpaddle.forwarding.report_state import ReportState
 from dotterelpaddle.logs import get_logger
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Iterator
+    from collections.abc import Callable, Iterable, Iterator
 
     from dotterelpaddle.clock import Clock
-    from dotterelpaddle.ids import EndpointId, Fingerprint
+    from dotterelpaddle.forwarding.crash_subjects import CrashSubject
+    from dotterelpaddle.ids import EndpointId, PartKey
 
 log = get_logger(name=__name__)
 
 MIN_CRASHES_TO_BLOCK = 3
-"""Crashes after which a request is blocked. During a series of unrelated crashes a
-retried request is often present at one or two of them by chance, rarely at three."""
+"""Crashes after which a request or a part is blocked. During a series of unrelated
+crashes a retried request is often present at one or two by chance, rarely at three."""
 
 MIN_BLOCK_SECONDS = 60.0
-"""Seconds of the first block of a request, after which one attempt may run."""
+"""Seconds of the first block, after which one attempt may run."""
 
 MAX_BLOCK_SECONDS = 600.0
 """Maximum seconds of a block; each block is twice as long as the one before."""
 
 SUSPICION_SECONDS = 60.0
-"""Seconds from the last crash of a request until its crashes expire, plus any block."""
+"""Seconds from the last crash of a subject until its crashes expire, plus any block."""
+
+ACQUITTAL_SECONDS = 30.0
+"""Seconds after an answer to a request with a part in which no crash counts against the
+part. A sound part that few requests have is answered more often than that."""
 
 MAX_ATTEMPT_SECONDS = 3.0
 """Seconds an attempt counts as in flight; by then a stream has begun or is queued."""
@@ -46,11 +56,11 @@
 MAX_SUSPECTS = 256
 """Tracked requests, 200 KB: all requests of several crashed endpoints."""
 
-REPORT_INTERVAL_SECONDS = 2.0
-"""Seconds between reports of a request's crashes, for routers cut off or new."""
+MAX_SUSPECT_PARTS = 128
+"""Tracked prompt parts, 100 KB."""
 
-ONE_CRASH_INTERVAL_SECONDS = 10.0
-"""Same for a request with one crash; callers retry few of these requests."""
+MAX_SERVED_PARTS = 2048
+"""Prompt parts whose last answer a router remembers, 400 KB."""
 
 MAX_NOTES_PER_REPORT = 12
 """Maximum number of notes in one report, 0.7 KB."""
@@ -59,117 +69,88 @@
 """Maximum number of notes in the report to a router that has just started."""
 
 
-@dataclass(kw_only=True, slots=True)
-class _Event:
-    """An event of a request, and the progress of reporting it."""
-
-    at: float
-    begun: bool = False
-    report_state: ReportState = field(default_factory=ReportState)
-
-
-@dataclass(kw_only=True, slots=True)
-class _Suspect:
-    """The crashes and attempts of one request."""
-
-    crashes: dict[EndpointId, _Event] = field(default_factory=dict)
-    attempts: dict[EndpointId, _Event] = field(default_factory=dict)
-    served: _Event | None = None
-
-    @property
-    def crashed_at(self) -> float:
-        """Time of the last crash."""
-        return max(
-            (event.at for event in self.crashes.values()),
-            default=float("-inf"),
-        )
-
-    @property
-    def last_seen_at(self) -> float:
-        """Time of the last crash or complete answer."""
-        served = self.served.at if self.served is not None else float("-inf")
-        return max(self.crashed_at, served)
-
-    @property
-    def suspicion(self) -> Suspicion:
-        """Evidence that the request caused the crashes."""
-        return Suspicion(
-            crashed_endpoints=frozenset(self.crashes),
-            begun_count=sum(event.begun for event in self.crashes.values()),
-        )
-
-    def forget_before(self, *, at: float) -> None:
-        """Remove crashes and attempts up to a time."""
-        for events in (self.crashes, self.attempts):
-            for endpoint in [each for each in events if events[each].at <= at]:
-                del events[endpoint]
-
-
 class CrashTracker:
-    """Tracks the requests that were running during crashes, and blocks the causes.
+    """Tracks what was running during crashes, and blocks the causes.
 
     Args:
         clock: Monotonic clock.
+        may_try_parts: Returns whether this router is the one that sends an attempt with
+            a prompt part whose block has ended.
     """
 
-    def __init__(self, *, clock: Clock) -> None:
+    def __init__(
+        self, *, clock: Clock, may_try_parts: Callable[[], bool] = lambda: True
+    ) -> None:
         self._clock = clock
-        self._suspects: dict[Fingerprint, _Suspect] = {}
-        self._cached_causes: frozenset[Fingerprint] | None = None
+        self._may_try_parts = may_try_parts
+        self._suspects: dict[CrashSubject, Suspect] = {}
+        self._served_parts: dict[PartKey, float] = {}
+        self._cached_causes: frozenset[CrashSubject] | None = None
 
     @property
     def suspect_count(self) -> int:
-        """Number of requests that were running during a recent crash."""
+        """Number of requests and parts that were running during a recent crash."""
         return sum(bool(suspect.crashes) for suspect in self._suspects.values())
 
     @property
     def blocked_count(self) -> int:
-        """Number of requests that are blocked or may run one more attempt."""
+        """Number of requests and parts that are blocked or may run one attempt."""
         return len(self._causes())
 
-    def check(self, *, fingerprint: Fingerprint) -> None:
-        """Refuse a request that causes crashes.
+    @property
+    def blocked_part_count(self) -> int:
+        """Number of prompt parts among them."""
+        return sum(isinstance(each, PartSubject) for each in self._causes())
+
+    def check(self, *, subject: CrashSubject) -> None:
+        """Refuse a request or a prompt part that causes crashes.
 
         Raises:
-            RequestBlocked: If the request may not go to an endpoint now.
+            RequestBlocked: If it may not go to an endpoint now.
         """
-        suspect = self._suspects.get(fingerprint)
+        suspect = self._suspects.get(subject)
         if suspect is None or not suspect.crashes:
             return
         now = self._clock()
-        live = self._attempts_in_flight(suspect)
-        if fingerprint in self._causes():
+        live = suspect.attempts_since(at=now - MAX_ATTEMPT_SECONDS)
+        if subject in self._causes():
             left = suspect.crashed_at + _block_time(crashes=len(suspect.crashes)) - now
-            if left > 0.0 or live:
+            if left > 0.0 or live or not self._may_try(subject):
                 raise self._blocked(
                     suspect=suspect, attempts=live, wait=max(left, MIN_WAIT_SECONDS)
                 )
         elif len(suspect.crashes) < MIN_CRASHES_TO_BLOCK <= len(suspect.crashes) + live:
             raise self._blocked(suspect=suspect, attempts=live, wait=MIN_WAIT_SECONDS)
 
-    def begin_attempt(self, *, fingerprint: Fingerprint, endpoint: EndpointId) -> None:
+    def begin_attempt(self, *, subject: CrashSubject, endpoint: EndpointId) -> None:
         """Record an attempt of a suspect, which other routers take into account."""
-        suspect = self._suspects.get(fingerprint)
+        suspect = self._suspects.get(subject)
         if suspect is not None and suspect.crashes:
-            suspect.attempts[endpoint] = _Event(at=self._clock())
+            suspect.attempts[endpoint] = Event(at=self._clock())
 
-    def end_attempt(self, *, fingerprint: Fingerprint, endpoint: EndpointId) -> None:
+    def end_attempt(self, *, subject: CrashSubject, endpoint: EndpointId) -> None:
         """Record that an attempt ended without a crash."""
-        suspect = self._suspects.get(fingerprint)
+        suspect = self._suspects.get(subject)
         if suspect is not None:
             suspect.attempts.pop(endpoint, None)
 
     def record_crash(
-        self, *, fingerprint: Fingerprint, endpoint: EndpointId, at: float, begun: bool
+        self, *, subject: CrashSubject, endpoint: EndpointId, at: float, begun: bool
     ) -> None:
         """Record that an endpoint crashed while it ran a request."""
-        self._apply_crash(fingerprint, endpoint, _Event(at=at, begun=begun))
+        self._apply_crash(subject, endpoint, Event(at=at, begun=begun))
+
+    def record_served(self, *, subject: CrashSubject) -> None:
+        """Record that an endpoint answered without a crash.
 
-    def record_served(self, *, fingerprint: Fingerprint) -> None:
-        """Record that an endpoint answered a request without a crash."""
-        suspect = self._suspects.get(fingerprint)
+        A request is answered once its answer is complete, a part once there is output.
+        """
+        now = self._clock()
+        if isinstance(subject, PartSubject):
+            self._remember_served(subject.part, now)
+        suspect = self._suspects.get(subject)
         if suspect is not None and suspect.crashes:
-            self._clear(fingerprint, suspect, _Event(at=self._clock()))
+            self._clear(subject, suspect, Event(at=now))
 
     def receive(self, *, notes: Iterable[CrashNote], forward: bool) -> None:
         """Record the events that another router reported.
@@ -185,22 +166,22 @@
                 if forward
                 else ReportState(reports_left=0, reported_at=now)
             )
-            event = _Event(at=now - note.age, begun=note.begun, report_state=state)
+            event = Event(at=now - note.age, begun=note.begun, report_state=state)
             match note.kind:
                 case NoteKind.ENDED if note.endpoint:
-                    self._apply_crash(note.fingerprint, note.endpoint, event)
+                    self._apply_crash(note.subject, note.endpoint, event)
                 case NoteKind.TRIED if note.endpoint:
-                    self._apply_attempt(note.fingerprint, note.endpoint, event)
+                    self._apply_attempt(note.subject, note.endpoint, event)
                 case NoteKind.SERVED:
-                    suspect = self._suspects.get(note.fingerprint)
+                    suspect = self._suspects.get(note.subject)
                     if suspect is not None:
-                        self._clear(note.fingerprint, suspect, event)
+                        self._clear(note.subject, suspect, event)
 
     def take_due_notes(self) -> list[CrashNote]:
-        """Return the notes for the next report, requests with most crashes first."""
+        """Return the notes for the next report, those with most crashes first."""
         now = self._clock()
         self._expire(now=now)
-        due = [each for each in self._events() if _is_due(each, now=now)]
+        due = [each for each in self._events() if each.is_due(now=now)]
         due.sort(
             key=lambda each: (each.crash_count, each.event.report_state.reports_left),
             reverse=True,
@@ -217,13 +198,25 @@
         known = sorted(self._events(), key=lambda each: each.crash_count, reverse=True)
         return [each.note(now=now) for each in known[:MAX_NOTES_FOR_NEW_ROUTER]]
 
+    def notes_of_causes(self) -> list[CrashNote]:
+        """Return the notes of the crashes of all causes."""
+        now = self._clock()
+        return [
+            event.note(now=now)
+            for subject in self._causes()
+            for event in self._suspects[subject].reportable(subject=subject)
+            if event.kind is NoteKind.ENDED
+        ]
+
     def _apply_crash(
-        self, fingerprint: Fingerprint, endpoint: EndpointId, event: _Event
+        self, subject: CrashSubject, endpoint: EndpointId, event: Event
     ) -> None:
-        suspect = self._suspects.setdefault(fingerprint, _Suspect())
-        if suspect.served is not None and suspect.served.at >= event.at:
+        suspect = self._suspects.setdefault(subject, Suspect())
+        self._apply_served_part(subject, suspect)
+        served = suspect.served
+        if served is not None and served.at + _acquittal_time(subject) >= event.at:
             # The sender of the report hasn't received the note about the answer.
-            suspect.served.report_state.report_again()
+            served.report_state.report_again()
             return
         if endpoint in suspect.crashes:
             return
@@ -232,56 +225,75 @@
         self._cached_causes = None
         log.info(
             "request_suspected",
-            fingerprint=fingerprint,
+            fingerprint=_fingerprint(subject),
+            part=_part(subject),
             endpoint=endpoint,
             seconds_ago=round(self._clock() - event.at, 3),
             begun=event.begun,
             ended=len(suspect.crashes),
         )
-        self._evict()
+        self._evict(like=subject)
 
     def _apply_attempt(
-        self, fingerprint: Fingerprint, endpoint: EndpointId, event: _Event
+        self, subject: CrashSubject, endpoint: EndpointId, event: Event
     ) -> None:
-        suspect = self._suspects.setdefault(fingerprint, _Suspect())
+        suspect = self._suspects.setdefault(subject, Suspect())
         is_outdated = suspect.served is not None and suspect.served.at >= event.at
         if not is_outdated and endpoint not in suspect.crashes:
             suspect.attempts.setdefault(endpoint, event)
-        self._evict()
+        self._evict(like=subject)
 
-    def _clear(
-        self, fingerprint: Fingerprint, suspect: _Suspect, event: _Event
-    ) -> None:
+    def _apply_served_part(self, subject: CrashSubject, suspect: Suspect) -> None:
+        """Let the last answer to a request with a part count, if it is a later one."""
+        if not isinstance(subject, PartSubject):
+            return
+        at = self._served_parts.get(subject.part)
+        if at is not None and (suspect.served is None or suspect.served.at < at):
+            self._clear(subject, suspect, Event(at=at))
+
+    def _remember_served(self, part: PartKey, now: float) -> None:
+        self._served_parts.pop(part, None)
+        self._served_parts[part] = now
+        if len(self._served_parts) > MAX_SERVED_PARTS:
+            del self._served_parts[next(iter(self._served_parts))]
+
+    def _clear(self, subject: CrashSubject, suspect: Suspect, event: Event) -> None:
         if suspect.served is not None and suspect.served.at >= event.at:
             return
-        was_blocked = fingerprint in self._causes()
+        was_blocked = subject in self._causes()
         suspect.served = event
-        suspect.forget_before(at=event.at)
+        suspect.forget_before(at=event.at + _acquittal_time(subject))
         self._cached_causes = None
-        if was_blocked:
-            log.info("request_block_ended", fingerprint=fingerprint, cause="served")
-
-    def _attempts_in_flight(self, suspect: _Suspect) -> int:
-        oldest = self._clock() - MAX_ATTEMPT_SECONDS
-        return sum(
-            event.at > oldest and endpoint not in suspect.crashes
-            for endpoint, event in suspect.attempts.items()
-        )
+        if was_blocked and subject not in self._causes():
+            log.info(
+                "request_block_ended",
+                fingerprint=_fingerprint(subject),
+                part=_part(subject),
+                cause="served",
+            )
+
+    def _may_try(self, subject: CrashSubject) -> bool:
+        """Return whether this router sends the attempt after a block.
 
-    def _causes(self) -> frozenset[Fingerprint]:
-        """Return the requests that are blocked or may run one more attempt."""
+        Callers retry a request at one router at a time; requests with the same part
+        come to all routers at once.
+        """
+        return isinstance(subject, RequestSubject) or self._may_try_parts()
+
+    def _causes(self) -> frozenset[CrashSubject]:
+        """Return the subjects that are blocked or may run one more attempt."""
         if self._cached_causes is None:
             self._cached_causes = find_causes(
                 suspicions={
-                    fingerprint: suspect.suspicion
-                    for fingerprint, suspect in self._suspects.items()
+                    subject: suspect.suspicion
+                    for subject, suspect in self._suspects.items()
                 },
                 min_crashes=MIN_CRASHES_TO_BLOCK,
             )
         return self._cached_causes
 
     def _blocked(
-        self, *, suspect: _Suspect, attempts: int, wait: float
+        self, *, suspect: Suspect, attempts: int, wait: float
     ) -> RequestBlocked:
         now = self._clock()
         items = sorted(suspect.crashes.items(), key=lambda item: item[1].at)
@@ -289,39 +301,21 @@
             f"{name} {now - event.at:.1f} s ago" for name, event in items
         )
         return RequestBlocked(
-            f"{len(items)} endpoints crashed while running this request ({listed}) "
-            f"and {attempts} are running it; send another request or retry later",
+            f"{len(items)} endpoints crashed while running this request, or others "
+            f"with the same part of the prompt ({listed}), and {attempts} are running "
+            "it; send another request or retry later",
             retry_after=wait,
         )
 
-    def _events(self) -> Iterator[_Reportable]:
-        for fingerprint, suspect in self._suspects.items():
-            for kind, events in (
-                (NoteKind.ENDED, suspect.crashes),
-                (NoteKind.TRIED, suspect.attempts),
-            ):
-                for endpoint, event in events.items():
-                    yield _Reportable(
-                        kind=kind,
-                        fingerprint=fingerprint,
-                        endpoint=endpoint,
-                        event=event,
-                        crash_count=len(suspect.crashes),
-                    )
-            if suspect.served is not None:
-                yield _Reportable(
-                    kind=NoteKind.SERVED,
-                    fingerprint=fingerprint,
-                    endpoint=None,
-                    event=suspect.served,
-                    crash_count=len(suspect.crashes),
-                )
+    def _events(self) -> Iterator[ReportableEvent]:
+        for subject, suspect in self._suspects.items():
+            yield from suspect.reportable(subject=subject)
 
     def _expire(self, *, now: float) -> None:
         causes = self._causes()
-        for fingerprint, suspect in tuple(self._suspects.items()):
+        for subject, suspect in tuple(self._suspects.items()):
             expiry = SUSPICION_SECONDS
-            if fingerprint in causes:
+            if subject in causes:
                 expiry += _block_time(crashes=len(suspect.crashes))
             suspect.attempts = {
                 endpoint: event
@@ -329,51 +323,42 @@
                 if now - event.at <= MAX_ATTEMPT_SECONDS
             }
             if now - suspect.last_seen_at > expiry and not suspect.attempts:
-                del self._suspects[fingerprint]
+                del self._suspects[subject]
                 self._cached_causes = None
 
-    def _evict(self) -> None:
-        """Remove requests with the fewest crashes, oldest first, above MAX_SUSPECTS."""
-        while len(self._suspects) > MAX_SUSPECTS:
-            least = min(
-                self._suspects,
-                key=lambda each: (
-                    len(self._suspects[each].crashes),
-                    self._suspects[each].last_seen_at,
-                ),
-            )
-            del self._suspects[least]
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class _Reportable:
-    """An event that a report may contain, and its priority."""
-
-    kind: NoteKind
-    fingerprint: Fingerprint
-    endpoint: EndpointId | None
-    event: _Event
-    crash_count: int
-
-    def note(self, *, now: float) -> CrashNote:
-        """Return the event as a note to other routers."""
-        return CrashNote(
-            kind=self.kind,
-            fingerprint=self.fingerprint,
-            endpoint=self.endpoint,
-            age=now - self.event.at,
-            begun=self.event.begun,
+    def _evict(self, *, like: CrashSubject) -> None:
+        """Remove what has the fewest crashes, oldest first, above the maximum.
+
+        Args:
+            like: A subject of the kind to remove.
+        """
+        maximum = MAX_SUSPECT_PARTS if isinstance(like, PartSubject) else MAX_SUSPECTS
+        if len(self._suspects) <= maximum:
+            return
+        ranked = sorted(
+            (each for each in self._suspects if type(each) is type(like)),
+            key=lambda each: (
+                len(self._suspects[each].crashes),
+                self._suspects[each].last_seen_at,
+            ),
+            reverse=True,
         )
+        for each in ranked[maximum:]:
+            del self._suspects[each]
+            self._cached_causes = None
 
 
-def _is_due(item: _Reportable, *, now: float) -> bool:
-    """Return whether an event is new, or a crash whose last report is old."""
-    interval = (
-        REPORT_INTERVAL_SECONDS if item.crash_count > 1 else ONE_CRASH_INTERVAL_SECONDS
-    )
-    if item.kind is not NoteKind.ENDED:
-        interval = float("inf")
-    return item.event.report_state.is_due(now=now, interval=interval)
+def _acquittal_time(subject: CrashSubject) -> float:
+    """Return for how many seconds after an answer no crash counts."""
+    return ACQUITTAL_SECONDS if isinstance(subject, PartSubject) else 0.0
+
+
+def _fingerprint(subject: CrashSubject) -> str:
+    return subject.fingerprint if isinstance(subject, RequestSubject) else ""
+
+
+def _part(subject: CrashSubject) -> str:
+    return subject.part if isinstance(subject, PartSubject) else ""
 
 
 def _block_time(*, crashes: int) -> float:
--- a/dotterelpaddle/forwarding/exchange.py
+++ b/dotterelpaddle/forwarding/exchange.py
@@ -8,6 +8,7 @@
 if TYPE_CHECKING:
     from dotterelpaddle.dispatch.outcome import OutcomeLog
     from dotterelpaddle.exceptions import RequestError
+    from dotterelpaddle.forwarding.crash_subjects import CrashSubject
     from dotterelpaddle.forwarding.interface import AnswerHead, ForwardRequest
     from dotterelpaddle.forwarding.model import ClientAccount, ForwardRoute
     from dotterelpaddle.forwarding.reply import ForwardReply
@@ -31,6 +32,8 @@
         account: Its client account, None on public routes.
         fingerprint: Digest, equal for equal requests of one caller; None until the
             account is known.
+        crash_subjects: What may crash endpoints in it: the request and the parts of its
+            prompt that others share; empty until its service is known.
         stream_version: Software version that brought the first event of its stream,
             None before; no other version continues the stream.
         last_endpoint: Endpoint of the last attempt, for the log.
@@ -49,6 +52,7 @@
     service: ServiceName | None = None
     account: ClientAccount | None = None
     fingerprint: Fingerprint | None = None
+    crash_subjects: tuple[CrashSubject, ...] = ()
     stream_version: SoftwareVersion | None = None
     last_endpoint: str = ""
     caller_disconnected: bool = False
--- a/dotterelpaddle/forwarding/metrics.py
+++ b/dotterelpaddle/forwarding/metrics.py
@@ -174,7 +174,8 @@
         )
         self._suspected_requests = gauge(
             name="requests_suspected",
-            doc="Requests under which an endpoint ended of late, and those blocked.",
+            doc="Requests and parts of prompts under which an endpoint ended of late, "
+            "and those blocked.",
         )
         self._peers = gauge(name="peers", doc="Other routers that are heard.")
         self._memory = gauge(name="memory_bytes", doc="Resident memory.")
@@ -201,6 +202,9 @@
         self._suspected_requests.set(
             {"state": "blocked"}, sources.crashes.blocked_count
         )
+        self._suspected_requests.set(
+            {"state": "blocked_parts"}, sources.crashes.blocked_part_count
+        )
         self._peers.set({}, len(sources.directory.alive))
         self._memory.set({}, _resident_bytes())
         return self._registry.render()
--- a/dotterelpaddle/forwarding/relays.py
+++ b/dotterelpaddle/forwarding/relays.py
@@ -132,6 +132,7 @@
             events = buffer.feed(chunk=chunk)
             if not events:
                 continue
+            call.observe(Evidence.OUTPUT)
             if not reply.started:
                 self._record_origin(entry=call.entry)
                 await reply.start(
--- a/dotterelpaddle/forwarding/shared_state.py
+++ b/dotterelpaddle/forwarding/shared_state.py
@@ -45,7 +45,7 @@
         brittle: Limits for endpoints that end if they reject too many requests.
         cold: Limits for endpoints that have just started.
         caches: Prompt parts that each endpoint has cached.
-        crashes: Requests that were running when endpoints crashed.
+        crashes: Requests and prompt parts that were running when endpoints crashed.
         introduction: Lets the first requests after a start wait for what other routers
             know of such requests.
         retry_budget: Limits the retries of all routers.
@@ -135,7 +135,9 @@
             clock=clock,
         ),
         caches=caches,
-        crashes=CrashTracker(clock=clock),
+        crashes=CrashTracker(
+            clock=clock, may_try_parts=lambda: directory.is_first_by_rank
+        ),
         introduction=introduction,
         retry_budget=RetryBudget(
             limits=settings.retry_limits,
--- a/dotterelpaddle/forwarding/termination_probes.py
+++ b/dotterelpaddle/forwarding/termination_probes.py
@@ -11,17 +11,19 @@
 
 import anyio
 
+from dotterelpaddle.forwarding.crash_subjects import RequestSubject
 from dotterelpaddle.forwarding.model import EndpointState
 from dotterelpaddle.forwarding.reachability import ConnectionOutcome, probe_connection
 from dotterelpaddle.logs import get_logger
 
 if TYPE_CHECKING:
     from dotterelpaddle.clock import Clock
+    from dotterelpaddle.forwarding.crash_subjects import CrashSubject
     from dotterelpaddle.forwarding.crashes import CrashTracker
     from dotterelpaddle.forwarding.leaving import LeavingEndpoints
     from dotterelpaddle.forwarding.model import EndpointEntry
     from dotterelpaddle.forwarding.reachability import Reachability
-    from dotterelpaddle.ids import EndpointId, Fingerprint
+    from dotterelpaddle.ids import EndpointId
     from dotterelpaddle.network import LinkedBackend
     from dotterelpaddle.peers.tunnels import TunnelBackend
 
@@ -42,12 +44,12 @@
     """A request whose connection broke.
 
     Attributes:
-        fingerprint: Fingerprint of the request.
+        subject: The request, or a part of its prompt.
         broken_at: Time of the break, seconds on the monotonic clock.
         answer_begun: Whether its answer had started and had no content yet.
     """
 
-    fingerprint: Fingerprint
+    subject: CrashSubject
     broken_at: float
     answer_begun: bool
 
@@ -85,7 +87,7 @@
         self._unprobed_event = anyio.Event()
 
     def report_broken_connection(
-        self, *, entry: EndpointEntry, fingerprint: Fingerprint, answer_begun: bool
+        self, *, entry: EndpointEntry, subject: CrashSubject, answer_begun: bool
     ) -> None:
         """Record a request whose connection broke after the router had sent it.
 
@@ -94,13 +96,13 @@
 
         Args:
             entry: Registration of the endpoint.
-            fingerprint: Fingerprint of the request.
+            subject: The request, or a part of its prompt.
             answer_begun: Whether the answer had started and had no content yet.
         """
         if entry.state is EndpointState.DRAINING or entry.endpoint in self._leaving:
             return
         broken = _BrokenRequest(
-            fingerprint=fingerprint, broken_at=self._clock(), answer_begun=answer_begun
+            subject=subject, broken_at=self._clock(), answer_begun=answer_begun
         )
         pending = self._pending.setdefault(entry.endpoint, [])
         if not pending:
@@ -125,21 +127,21 @@
             "endpoint_looked_at",
             endpoint=entry.endpoint,
             ended=terminated,
-            requests=len(broken),
+            requests=sum(isinstance(each.subject, RequestSubject) for each in broken),
         )
         if terminated:
             self._reachability.suspect(entry=entry, timed_out=False)
         for request in broken:
             if terminated:
                 self._crashes.record_crash(
-                    fingerprint=request.fingerprint,
+                    subject=request.subject,
                     endpoint=entry.endpoint,
                     at=request.broken_at,
                     begun=request.answer_begun,
                 )
             else:
                 self._crashes.end_attempt(
-                    fingerprint=request.fingerprint, endpoint=entry.endpoint
+                    subject=request.subject, endpoint=entry.endpoint
                 )
 
     async def _has_terminated(self, *, entry: EndpointEntry) -> bool:
--- a/dotterelpaddle/ids.py
+++ b/dotterelpaddle/ids.py
@@ -37,6 +37,9 @@
 ModelId = NewType("ModelId", str)
 """Name of a model record."""
 
+PartKey = NewType("PartKey", str)
+"""Digest of a prompt part with its service and model."""
+
 PermitId = NewType("PermitId", int)
 """Identifier of one permit to send a request to an endpoint."""
 
--- a/dotterelpaddle/peers/directory.py
+++ b/dotterelpaddle/peers/directory.py
@@ -180,6 +180,12 @@
         """
         return rank_of(self._peer_info(router))
 
+    @property
+    def is_first_by_rank(self) -> bool:
+        """Whether no other running router has a better rank."""
+        own = self.rank(router=self.own.router)
+        return all(self.rank(router=each.report.router) > own for each in self.alive)
+
     def aggregators(self, *, failure_domain: FailureDomain) -> tuple[PeerInfo, ...]:
         """The aggregators of a failure domain, the best ranked ones first.
 
--- a/dotterelpaddle/tests/forwarding/crash_callers.py
+++ b/dotterelpaddle/tests/forwarding/crash_callers.py
@@ -11,12 +11,14 @@
 import anyio
 
 from dotterelpaddle.platform.names import Header
-from dotterelpaddle.tests.forwarding.crash_world import CULPRIT, CrashWorld
+from dotterelpaddle.tests.forwarding.crash_engine import CULPRIT
 from dotterelpaddle.tests.forwarding.harness import HOST, KEY
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
+    from dotterelpaddle.tests.forwarding.crash_world import CrashWorld
+
 CALL_TIMEOUT_SECONDS = 5.0
 """Seconds after which callers give up."""
 
@@ -87,6 +89,8 @@
     ) -> Answer:
         """Send a request to the given router, or to a random one."""
         running = [host for host in self._world.hosts if host.takes_callers]
+        if not running:
+            return Answer(status=0, whole=False, retry_after=None)
         host = (
             self._dice.choice(running) if router is None else self._world.hosts[router]
         )
--- a/dotterelpaddle/tests/forwarding/crash_world.py
+++ b/dotterelpaddle/tests/forwarding/crash_world.py
@@ -21,14 +21,12 @@
 from dotterelpaddle.forwarding.interface import EndpointsUpdate
 from dotterelpaddle.ids import EndpointName, FailureDomain
 from dotterelpaddle.platform.documents import PlatformDocumentDecoder
-from dotterelpaddle.platform.names import Header
 from dotterelpaddle.platform.protocols import PlatformCodec
-from dotterelpaddle.standins.runner import (
-    STREAM_PATH,
-    Behaviour,
-    Received,
-    RunnerStandin,
-    Serve,
+from dotterelpaddle.tests.forwarding.crash_engine import (
+    SLOT_COUNT,
+    Arrival,
+    Engine,
+    find_culprit,
 )
 from dotterelpaddle.tests.forwarding.harness import SERVICE, configuration
 from dotterelpaddle.tests.memory_network import MemoryNetwork
@@ -48,16 +46,7 @@
 
     from dotterelpaddle.forwarding.components import Components
     from dotterelpaddle.ids import RouterId
-
-CULPRIT = "culprit"
-"""Suffix of the path of a request that crashes endpoints."""
-
-SLOT_COUNT = 8
-EVENT_COUNT, EVENT_INTERVAL_SECONDS = 5, 0.1
-"""Events of a stream, and the seconds between two of them."""
-
-CRASH_DELAY_SECONDS = 0.06
-"""Seconds from the start of a culprit until its endpoint crashes."""
+    from dotterelpaddle.standins.runner import Received
 
 DOWN_SECONDS = (2.8, 5.0)
 """Minimum and maximum seconds until a crashed endpoint has restarted."""
@@ -76,53 +65,6 @@
 """Seconds from the start of the fleet until all routers know each other."""
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class Arrival:
-    """A request with a culprit that an endpoint accepted.
-
-    Attributes:
-        at: Time of arrival on the clock of the event loop.
-        endpoint: Name of the endpoint.
-        culprit: What crashes endpoints: the path of the request, or a prompt part.
-        request_id: Request id of this attempt.
-    """
-
-    at: float
-    endpoint: str
-    culprit: str
-    request_id: bytes
-
-
-class Engine(RunnerStandin):
-    """An endpoint with a number of slots that crashes when it runs a culprit."""
-
-    def __init__(self, *, name: str, address: Address, world: CrashWorld) -> None:
-        super().__init__(name=name, events=EVENT_COUNT, pause=EVENT_INTERVAL_SECONDS)
-        self.address = address
-        self._world = world
-        self._slots = anyio.Semaphore(SLOT_COUNT)
-
-    async def _answer(
-        self, stream: Any, request: Received, behaviour: Behaviour
-    ) -> bool:
-        if request.headers[Header.EXPECTED_ENDPOINT] != self.name.encode():
-            await stream.send(self._whole(request, status=421, sealed=False))
-            return True
-        culprit = self._world.culprit_of(request=request)
-        if culprit:
-            self._world.record_arrival(engine=self, request=request, culprit=culprit)
-        async with self._slots:
-            if not culprit:
-                return await super()._answer(stream, request, behaviour or Serve())
-            self.runs.append(request)
-            if request.target.startswith(STREAM_PATH):
-                head = self._head(request, framing=b"transfer-encoding: chunked")
-                await stream.send(head)
-            await anyio.sleep(CRASH_DELAY_SECONDS)
-            self._world.end_engine(engine=self, under=culprit)
-        return False
-
-
 @dataclass(kw_only=True)
 class CrashWorld:
     """Routers, endpoints and callers.
@@ -194,13 +136,7 @@
 
     def culprit_of(self, *, request: Received) -> str:
         """Return what crashes the endpoint of a request, empty for nothing."""
-        prompt = request.headers.get(Header.PROMPT_PREFIX, b"").decode()
-        digests = [entry.partition(":")[0] for entry in prompt.split(",")]
-        for digest in digests[:-1]:
-            if digest in self.deadly_parts:
-                return digest
-        target = request.target.decode()
-        return target if target.endswith(CULPRIT) else ""
+        return find_culprit(request=request, deadly_parts=self.deadly_parts)
 
     def record_arrival(
         self, *, engine: Engine, request: Received, culprit: str
--- a/dotterelpaddle/tests/forwarding/test_crash_causes.py
+++ b/dotterelpaddle/tests/forwarding/test_crash_causes.py
@@ -2,13 +2,25 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
 from hypothesis import given, strategies as st
 
 from dotterelpaddle.forwarding.crash_causes import Suspicion, find_causes
+from dotterelpaddle.forwarding.crash_subjects import RequestSubject
 from dotterelpaddle.ids import EndpointId, Fingerprint
 
+if TYPE_CHECKING:
+    from dotterelpaddle.forwarding.crash_subjects import CrashSubject
+
 MIN_CRASHES = 3
-CULPRIT = Fingerprint("culprit")
+
+
+def _request(name: str) -> RequestSubject:
+    return RequestSubject(fingerprint=Fingerprint(name))
+
+
+CULPRIT = _request("culprit")
 CRASHES = st.frozensets(st.sampled_from([EndpointId(each) for each in "abcdefgh"]))
 
 
@@ -21,24 +33,25 @@
 
 def _suspicions(
     crashes: list[frozenset[EndpointId]],
-) -> dict[Fingerprint, Suspicion]:
+) -> dict[CrashSubject, Suspicion]:
     return {
-        Fingerprint(f"request-{number}"): Suspicion(
-            crashed_endpoints=each, begun_count=0
-        )
+        _request(f"request-{number}"): Suspicion(crashed_endpoints=each, begun_count=0)
         for number, each in enumerate(crashes)
     }
 
 
+def _strength(subject: CrashSubject, suspicion: Suspicion) -> tuple[object, ...]:
+    assert isinstance(subject, RequestSubject)
+    return suspicion.rank, subject.fingerprint
+
+
 @given(st.lists(CRASHES, max_size=6))
 def test_request_in_all_crashes_is_the_only_cause(
     others: list[frozenset[EndpointId]],
 ) -> None:
     """Guards against blocking streams that were retried together with the cause."""
-    suspicions = {
-        Fingerprint(f"other-{number}"): Suspicion(
-            crashed_endpoints=crashed, begun_count=0
-        )
+    suspicions: dict[CrashSubject, Suspicion] = {
+        _request(f"other-{number}"): Suspicion(crashed_endpoints=crashed, begun_count=0)
         for number, crashed in enumerate(others)
     }
     suspicions[CULPRIT] = _suspicion("abcdefgh", begun=1)
@@ -67,11 +80,11 @@
     causes = find_causes(suspicions=suspicions, min_crashes=MIN_CRASHES)
 
     for request, suspicion in suspicions.items():
-        strength = (suspicion.rank, request)
+        strength = _strength(request, suspicion)
         explained = {
             endpoint
             for cause in causes
-            if (suspicions[cause].rank, cause) > strength
+            if _strength(cause, suspicions[cause]) > strength
             for endpoint in suspicions[cause].crashed_endpoints
         }
         crashed = suspicion.crashed_endpoints
@@ -80,8 +93,8 @@
 
 
 def test_causes_with_a_shared_crash_are_all_found() -> None:
-    second, beside = Fingerprint("second"), Fingerprint("beside")
-    suspicions = {
+    second, beside = _request("second"), _request("beside")
+    suspicions: dict[CrashSubject, Suspicion] = {
         CULPRIT: _suspicion("abc"),
         second: _suspicion("cdefg"),
         beside: _suspicion("abg"),
--- a/dotterelpaddle/tests/forwarding/test_crash_incident.py
+++ b/dotterelpaddle/tests/forwarding/test_crash_incident.py
@@ -19,8 +19,8 @@
 import pytest
 
 from dotterelpaddle.tests.forwarding.crash_callers import CALL_TIMEOUT_SECONDS, Callers
+from dotterelpaddle.tests.forwarding.crash_engine import CULPRIT
 from dotterelpaddle.tests.forwarding.crash_world import (
-    CULPRIT,
     DISCOVERY_SECONDS,
     MIN_STABLE_SECONDS,
     CrashWorld,
--- /dev/null
+++ b/dotterelpaddle/tests/forwarding/test_crash_parts.py
@@ -0,0 +1,112 @@
+"""Which prompt parts routers block because they cause crashes."""
+
+from __future__ import annotations
+
+import pytest
+
+from dotterelpaddle.forwarding.crash_subjects import PartSubject, RequestSubject
+from dotterelpaddle.forwarding.crashes import (
+    ACQUITTAL_SECONDS,
+    MAX_SUSPECT_PARTS,
+    MIN_BLOCK_SECONDS,
+    CrashTracker,
+)
+from dotterelpaddle.ids import Fingerprint, PartKey
+from dotterelpaddle.tests.forwarding.test_crashes import Router
+
+
+def _part(name: str, position: int = 1) -> PartSubject:
+    return PartSubject(part=PartKey(name), position=position)
+
+
+SYSTEM, DEADLY = _part("system", 0), _part("deadly")
+FIRST, SECOND = (
+    RequestSubject(fingerprint=Fingerprint(name)) for name in ("first", "second")
+)
+
+
+@pytest.fixture
+def router() -> Router:
+    return Router()
+
+
+# Guards against a part that all requests share, which is at each crash as well.
+def test_of_parts_at_the_same_crashes_only_the_one_without_answers_is_blocked(
+    router: Router,
+) -> None:
+    router.tracker.record_served(subject=SYSTEM)
+    router.crash("a", "b", "c", of=SYSTEM, begun=True)
+    router.crash("a", "b", "c", of=DEADLY, begun=True)
+
+    assert not router.allows(DEADLY)
+    assert router.allows(SYSTEM)
+
+
+# Guards against blocking the common part where nobody remembers an answer.
+def test_of_parts_without_answers_the_later_one_is_blocked(router: Router) -> None:
+    router.crash("a", "b", "c", of=SYSTEM, begun=True)
+    router.crash("a", "b", "c", of=DEADLY, begun=True)
+
+    assert not router.allows(DEADLY)
+    assert router.allows(SYSTEM)
+
+
+# Guards against a router that blocks a part which others serve.
+def test_answer_at_another_router_clears_a_part(router: Router) -> None:
+    other = Router()
+    other.tracker.record_served(subject=SYSTEM)
+    other.now = router.now = router.now + ACQUITTAL_SECONDS / 2
+    router.crash("a", "b", "c", of=SYSTEM, begun=True)
+    assert not router.allows(SYSTEM)
+
+    router.report(other)
+    other.report(router)
+
+    assert router.allows(SYSTEM)
+    assert other.allows(SYSTEM)
+
+
+# Guards against a part that has become deadly and was sound long before.
+def test_answer_long_before_the_crashes_clears_no_part(router: Router) -> None:
+    router.tracker.record_served(subject=DEADLY)
+    router.now += ACQUITTAL_SECONDS + 1.0
+    router.crash("a", "b", "c", of=DEADLY, begun=True)
+
+    assert not router.allows(DEADLY)
+
+
+# Guards against refusing other requests with the parts of the one that crashes.
+def test_part_of_a_single_request_is_not_blocked_in_its_place(router: Router) -> None:
+    router.crash("a", "b", "c", of=DEADLY, begun=True)
+    router.crash("a", "b", "c", of=FIRST, begun=True)
+
+    assert not router.allows(FIRST)
+    assert router.allows(DEADLY)
+
+    router.crash("d", of=DEADLY, begun=True)
+    router.crash("d", of=SECOND, begun=True)
+
+    assert not router.allows(DEADLY)
+
+
+# Guards against attempts from all routers at once when the block of a part ends.
+@pytest.mark.parametrize("is_first", [True, False])
+def test_one_router_tries_a_part_after_its_block(is_first: bool) -> None:
+    router = Router()
+    router.tracker = CrashTracker(
+        clock=lambda: router.now, may_try_parts=lambda: is_first
+    )
+    router.crash("a", "b", "c", of=DEADLY, begun=True)
+    router.now += MIN_BLOCK_SECONDS + 1.0
+
+    assert router.allows(DEADLY) is is_first
+
+
+# Guards against parts of many prompts that evict a blocked one.
+def test_memory_of_parts_is_bounded_and_keeps_what_is_blocked(router: Router) -> None:
+    router.crash("a", "b", "c", of=DEADLY, begun=True)
+    for number in range(2 * MAX_SUSPECT_PARTS):
+        router.crash("d", of=_part(f"other-{number}"), begun=True)
+
+    assert router.tracker.suspect_count == MAX_SUSPECT_PARTS
+    assert not router.allows(DEADLY)
--- a/dotterelpaddle/tests/forwarding/test_crashes.py
+++ b/dotterelpaddle/tests/forwarding/test_crashes.py
@@ -3,27 +3,39 @@
 from __future__ import annotations
 
 from dataclasses import replace
+from typing import TYPE_CHECKING
 
 import pytest
 from hypothesis import settings, strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
 from dotterelpaddle.exceptions import RequestBlocked
+from dotterelpaddle.forwarding.crash_subjects import RequestSubject
+from dotterelpaddle.forwarding.crash_suspects import (
+    ONE_CRASH_INTERVAL_SECONDS,
+    REPORT_INTERVAL_SECONDS,
+)
 from dotterelpaddle.forwarding.crashes import (
     MAX_ATTEMPT_SECONDS,
     MAX_NOTES_PER_REPORT,
     MAX_SUSPECTS,
     MIN_BLOCK_SECONDS,
     MIN_CRASHES_TO_BLOCK,
-    ONE_CRASH_INTERVAL_SECONDS,
-    REPORT_INTERVAL_SECONDS,
     SUSPICION_SECONDS,
     CrashTracker,
 )
 from dotterelpaddle.forwarding.report_state import REPORTS_PER_UPDATE
 from dotterelpaddle.ids import EndpointId, Fingerprint
 
-CULPRIT, OTHER = Fingerprint("culprit"), Fingerprint("other")
+if TYPE_CHECKING:
+    from dotterelpaddle.forwarding.crash_subjects import CrashSubject
+
+
+def _request(name: str) -> RequestSubject:
+    return RequestSubject(fingerprint=Fingerprint(name))
+
+
+CULPRIT, OTHER = _request("culprit"), _request("other")
 DELAY = 0.005
 """Transmission time of a report, seconds."""
 
@@ -36,22 +48,22 @@
         self.tracker = CrashTracker(clock=lambda: self.now)
 
     def crash(
-        self, *names: str, of: Fingerprint = CULPRIT, begun: bool = False
+        self, *names: str, of: CrashSubject = CULPRIT, begun: bool = False
     ) -> None:
         for name in names:
             self.tracker.record_crash(
-                fingerprint=of, endpoint=EndpointId(name), at=self.now, begun=begun
+                subject=of, endpoint=EndpointId(name), at=self.now, begun=begun
             )
 
-    def allows(self, fingerprint: Fingerprint = CULPRIT) -> bool:
+    def allows(self, subject: CrashSubject = CULPRIT) -> bool:
         try:
-            self.tracker.check(fingerprint=fingerprint)
+            self.tracker.check(subject=subject)
         except RequestBlocked:
             return False
         return True
 
-    def begin_attempt(self, name: str, of: Fingerprint = CULPRIT) -> None:
-        self.tracker.begin_attempt(fingerprint=of, endpoint=EndpointId(name))
+    def begin_attempt(self, name: str, of: CrashSubject = CULPRIT) -> None:
+        self.tracker.begin_attempt(subject=of, endpoint=EndpointId(name))
 
     def report(self, *others: Router, forward: bool = False) -> int:
         notes = self.tracker.take_due_notes()
@@ -106,7 +118,7 @@
     router.crash("a", "b", "c")
     router.report(other)
     other.now = router.now = 101.0
-    other.tracker.record_served(fingerprint=CULPRIT)
+    other.tracker.record_served(subject=CULPRIT)
     other.report(router)
 
     assert router.allows()
@@ -120,7 +132,7 @@
     late.crash("c")
     router.crash("a", "b")
     router.now = late.now = 101.0
-    router.tracker.record_served(fingerprint=CULPRIT)
+    router.tracker.record_served(subject=CULPRIT)
     late.report(router)
     router.crash("d", "e")
 
@@ -146,7 +158,7 @@
 def test_attempt_without_a_crash_does_not_count(router: Router) -> None:
     router.crash("a", "b")
     router.begin_attempt("c")
-    router.tracker.end_attempt(fingerprint=CULPRIT, endpoint=EndpointId("c"))
+    router.tracker.end_attempt(subject=CULPRIT, endpoint=EndpointId("c"))
 
     assert router.allows()
 
@@ -181,7 +193,7 @@
     router.now += 10.0
 
     with pytest.raises(RequestBlocked, match="a 10.0 s ago") as raised:
-        router.tracker.check(fingerprint=CULPRIT)
+        router.tracker.check(subject=CULPRIT)
 
     assert raised.value.retry_after == pytest.approx(MIN_BLOCK_SECONDS - 10.0)
 
@@ -242,7 +254,7 @@
     """Guards against callers that evict a blocked request by sending others."""
     router.crash("a", "b", "c")
     for number in range(2 * MAX_SUSPECTS):
-        router.crash("d", of=Fingerprint(f"other-{number}"))
+        router.crash("d", of=_request(f"other-{number}"))
 
     assert router.tracker.suspect_count == MAX_SUSPECTS
     assert not router.allows()
@@ -252,7 +264,7 @@
     router: Router,
 ) -> None:
     for number in range(5 * MAX_NOTES_PER_REPORT):
-        router.crash("d", of=Fingerprint(f"other-{number}"))
+        router.crash("d", of=_request(f"other-{number}"))
     router.crash("a", "b", "c")
     other = Router()
 
@@ -296,14 +308,14 @@
         name=st.sampled_from("abcdef"),
         begun=st.booleans(),
     )
-    def crash(self, router: int, of: Fingerprint, name: str, begun: bool) -> None:
+    def crash(self, router: int, of: RequestSubject, name: str, begun: bool) -> None:
         self._advance(seconds=0.1)
         self.routers[router].crash(f"{name}{self.routers[0].now}", of=of, begun=begun)
 
     @rule(router=st.integers(0, 2), of=st.sampled_from([CULPRIT, OTHER]))
-    def serve(self, router: int, of: Fingerprint) -> None:
+    def serve(self, router: int, of: RequestSubject) -> None:
         self._advance(seconds=0.1)
-        self.routers[router].tracker.record_served(fingerprint=of)
+        self.routers[router].tracker.record_served(subject=of)
 
     @rule(sender=st.integers(0, 2), lost=st.sets(st.integers(0, 2)))
     def report(self, sender: int, lost: set[int]) -> None:
--- a/dotterelpaddle/tests/forwarding/test_prompt_parts_incident.py
+++ b/dotterelpaddle/tests/forwarding/test_prompt_parts_incident.py
@@ -17,6 +17,7 @@
 from typing import TYPE_CHECKING, Any
 
 import anyio
+import pytest
 
 from dotterelpaddle.tests.forwarding.crash_callers import CALL_TIMEOUT_SECONDS
 from dotterelpaddle.tests.forwarding.crash_world import (
@@ -120,3 +121,86 @@
     world, callers = _run(_send_deadly, seed=1)
 
     _check(world, callers)
+
+
+@pytest.mark.parametrize("seed", [2, 3])
+def test_part_that_crashes_endpoints_is_blocked_with_other_seeds(seed: int) -> None:
+    world, callers = _run(_send_deadly, seed=seed)
+
+    _check(world, callers)
+
+
+# Guards against blocking only parts that follow others.
+def test_first_part_that_crashes_endpoints_is_blocked() -> None:
+    script = partial(_send_deadly, parts=(DEADLY_PARTS[0], "*"))
+    world, callers = _run(script, seed=4)
+
+    _check(world, callers)
+
+
+# Guards against blocking only one of several parts that crash endpoints in turn.
+def test_each_of_several_parts_that_crash_endpoints_is_blocked() -> None:
+    async def _several(world: CrashWorld, callers: PartCallers) -> None:
+        for part in DEADLY_PARTS[1:]:
+            script = partial(
+                _send_deadly, world, callers, parts=(SYSTEM_PART, part, "*")
+            )
+            world.tasks.start_soon(script)
+        await _send_deadly(world, callers)
+
+    world, callers = _run(_several, seed=5, deadly_parts=frozenset(DEADLY_PARTS))
+
+    _check(world, callers, parts=len(DEADLY_PARTS))
+
+
+# Guards against many requests with the part that reach endpoints at the same time.
+def test_part_in_clumps_of_requests_is_blocked() -> None:
+    world, callers = _run(partial(_send_deadly, clump=6), seed=6)
+
+    _check(world, callers)
+
+
+# Guards against blocking a part that all requests with the cause hold, and sound ones.
+def test_part_beside_the_cause_is_not_blocked() -> None:
+    first = (SYSTEM_PART, "5f")
+    world, callers = _run(_send_deadly, first=first, seed=7)
+
+    _check(world, callers)
+
+
+# Guards against notes that only routers which run at the time of a crash receive.
+def test_part_is_blocked_while_routers_are_killed_in_turn() -> None:
+    async def _kill_in_turn(world: CrashWorld, callers: PartCallers) -> None:
+        world.tasks.start_soon(_send_deadly, world, callers)
+        for host in world.hosts:
+            await anyio.sleep(1.0)
+            world.kill(host)
+        await anyio.sleep(DEADLY_SECONDS - len(world.hosts))
+
+    world, callers = _run(_kill_in_turn, seed=9)
+
+    _check(world, callers)
+
+
+# Guards against blocking parts of sound prompts during unrelated crashes.
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_no_part_is_blocked_during_unrelated_crashes(seed: int) -> None:
+    blocked: list[int] = []
+
+    async def _crashes(world: CrashWorld, callers: PartCallers) -> None:
+        for _ in range(16):
+            await anyio.sleep(world.dice.expovariate(16 / DEADLY_SECONDS))
+            if len(world.live) > 1:
+                world.end_engine(engine=world.dice.choice(world.live))
+            blocked.extend(_blocked_counts(world))
+
+    world, callers = _run(_crashes, seed=seed, routers=3, engines=10)
+
+    assert world.ended
+    assert max(blocked) == 0
+
+
+def _blocked_counts(world: CrashWorld) -> list[int]:
+    return [
+        host.parts.state.crashes.blocked_count for host in world.hosts if host.parts
+    ]
--- a/dotterelpaddle/tests/forwarding/test_termination_probes.py
+++ b/dotterelpaddle/tests/forwarding/test_termination_probes.py
@@ -12,6 +12,7 @@
 from dotterelpaddle.address import Address
 from dotterelpaddle.clock import monotonic
 from dotterelpaddle.exceptions import RequestBlocked
+from dotterelpaddle.forwarding.crash_subjects import RequestSubject
 from dotterelpaddle.forwarding.crashes import MIN_CRASHES_TO_BLOCK, CrashTracker
 from dotterelpaddle.forwarding.model import EndpointState
 from dotterelpaddle.forwarding.reachability import Reachability
@@ -28,7 +29,7 @@
 
 pytestmark = pytest.mark.anyio
 
-CULPRIT = Fingerprint("culprit")
+CULPRIT = RequestSubject(fingerprint=Fingerprint("culprit"))
 CLOSED = Address(host="127.0.0.1", port=1)
 
 
@@ -59,7 +60,7 @@
         for number in range(MIN_CRASHES_TO_BLOCK):
             self.prober.report_broken_connection(
                 entry=make_entry(f"engine-{number}", address=address, **fields),
-                fingerprint=CULPRIT,
+                subject=CULPRIT,
                 answer_begun=True,
             )
 
@@ -67,7 +68,7 @@
     def is_blocked(self) -> bool:
         """Whether the request is blocked."""
         try:
-            self.crashes.check(fingerprint=CULPRIT)
+            self.crashes.check(subject=CULPRIT)
         except RequestBlocked:
             return True
         return False
--- a/dotterelpaddle/tests/peers/test_messages.py
+++ b/dotterelpaddle/tests/peers/test_messages.py
@@ -9,6 +9,7 @@
 from dotterelpaddle.address import Address
 from dotterelpaddle.exceptions import ControlError
 from dotterelpaddle.forwarding.crash_note import CrashNote, NoteKind
+from dotterelpaddle.forwarding.crash_subjects import PartSubject, RequestSubject
 from dotterelpaddle.forwarding.evacuations import EvacuationSnapshot
 from dotterelpaddle.forwarding.leaving import LeavingNotice
 from dotterelpaddle.forwarding.request_totals import (
@@ -22,6 +23,7 @@
     EndpointId,
     FailureDomain,
     Fingerprint,
+    PartKey,
     RouterId,
     ServiceName,
     StoreEra,
@@ -116,17 +118,26 @@
     notes = (
         CrashNote(
             kind=NoteKind.ENDED,
-            fingerprint=Fingerprint("f"),
+            subject=RequestSubject(fingerprint=Fingerprint("f")),
             endpoint=EndpointId("a@1"),
             age=1.5,
             begun=True,
         ),
         CrashNote(
             kind=NoteKind.ENDED,
-            fingerprint=Fingerprint("f"),
+            subject=RequestSubject(fingerprint=Fingerprint("f")),
             endpoint=EndpointId("a@2"),
         ),
-        CrashNote(kind=NoteKind.SERVED, fingerprint=Fingerprint("g")),
+        CrashNote(
+            kind=NoteKind.SERVED,
+            subject=RequestSubject(fingerprint=Fingerprint("g")),
+        ),
+        CrashNote(
+            kind=NoteKind.ENDED,
+            subject=PartSubject(part=PartKey("p"), position=2),
+            endpoint=EndpointId("a@3"),
+            begun=True,
+        ),
     )
     report = _report(crashes=notes)
 
