Keep what crashes endpoints in the store, where it outlives all routers

What callers saw: after the loss of all routers nobody knew a blocked request or part, and it ended as many endpoints again.

Change: the router that reads the store for all writes one row with the crashes of all causes, when they change, and reads it when it takes over. Crashes name a point in the store's own time, so that a block keeps its end however often another router writes it again.

--- a/dotterelpaddle/daemon/process.py
+++ b/dotterelpaddle/daemon/process.py
@@ -48,6 +48,7 @@
     dependencies = Dependencies(
         source=source,
         stream_store=source,
+        crash_store=source,
         protocols=PlatformCodec(),
         documents=documents,
         cache_reader=EngineCacheReader(links=links),
--- a/dotterelpaddle/forwarding/components.py
+++ b/dotterelpaddle/forwarding/components.py
@@ -34,6 +34,7 @@
 from dotterelpaddle.owners.reporting import InFlightReporter
 from dotterelpaddle.owners.shards import ShardMap
 from dotterelpaddle.peers.cache_discovery import CacheDiscovery
+from dotterelpaddle.peers.crash_archive import CrashArchive
 from dotterelpaddle.peers.exchange import PeerExchange
 from dotterelpaddle.peers.fetching import Fetcher
 from dotterelpaddle.peers.plan import ReportPlan
@@ -57,6 +58,7 @@
     )
     from dotterelpaddle.forwarding.settings import ForwardSettings
     from dotterelpaddle.links import Links
+    from dotterelpaddle.peers.crash_archive import CrashStore
     from dotterelpaddle.streams.archive import StreamStore
 
 
@@ -67,6 +69,7 @@
     Attributes:
         source: Store of the configuration and the endpoints.
         stream_store: Keeps records of streams, None to keep none.
+        crash_store: Keeps what crashes endpoints, None to keep nothing.
         protocols: Translates callers' requests and endpoints' answers.
         documents: Decodes the documents of the source.
         cache_reader: Requests the list of cached prompt parts from an endpoint.
@@ -81,6 +84,7 @@
     links: Links
     clock: Clock
     stream_store: StreamStore | None = None
+    crash_store: CrashStore | None = None
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -103,6 +107,7 @@
         fetcher: Fetches missing state from other routers.
         stream_finder: Finds where streams that callers resume began.
         stream_archive: Keeps records of streams in the platform's store.
+        crash_archive: Keeps what crashes endpoints in the platform's store.
         metrics: Renders the metrics page.
     """
 
@@ -120,6 +125,7 @@
     fetcher: Fetcher
     stream_finder: StreamFinder
     stream_archive: StreamArchive
+    crash_archive: CrashArchive
     metrics: MetricsPage
 
     def start_draining(self) -> None:
@@ -339,6 +345,12 @@
         owners=owners,
         stream_finder=stream_finder,
         stream_archive=stream_archive,
+        crash_archive=CrashArchive(
+            store=dependencies.crash_store,
+            crashes=state.crashes,
+            is_writer=lambda: peer_summary.is_platform_reader,
+            store_clock=state.store_clock,
+        ),
         metrics=MetricsPage(
             metrics=metrics,
             sources=MetricsSources(
--- /dev/null
+++ b/dotterelpaddle/peers/crash_archive.py
@@ -0,0 +1,138 @@
+"""Keeps what crashes endpoints in the platform's store, where it outlives all routers.
+
+One router writes for all, and reads what an earlier one wrote when it takes over. It
+tells the others with its reports.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Protocol
+
+import anyio
+
+from dotterelpaddle.exceptions import ControlError, PlatformError
+from dotterelpaddle.logs import get_logger
+from dotterelpaddle.peers.crash_rows import decode_row, encode_row
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from dotterelpaddle.forwarding.crash_note import CrashNote
+    from dotterelpaddle.forwarding.crashes import CrashTracker
+    from dotterelpaddle.forwarding.store_clock import StoreClock
+
+log = get_logger(name=__name__)
+
+FIRST_CHECK_SECONDS = 0.1
+"""Seconds after the start until a router has heard of others that write for it."""
+
+CHECK_INTERVAL_SECONDS = 0.2
+"""Seconds between two checks. What was blocked since the last one is forgotten if all
+routers are lost."""
+
+MAX_CRASHES = 300
+"""Crashes in the row, 20 KB."""
+
+FAILURE_COOLDOWN_SECONDS = 1.0
+"""Seconds after a failed call until the next one."""
+
+
+class CrashStore(Protocol):
+    """The row of the platform's store that belongs to the crashes of this fleet."""
+
+    async def crash_row(self) -> bytes | None:
+        """Read the row, None if there is none.
+
+        Raises:
+            PlatformError: If the store returns no usable answer in time.
+        """
+
+    async def put_crash_row(self, *, row: bytes) -> None:
+        """Write the row.
+
+        Raises:
+            PlatformError: If the store does not confirm it in time.
+        """
+
+
+class CrashArchive:
+    """Writes what is blocked to the platform's store, and reads it.
+
+    Args:
+        store: Keeps the row; None to keep none.
+        crashes: Requests and prompt parts that crash endpoints.
+        is_writer: Returns whether this router writes for all.
+        store_clock: Estimates the clock of the store.
+    """
+
+    def __init__(
+        self,
+        *,
+        store: CrashStore | None,
+        crashes: CrashTracker,
+        is_writer: Callable[[], bool],
+        store_clock: StoreClock,
+    ) -> None:
+        self._store = store
+        self._crashes = crashes
+        self._is_writer = is_writer
+        self._store_clock = store_clock
+        self._has_recalled = False
+        self._failing = False
+        self._written: frozenset[object] = frozenset()
+
+    async def run(self) -> None:
+        """Read and write what is due until cancelled."""
+        if self._store is None:
+            return
+        await anyio.sleep(FIRST_CHECK_SECONDS)
+        while True:
+            try:
+                await self._synchronize(store=self._store)
+                self._failing = False
+            except PlatformError as error:
+                if not self._failing:
+                    log.warning(
+                        "crash_archive_failing", cause=error.message, peer=error.peer
+                    )
+                self._failing = True
+                await anyio.sleep(FAILURE_COOLDOWN_SECONDS)
+            await anyio.sleep(CHECK_INTERVAL_SECONDS)
+
+    async def _synchronize(self, *, store: CrashStore) -> None:
+        if not self._is_writer():
+            self._has_recalled = False
+        elif self._store_clock.earliest_time() is not None:
+            if not self._has_recalled:
+                await self._recall(store=store)
+            await self._write_changes(store=store)
+
+    async def _recall(self, *, store: CrashStore) -> None:
+        """Add what an earlier writer knew."""
+        row = await store.crash_row()
+        self._has_recalled = True
+        if row is None:
+            return
+        try:
+            notes = decode_row(row=row, store_clock=self._store_clock)
+        except ControlError as error:
+            log.warning("crash_row_unusable", cause=error.message)
+            return
+        self._written = _crashes_in(notes)
+        self._crashes.receive(notes=notes, forward=True)
+        log.info("crashes_recalled", crashes=len(notes))
+
+    async def _write_changes(self, *, store: CrashStore) -> None:
+        notes = self._crashes.notes_of_causes()[:MAX_CRASHES]
+        crashes = _crashes_in(notes)
+        time = self._store_clock.earliest_time()
+        if crashes == self._written or time is None:
+            return
+        await store.put_crash_row(row=encode_row(notes=notes, time=time))
+        self._written = crashes
+        log.info("crashes_archived", crashes=len(notes))
+
+
+def _crashes_in(notes: list[CrashNote]) -> frozenset[object]:
+    """Return what tells whether notes name the same crashes as others."""
+    return frozenset((note.subject, note.endpoint) for note in notes)
--- a/dotterelpaddle/platform/names.py
+++ b/dotterelpaddle/platform/names.py
@@ -85,6 +85,7 @@
     ENDPOINTS = "servers"
     # Written and read by the routers.
     STREAMS = "streams"
+    CRASHES = "crashes"
 
 
 class Field:
--- a/dotterelpaddle/platform/store.py
+++ b/dotterelpaddle/platform/store.py
@@ -47,6 +47,9 @@
 MAX_PAGE_ROWS = 500
 """Maximum number of rows per answer."""
 
+CRASHES_KEY = "causes"
+"""Key of the row with what crashes endpoints."""
+
 OK = 200
 GONE = 410
 
@@ -147,7 +150,36 @@
         Raises:
             PlatformError: If the store returns no valid answer in time.
         """
-        rows, _ = await self._read_all(table=Table.STREAMS)
+        return await self._read_values(table=Table.STREAMS)
+
+    async def put_stream_rows(self, *, rows: Mapping[str, bytes]) -> None:
+        """Write rows with records of streams, all or none.
+
+        Raises:
+            PlatformError: If the store does not confirm them in time.
+        """
+        await self._put_values(table=Table.STREAMS, values=rows)
+
+    async def crash_row(self) -> bytes | None:
+        """Read the row with what crashes endpoints, None if there is none.
+
+        Raises:
+            PlatformError: If the store returns no valid answer in time.
+        """
+        values = await self._read_values(table=Table.CRASHES)
+        return values.get(CRASHES_KEY)
+
+    async def put_crash_row(self, *, row: bytes) -> None:
+        """Write the row with what crashes endpoints.
+
+        Raises:
+            PlatformError: If the store does not confirm it in time.
+        """
+        await self._put_values(table=Table.CRASHES, values={CRASHES_KEY: row})
+
+    async def _read_values(self, *, table: str) -> dict[str, bytes]:
+        """Read the values of all rows of a table, by their keys."""
+        rows, _ = await self._read_all(table=table)
         values = {}
         for row in rows:
             try:
@@ -156,20 +188,16 @@
                 log.warning("row_unusable", key=row["key"], cause=error.message)
         return values
 
-    async def put_stream_rows(self, *, rows: Mapping[str, bytes]) -> None:
-        """Write rows with records of streams, all or none.
-
-        Raises:
-            PlatformError: If the store does not confirm them in time.
-        """
+    async def _put_values(self, *, table: str, values: Mapping[str, bytes]) -> None:
+        """Write rows of a table, all or none."""
         entries = [
             {
-                "table": Table.STREAMS,
+                "table": table,
                 "part": "",
                 "key": key,
                 "value": base64.b64encode(value).decode(),
             }
-            for key, value in rows.items()
+            for key, value in values.items()
         ]
         body = orjson.dumps({"expectedRev": [], "put": entries, "remove": []})
         response = await self._request(method="POST", target=CallPath.WRITE, body=body)
--- a/dotterelpaddle/tests/forwarding/crash_world.py
+++ b/dotterelpaddle/tests/forwarding/crash_world.py
@@ -19,6 +19,8 @@
 
 from dotterelpaddle.address import Address
 from dotterelpaddle.forwarding.interface import EndpointsUpdate
+from dotterelpaddle.forwarding.revisions import FIRST_ERA
+from dotterelpaddle.forwarding.store_clock import StoreTime
 from dotterelpaddle.ids import EndpointName, FailureDomain
 from dotterelpaddle.platform.documents import PlatformDocumentDecoder
 from dotterelpaddle.platform.protocols import PlatformCodec
@@ -28,6 +30,7 @@
     Engine,
     find_culprit,
 )
+from dotterelpaddle.tests.forwarding.crash_store import MemoryCrashStore
 from dotterelpaddle.tests.forwarding.harness import SERVICE, configuration
 from dotterelpaddle.tests.memory_network import MemoryNetwork
 from dotterelpaddle.tests.owners.hosts import (
@@ -93,6 +96,7 @@
         self._calls: dict[RouterId, list[anyio.CancelScope]] = {}
         self.dice = random.Random(self.seed)
         self.network = MemoryNetwork()
+        self.store = MemoryCrashStore()
         self.tasks: TaskGroup
         self._numbers = itertools.count(1)
         self._revision = 1
@@ -225,6 +229,11 @@
             clock=anyio.current_time,
             first_start=host.name not in self._started_at,
             protocols=PlatformCodec(),
+            crash_store=self.store,
+        )
+        parts.state.store_clock.record_answer(
+            time=StoreTime(era=FIRST_ERA, seconds=anyio.current_time()),
+            requested_at=anyio.current_time(),
         )
         datagrams: Any = HostDatagrams(router=host, send=self._send_datagram)
         host.parts, host.datagrams = parts, datagrams
@@ -235,6 +244,7 @@
             tasks.start_soon(parts.owners.run, datagrams)
             tasks.start_soon(parts.reachability.run)
             tasks.start_soon(parts.termination_prober.run)
+            tasks.start_soon(parts.crash_archive.run)
             self._update(parts, names=tuple(self._entries), whole=True)
             parts.state.caches.mark_populated()
             await host.stopping.wait()
--- a/dotterelpaddle/tests/forwarding/test_prompt_parts_incident.py
+++ b/dotterelpaddle/tests/forwarding/test_prompt_parts_incident.py
@@ -168,6 +168,26 @@
     _check(world, callers)
 
 
+# Guards against a part that nobody knows any more after the loss of all routers.
+@pytest.mark.parametrize("seed", [8, 10])
+def test_part_is_blocked_after_the_loss_of_all_routers(seed: int) -> None:
+    lost_at = 0.0
+
+    async def _lose_all(world: CrashWorld, callers: PartCallers) -> None:
+        nonlocal lost_at
+        world.tasks.start_soon(partial(_send_deadly, world, callers))
+        await anyio.sleep(10.0)
+        world.kill(*world.hosts)
+        lost_at = anyio.current_time()
+        await anyio.sleep(DEADLY_SECONDS - 10.0)
+
+    world, callers = _run(_lose_all, seed=seed)
+
+    _check(world, callers)
+    arrivals_after = [each for each in world.arrivals if each.at > lost_at]
+    assert len(arrivals_after) <= MAX_LATE_ARRIVALS
+
+
 # Guards against notes that only routers which run at the time of a crash receive.
 def test_part_is_blocked_while_routers_are_killed_in_turn() -> None:
     async def _kill_in_turn(world: CrashWorld, callers: PartCallers) -> None:
--- a/dotterelpaddle/tests/owners/hosts.py
+++ b/dotterelpaddle/tests/owners/hosts.py
@@ -119,6 +119,7 @@
     protocols: Any = None,
     source: Any = None,
     stream_store: Any = None,
+    crash_store: Any = None,
     documents: Any = None,
 ) -> Components:
     """Build a router's components, without endpoints.
@@ -135,6 +136,7 @@
         protocols: Translates requests and answers, None without any.
         source: Store of configuration and endpoints, None without any.
         stream_store: Keeps records of streams, None for none.
+        crash_store: Keeps what crashes endpoints, None for nothing.
         documents: Decodes the documents of the store, None without any.
     """
     unused: Any = None
@@ -158,6 +160,7 @@
         dependencies=Dependencies(
             source=source,
             stream_store=stream_store,
+            crash_store=crash_store,
             protocols=protocols,
             documents=documents,
             cache_reader=unused,
--- /dev/null
+++ b/dotterelpaddle/tests/peers/test_crash_archive.py
@@ -0,0 +1,130 @@
+"""What the platform's store keeps of requests and parts that crash endpoints."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+import anyio
+import pytest
+
+from dotterelpaddle.exceptions import ControlError, RequestBlocked
+from dotterelpaddle.forwarding.crash_subjects import PartSubject
+from dotterelpaddle.forwarding.crashes import MIN_BLOCK_SECONDS, CrashTracker
+from dotterelpaddle.forwarding.revisions import FIRST_ERA
+from dotterelpaddle.forwarding.store_clock import StoreClock, StoreTime
+from dotterelpaddle.ids import EndpointId, PartKey
+from dotterelpaddle.peers.crash_archive import CrashArchive
+from dotterelpaddle.peers.crash_rows import decode_row
+from dotterelpaddle.tests.forwarding.crash_store import MemoryCrashStore
+from dotterelpaddle.tests.virtual_time import run_in_virtual_time
+
+DEADLY = PartSubject(part=PartKey("deadly"), position=1)
+SYNCHRONIZED_SECONDS = 2.5
+
+
+@dataclass(kw_only=True)
+class Writer:
+    """A router that writes for all."""
+
+    store: MemoryCrashStore
+    crashes: CrashTracker = field(
+        default_factory=lambda: CrashTracker(clock=anyio.current_time)
+    )
+
+    async def run(self) -> None:
+        """Run until cancelled."""
+        store_clock = StoreClock(clock=anyio.current_time)
+        now = anyio.current_time()
+        store_clock.record_answer(
+            time=StoreTime(era=FIRST_ERA, seconds=now + 1000.0), requested_at=now
+        )
+        await CrashArchive(
+            store=self.store,
+            crashes=self.crashes,
+            is_writer=lambda: True,
+            store_clock=store_clock,
+        ).run()
+
+    async def run_for(self, *, seconds: float) -> None:
+        """Run for some seconds, and end."""
+        with anyio.move_on_after(seconds):
+            await self.run()
+
+    def crash(self) -> None:
+        for name in "abc":
+            self.crashes.record_crash(
+                subject=DEADLY,
+                endpoint=EndpointId(name),
+                at=anyio.current_time(),
+                begun=True,
+            )
+
+    @property
+    def blocked(self) -> bool:
+        try:
+            self.crashes.check(subject=DEADLY)
+        except RequestBlocked:
+            return True
+        return False
+
+
+# Guards against blocks that grow younger each time another router takes over.
+def test_block_keeps_its_end_however_often_the_writer_changes() -> None:
+    async def main() -> None:
+        store = MemoryCrashStore()
+        first = Writer(store=store)
+        crashed_at = anyio.current_time()
+        first.crash()
+        await first.run_for(seconds=SYNCHRONIZED_SECONDS)
+        while anyio.current_time() < crashed_at + MIN_BLOCK_SECONDS - 5.0:
+            writer = Writer(store=store)
+            await writer.run_for(seconds=SYNCHRONIZED_SECONDS)
+            assert writer.blocked
+        await anyio.sleep(6.0)
+        assert not writer.blocked
+
+    run_in_virtual_time(main)
+
+
+# Guards against a writer that starts while the store is away and forgets to read.
+def test_row_is_read_once_the_store_is_back() -> None:
+    async def main() -> None:
+        store = MemoryCrashStore()
+        first = Writer(store=store)
+        first.crash()
+        await first.run_for(seconds=SYNCHRONIZED_SECONDS)
+        store.away = True
+        second = Writer(store=store)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(second.run)
+            await anyio.sleep(5.0)
+            assert not second.blocked
+            store.away = False
+            await anyio.sleep(SYNCHRONIZED_SECONDS)
+            assert second.blocked
+            tasks.cancel_scope.cancel()
+
+    run_in_virtual_time(main)
+
+
+# Guards against a sound part that is blocked again after each loss of all routers.
+def test_cleared_part_leaves_the_row() -> None:
+    async def main() -> None:
+        store = MemoryCrashStore()
+        first = Writer(store=store)
+        first.crash()
+        await first.run_for(seconds=SYNCHRONIZED_SECONDS)
+        first.crashes.record_served(subject=DEADLY)
+        await first.run_for(seconds=SYNCHRONIZED_SECONDS)
+
+        second = Writer(store=store)
+        await second.run_for(seconds=SYNCHRONIZED_SECONDS)
+        assert not second.blocked
+
+    run_in_virtual_time(main)
+
+
+@pytest.mark.parametrize("row", [b"x", b"[]", b"{}", b'{"era": 0, "seconds": "x"}'])
+def test_malformed_row_is_an_error(row: bytes) -> None:
+    with pytest.raises(ControlError, match="row has no crashes"):
+        decode_row(row=row, store_clock=StoreClock(clock=lambda: 0.0))
--- a/dotterelpaddle/tests/platform/test_store.py
+++ b/dotterelpaddle/tests/platform/test_store.py
@@ -121,6 +121,15 @@
         assert await source.stream_rows() == rows
 
 
+async def test_row_of_crashes_round_trips() -> None:
+    async with _running(StoreStandin()) as source:
+        assert await source.crash_row() is None
+
+        await source.put_crash_row(row=b"{}")
+
+        assert await source.crash_row() == b"{}"
+
+
 async def test_refused_write_is_no_success() -> None:
     store = StoreStandin()
     async with _running(store) as source:
