--- a/dotterelpaddle/tests/streams/test_version_history.py
+++ b/dotterelpaddle/tests/streams/test_version_history.py
@@ -51,6 +51,20 @@
         return set(self.history.recent(service=SERVICE))
 
 
+# Guards against a version that never expires, because reads of the store restore it.
+def test_version_restored_again_and_again_expires() -> None:
+    history = History()
+    restored = {SERVICE: frozenset({SoftwareVersion("v1")})}
+    history.history.restore(versions=restored)
+    history.register("a", "v2")
+    for _ in range(3):
+        history.now += MAX_STREAM_SECONDS / 3
+        history.history.restore(versions=restored)
+    history.now += 1.0
+
+    assert history.versions == {"v2"}
+
+
 def test_version_counts_until_no_stream_of_it_can_go_on() -> None:
     history = History()
     history.register("a", "v1")
