Write records of streams later where the time of the store is unknown yet

What callers saw: nothing so far; after the loss of all routers streams could be refused whose records had counted as written and were not.

Cause: the writer took the records that were due before it knew whether it could name their row.

Change: without the store's time no record is taken. The failing run before: test_records_are_written_once_the_time_of_the_store_is_known, no record instead of one.

--- a/dotterelpaddle/streams/archive.py
+++ b/dotterelpaddle/streams/archive.py
@@ -28,7 +28,7 @@
 
     from dotterelpaddle.clock import Clock
     from dotterelpaddle.forwarding.model import FleetConfiguration
-    from dotterelpaddle.forwarding.store_clock import StoreClock
+    from dotterelpaddle.forwarding.store_clock import StoreClock, StoreTime
     from dotterelpaddle.forwarding.view import FleetView
     from dotterelpaddle.ids import ServiceName, SoftwareVersion
     from dotterelpaddle.streams.origins import StreamOrigins, StreamRecord
@@ -167,8 +167,12 @@
             # An earlier writer may have known more.
             self._has_recalled = await self.read()
         rows = self._versions_row()
-        records, count = self._records_due()
-        rows.update(self._records_rows(records=records))
+        time = self._store_clock.earliest_time()
+        records: list[StreamRecord] = []
+        count = self._written_count
+        if time is not None:
+            records, count = self._records_due()
+            rows.update(_records_rows(records=records, time=time))
         if not rows:
             return
         await store.put_stream_rows(rows=rows)
@@ -207,17 +211,6 @@
             return [], 0
         return self._origins.added_after(count=self._written_count)
 
-    def _records_rows(self, *, records: list[StreamRecord]) -> dict[str, bytes]:
-        now = self._store_clock.earliest_time()
-        if now is None:
-            return {}
-        return {
-            records_key(
-                time=now, interval=WRITE_INTERVAL_SECONDS, part=first
-            ): encode_records_row(records=records[first : first + MAX_RECORDS_PER_ROW])
-            for first in range(0, len(records), MAX_RECORDS_PER_ROW)
-        }
-
     def _apply(self, *, rows: Mapping[str, bytes]) -> None:
         known = self._origins.count
         for key, row in rows.items():
@@ -244,6 +237,21 @@
         self._failed_at = self._clock()
 
 
+def _records_rows(*, records: list[StreamRecord], time: StoreTime) -> dict[str, bytes]:
+    """Return the rows of one write, by their keys.
+
+    Args:
+        records: The records.
+        time: When the rows are written.
+    """
+    return {
+        records_key(
+            time=time, interval=WRITE_INTERVAL_SECONDS, part=first
+        ): encode_records_row(records=records[first : first + MAX_RECORDS_PER_ROW])
+        for first in range(0, len(records), MAX_RECORDS_PER_ROW)
+    }
+
+
 def _resumable_services(
     *, configuration: FleetConfiguration | None
 ) -> tuple[ServiceName, ...]:
--- a/dotterelpaddle/tests/streams/test_archive.py
+++ b/dotterelpaddle/tests/streams/test_archive.py
@@ -56,7 +56,9 @@
 class Archivist:
     """A router that writes for all, on a clock that the test sets."""
 
-    def __init__(self, *, store: MemoryStore, first_start: bool) -> None:
+    def __init__(
+        self, *, store: MemoryStore, first_start: bool, knows_time: bool = True
+    ) -> None:
         self.store = store
         self.history = History(first_start=first_start)
         view = self.history.view
@@ -66,20 +68,25 @@
             )
         )
         self.origins = StreamOrigins(clock=lambda: self.history.now)
-        store_clock = StoreClock(clock=lambda: self.history.now)
-        store_clock.record_answer(
-            time=StoreTime(era=StoreEra(0), seconds=0.0), requested_at=0.0
-        )
+        self._store_clock = StoreClock(clock=lambda: self.history.now)
+        if knows_time:
+            self.record_time()
         self.archive = StreamArchive(
             store=store,
             origins=self.origins,
             history=self.history.history,
             view=view,
             is_writer=lambda: True,
-            store_clock=store_clock,
+            store_clock=self._store_clock,
             clock=lambda: self.history.now,
         )
 
+    def record_time(self) -> None:
+        now = self.history.now
+        self._store_clock.record_answer(
+            time=StoreTime(era=StoreEra(0), seconds=now), requested_at=now
+        )
+
     async def write(self, *, seconds: float = 1.0) -> None:
         self.history.now += seconds
         await self.archive._write_due(store=self.store)
@@ -135,6 +142,21 @@
     assert router.records == ["early", "late"]
 
 
+# Guards against records that count as written while the store's time is unknown.
+async def test_records_are_written_once_the_time_of_the_store_is_known() -> None:
+    router = Archivist(store=MemoryStore(), first_start=True, knows_time=False)
+    router.history.register("a", "v1")
+    router.history.register("b", "v2")
+    router.origins.begin(record=make_record("early"))
+    await router.write()
+    assert router.records == []
+
+    router.record_time()
+    await router.write()
+
+    assert router.records == ["early"]
+
+
 async def test_each_record_is_written_once() -> None:
     router = Archivist(store=MemoryStore(), first_start=True)
     router.history.register("a", "v1")
