--- a/dotterelpaddle/standins/behaviours.py
+++ b/dotterelpaddle/standins/behaviours.py
@@ -89,7 +89,16 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Unframed:
-    """The answer has no length and ends with the connection."""
+    """The answer has no length and ends with the connection.
+
+    Attributes:
+        events: Complete events of a stream before its end within the next one, None for
+            a whole stream.
+        reset: Whether the connection is reset within an answer that is no stream.
+    """
+
+    events: int | None = None
+    reset: bool = False
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/dotterelpaddle/standins/runner.py
+++ b/dotterelpaddle/standins/runner.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+import socket
+import struct
 from collections import deque
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
@@ -187,9 +189,15 @@
             case ExtraAnswer(request_id=request_id):
                 extra = self._whole(request, request_id=request_id)
                 await stream.send(self._whole(request) + extra)
-            case Unframed():
+            case Unframed(events=events) if _is_stream(request):
+                await self._unframed_stream(stream, request, events)
+                return False
+            case Unframed(reset=reset):
                 await stream.send(self._head(request, framing=b"connection: close"))
-                await stream.send(self._body(request))
+                body = self._body(request)
+                await stream.send(body[:-3] if reset else body)
+                if reset:
+                    _reset_on_close(stream)
                 return False
             case Hang() | CutAnswer() | Serve() if _is_stream(request):
                 return await self._stream(stream, request, behaviour)
@@ -227,6 +235,20 @@
         await stream.send(b"0\r\n\r\n")
         return True
 
+    async def _unframed_stream(
+        self, stream: SocketStream, request: Received, events: int | None
+    ) -> None:
+        """Send a stream without chunks; end within an event after `events` of them."""
+        first = int(request.headers.get(Header.LAST_EVENT_ID, b"0")) + 1
+        last = self.events if events is None else first + events - 1
+        await stream.send(self._head(request, framing=b"connection: close"))
+        for number in range(first, last + 1):
+            await anyio.sleep(self.pause)
+            event = b"id: %d\ndata: e%d %s\n\n"
+            await stream.send(event % (number, number, self.version.encode()))
+        if events is not None:
+            await stream.send(b"id: %d\nda" % (last + 1))
+
     async def _wait_for_close(self, stream: SocketStream, request: Received) -> None:
         try:
             await stream.receive()
@@ -327,6 +349,12 @@
         return b""
 
 
+def _reset_on_close(stream: SocketStream) -> None:
+    """Let the close of a connection reset it, so that the peer loses what is unread."""
+    raw = stream.extra(SocketAttribute.raw_socket)
+    raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+
+
 def _is_stream(request: Received) -> bool:
     return request.target.startswith(STREAM_PATH)
 
--- a/dotterelpaddle/tests/forwarding/test_faults.py
+++ b/dotterelpaddle/tests/forwarding/test_faults.py
@@ -163,6 +163,52 @@
     assert b"runner-1" in answer.content
 
 
+# Guards against taking an answer without length for whole that was reset on the way.
+async def test_answer_without_length_that_is_reset_is_not_whole() -> None:
+    async with run_fleet() as fleet:
+        _plan_first(fleet, Unframed(reset=True))
+        answer = await fleet.call("/unsafe/")
+
+    headers = {name.lower() for name, _ in answer.headers}
+    assert answer.status == 502
+    assert Header.ORIGIN_PROOF not in headers
+    assert _runs(fleet) == 1
+
+
+# Guards against refusing streams that have neither a length nor chunks.
+@pytest.mark.parametrize("path", ["/stream/x", "/stream/again/x"])
+async def test_stream_without_length_ends_with_its_connection(path: str) -> None:
+    async with run_fleet() as fleet:
+        _plan_first(fleet, Unframed())
+        answer = await fleet.call(path)
+
+    assert answer.status == 200
+    assert answer.content == EVENTS
+
+
+# Guards against taking a stream without length for whole that ends within an event.
+@pytest.mark.parametrize("events", [0, 2])
+async def test_stream_without_length_that_ends_within_an_event_resumes(
+    events: int,
+) -> None:
+    async with run_fleet(runners=2) as fleet:
+        _plan_first(fleet, Unframed(events=events))
+        answer = await fleet.call("/stream/again/x")
+
+    assert answer.status == 200
+    assert answer.content == EVENTS
+
+
+# Guards against a visibly whole answer, or a second run, where none may be resumed.
+async def test_stream_without_length_that_ends_within_an_event_is_cut_visibly() -> None:
+    async with run_fleet(runners=2) as fleet:
+        _plan_first(fleet, Unframed(events=2))
+        with pytest.raises(httpcore.RemoteProtocolError):
+            await fleet.call("/stream/x")
+
+    assert _runs(fleet) == 1
+
+
 @pytest.mark.parametrize("late_id", [b"late", b""])
 async def test_late_answer_reaches_no_other_request(late_id: bytes) -> None:
     async with run_fleet() as fleet:
