--- a/dotterelpaddle/tests/forwarding/test_prompt_parts_incident.py
+++ b/dotterelpaddle/tests/forwarding/test_prompt_parts_incident.py
@@ -21,6 +21,7 @@
 
 from dotterelpaddle.tests.forwarding.crash_callers import CALL_TIMEOUT_SECONDS
 from dotterelpaddle.tests.forwarding.crash_world import (
+    DISCOVERY_SECONDS,
     MIN_STABLE_SECONDS,
     CrashWorld,
     run_world,
@@ -130,6 +131,19 @@
     _check(world, callers)
 
 
+# Guards against refusing sound requests of the same caller and with the same first part,
+# while requests with the part that crashes endpoints go on.
+def test_sound_requests_begin_beside_a_part_that_is_blocked() -> None:
+    world, callers = _run(_send_deadly, seed=12)
+
+    ends = world.ended[DEADLY_PARTS[0]]
+    judged_at = ends[:CRASHES][-1] + 2 * MIN_STABLE_SECONDS
+    stopped_at = DISCOVERY_SECONDS + CALM_SECONDS + DEADLY_SECONDS
+    before = callers.share_begun(before=ends[0])
+    beside = callers.share_begun(after=judged_at, before=stopped_at)
+    assert beside >= MIN_SHARE_OF_BEFORE * before
+
+
 # Guards against blocking only parts that follow others.
 def test_first_part_that_crashes_endpoints_is_blocked() -> None:
     script = partial(_send_deadly, parts=(DEADLY_PARTS[0], "*"))
