--- a/dotterelpaddle/forwarding/crashes.py
+++ b/dotterelpaddle/forwarding/crashes.py
@@ -92,15 +92,28 @@
         """Number of requests and parts that were running during a recent crash."""
         return sum(bool(suspect.crashes) for suspect in self._suspects.values())
 
+    @property
+    def causes(self) -> frozenset[CrashSubject]:
+        """The subjects that are blocked or may run one more attempt."""
+        if self._cached_causes is None:
+            self._cached_causes = find_causes(
+                suspicions={
+                    subject: suspect.suspicion
+                    for subject, suspect in self._suspects.items()
+                },
+                min_crashes=MIN_CRASHES_TO_BLOCK,
+            )
+        return self._cached_causes
+
     @property
     def blocked_count(self) -> int:
         """Number of requests and parts that are blocked or may run one attempt."""
-        return len(self._causes())
+        return len(self.causes)
 
     @property
     def blocked_part_count(self) -> int:
         """Number of prompt parts among them."""
-        return sum(isinstance(each, PartSubject) for each in self._causes())
+        return sum(isinstance(each, PartSubject) for each in self.causes)
 
     def check(self, *, subject: CrashSubject) -> None:
         """Refuse a request or a prompt part that causes crashes.
@@ -113,7 +126,7 @@
             return
         now = self._clock()
         live = suspect.attempts_since(at=now - MAX_ATTEMPT_SECONDS)
-        if subject in self._causes():
+        if subject in self.causes:
             left = suspect.crashed_at + _block_time(crashes=len(suspect.crashes)) - now
             if left > 0.0 or live or not self._may_try(subject):
                 raise self._blocked(
@@ -203,7 +216,7 @@
         now = self._clock()
         return [
             event.note(now=now)
-            for subject in self._causes()
+            for subject in self.causes
             for event in self._suspects[subject].reportable(subject=subject)
             if event.kind is NoteKind.ENDED
         ]
@@ -260,11 +273,11 @@
     def _clear(self, subject: CrashSubject, suspect: Suspect, event: Event) -> None:
         if suspect.served is not None and suspect.served.at >= event.at:
             return
-        was_blocked = subject in self._causes()
+        was_blocked = subject in self.causes
         suspect.served = event
         suspect.forget_before(at=event.at + _acquittal_time(subject))
         self._cached_causes = None
-        if was_blocked and subject not in self._causes():
+        if was_blocked and subject not in self.causes:
             log.info(
                 "request_block_ended",
                 fingerprint=_fingerprint(subject),
@@ -280,18 +293,6 @@
         """
         return isinstance(subject, RequestSubject) or self._may_try_parts()
 
-    def _causes(self) -> frozenset[CrashSubject]:
-        """Return the subjects that are blocked or may run one more attempt."""
-        if self._cached_causes is None:
-            self._cached_causes = find_causes(
-                suspicions={
-                    subject: suspect.suspicion
-                    for subject, suspect in self._suspects.items()
-                },
-                min_crashes=MIN_CRASHES_TO_BLOCK,
-            )
-        return self._cached_causes
-
     def _blocked(
         self, *, suspect: Suspect, attempts: int, wait: float
     ) -> RequestBlocked:
@@ -312,7 +313,7 @@
             yield from suspect.reportable(subject=subject)
 
     def _expire(self, *, now: float) -> None:
-        causes = self._causes()
+        causes = self.causes
         for subject, suspect in tuple(self._suspects.items()):
             expiry = SUSPICION_SECONDS
             if subject in causes:
--- a/dotterelpaddle/tests/forwarding/test_crash_soak.py
+++ b/dotterelpaddle/tests/forwarding/test_crash_soak.py
@@ -69,14 +69,15 @@
         )
         world.tasks.start_soon(culprit)
     for fault in generator.sample(
-        (_crashes, _restarts, _partitions), generator.choice((1, 2, 3))
+        (crash_endpoints, restart_routers, partition_routers),
+        generator.choice((1, 2, 3)),
     ):
         world.tasks.start_soon(fault, world, random.Random(generator.random()))
     await callers.send_others(rate=REQUESTS_PER_SECOND, seconds=DURATION_SECONDS)
     await anyio.sleep(CALL_TIMEOUT_SECONDS)
 
 
-async def _crashes(world: CrashWorld, generator: random.Random) -> None:
+async def crash_endpoints(world: CrashWorld, generator: random.Random) -> None:
     """Crash endpoints at random, always leaving one running."""
     for _ in range(generator.randrange(3, 12)):
         await anyio.sleep(generator.uniform(0.5, 4.0))
@@ -84,7 +85,7 @@
             world.end_engine(engine=generator.choice(world.live))
 
 
-async def _restarts(world: CrashWorld, generator: random.Random) -> None:
+async def restart_routers(world: CrashWorld, generator: random.Random) -> None:
     """Restart routers in turn, always leaving one running."""
     for host in generator.sample(world.hosts, len(world.hosts) - 1):
         await anyio.sleep(generator.uniform(0.2, 3.0))
@@ -93,7 +94,7 @@
             host.stopping.set()
 
 
-async def _partitions(world: CrashWorld, generator: random.Random) -> None:
+async def partition_routers(world: CrashWorld, generator: random.Random) -> None:
     """Partition some routers from the others repeatedly."""
     for _ in range(3):
         await anyio.sleep(generator.uniform(1.0, 5.0))
--- a/dotterelpaddle/tests/forwarding/test_prompt_parts_incident.py
+++ b/dotterelpaddle/tests/forwarding/test_prompt_parts_incident.py
@@ -131,8 +131,8 @@
     _check(world, callers)
 
 
-# Guards against refusing sound requests of the same caller and with the same first part,
-# while requests with the part that crashes endpoints go on.
+# Guards against refusing sound requests of the same caller and with the same first
+# part, while requests with the part that crashes endpoints go on.
 def test_sound_requests_begin_beside_a_part_that_is_blocked() -> None:
     world, callers = _run(_send_deadly, seed=12)
 
