Tell callers to come back soon until a part has been blocked for half a second

A refused caller was told to stay away for a minute or more, and the row in the store could keep the wrong part.

Change: a part that has just become a cause is refused with half a second to wait, within which others tell what explains the crashes better, or that they serve the part. Only what is settled is written to the store.

--- a/dotterelpaddle/forwarding/crashes.py
+++ b/dotterelpaddle/forwarding/crashes.py
@@ -47,6 +47,10 @@
 """Seconds after an answer to a request with a part in which no crash counts against the
 part. A sound part that few requests have is answered more often than that."""
 
+SETTLE_SECONDS = 0.5
+"""Seconds within which routers tell each other what they know of a new cause: crashes
+that explain it better, and answers to requests with the part."""
+
 MAX_ATTEMPT_SECONDS = 3.0
 """Seconds an attempt counts as in flight; by then a stream has begun or is queued."""
 
@@ -86,6 +90,7 @@
         self._suspects: dict[CrashSubject, Suspect] = {}
         self._served_parts: dict[PartKey, float] = {}
         self._cached_causes: frozenset[CrashSubject] | None = None
+        self._cause_since: dict[CrashSubject, float] = {}
 
     @property
     def suspect_count(self) -> int:
@@ -103,8 +108,18 @@
                 },
                 min_crashes=MIN_CRASHES_TO_BLOCK,
             )
+            now = self._clock()
+            self._cause_since = {
+                subject: self._cause_since.get(subject, now)
+                for subject in self._cached_causes
+            }
         return self._cached_causes
 
+    @property
+    def settled_causes(self) -> frozenset[CrashSubject]:
+        """Those that other routers had time to object to."""
+        return frozenset(each for each in self.causes if self._is_settled(each))
+
     @property
     def blocked_count(self) -> int:
         """Number of requests and parts that are blocked or may run one attempt."""
@@ -129,9 +144,10 @@
         if subject in self.causes:
             left = suspect.crashed_at + _block_time(crashes=len(suspect.crashes)) - now
             if left > 0.0 or live or not self._may_try(subject):
-                raise self._blocked(
-                    suspect=suspect, attempts=live, wait=max(left, MIN_WAIT_SECONDS)
-                )
+                wait = max(left, MIN_WAIT_SECONDS)
+                if isinstance(subject, PartSubject) and not self._is_settled(subject):
+                    wait = SETTLE_SECONDS
+                raise self._blocked(suspect=suspect, attempts=live, wait=wait)
         elif len(suspect.crashes) < MIN_CRASHES_TO_BLOCK <= len(suspect.crashes) + live:
             raise self._blocked(suspect=suspect, attempts=live, wait=MIN_WAIT_SECONDS)
 
@@ -212,11 +228,11 @@
         return [each.note(now=now) for each in known[:MAX_NOTES_FOR_NEW_ROUTER]]
 
     def notes_of_causes(self) -> list[CrashNote]:
-        """Return the notes of the crashes of all causes."""
+        """Return the notes of the crashes of all settled causes."""
         now = self._clock()
         return [
             event.note(now=now)
-            for subject in self.causes
+            for subject in self.settled_causes
             for event in self._suspects[subject].reportable(subject=subject)
             if event.kind is NoteKind.ENDED
         ]
@@ -236,6 +252,7 @@
         suspect.crashes[endpoint] = event
         suspect.attempts.pop(endpoint, None)
         self._cached_causes = None
+        self._evict(like=subject)
         log.info(
             "request_suspected",
             fingerprint=_fingerprint(subject),
@@ -244,8 +261,9 @@
             seconds_ago=round(self._clock() - event.at, 3),
             begun=event.begun,
             ended=len(suspect.crashes),
+            is_cause=len(suspect.crashes) >= MIN_CRASHES_TO_BLOCK
+            and subject in self.causes,
         )
-        self._evict(like=subject)
 
     def _apply_attempt(
         self, subject: CrashSubject, endpoint: EndpointId, event: Event
@@ -285,6 +303,9 @@
                 cause="served",
             )
 
+    def _is_settled(self, subject: CrashSubject) -> bool:
+        return self._clock() - self._cause_since[subject] >= SETTLE_SECONDS
+
     def _may_try(self, subject: CrashSubject) -> bool:
         """Return whether this router sends the attempt after a block.
 
--- a/dotterelpaddle/tests/forwarding/test_crash_parts.py
+++ b/dotterelpaddle/tests/forwarding/test_crash_parts.py
@@ -4,11 +4,13 @@
 
 import pytest
 
+from dotterelpaddle.exceptions import RequestBlocked
 from dotterelpaddle.forwarding.crash_subjects import PartSubject, RequestSubject
 from dotterelpaddle.forwarding.crashes import (
     ACQUITTAL_SECONDS,
     MAX_SUSPECT_PARTS,
     MIN_BLOCK_SECONDS,
+    SETTLE_SECONDS,
     CrashTracker,
 )
 from dotterelpaddle.ids import Fingerprint, PartKey
@@ -66,6 +68,23 @@
     assert other.allows(SYSTEM)
 
 
+# Guards against telling callers to stay away for a minute for a part that others serve.
+def test_refusal_is_short_until_other_routers_had_time_to_object(
+    router: Router,
+) -> None:
+    router.crash("a", "b", "c", of=DEADLY, begun=True)
+    with pytest.raises(RequestBlocked) as early:
+        router.tracker.check(subject=DEADLY)
+    router.now += SETTLE_SECONDS
+    with pytest.raises(RequestBlocked) as settled:
+        router.tracker.check(subject=DEADLY)
+
+    assert early.value.retry_after == SETTLE_SECONDS
+    assert settled.value.retry_after == pytest.approx(
+        MIN_BLOCK_SECONDS - SETTLE_SECONDS
+    )
+
+
 # Guards against a part that has become deadly and was sound long before.
 def test_answer_long_before_the_crashes_clears_no_part(router: Router) -> None:
     router.tracker.record_served(subject=DEADLY)
