--- a/dotterelpaddle/streams/version_history.py
+++ b/dotterelpaddle/streams/version_history.py
@@ -55,15 +55,12 @@
     ) -> None:
         """Add the versions that services had before this router started.
 
-        The history then goes back as far as that of the router which recorded them. A
-        version that is restored again still expires when it would have before.
+        The history then goes back as far as that of the router which recorded them.
         """
-        self.refresh()
         now = self._clock()
         for service, restored in versions.items():
             for version in restored:
-                origin = StreamOrigin(service=service, version=version)
-                self._gone_at.setdefault(origin, now)
+                self._gone_at[StreamOrigin(service=service, version=version)] = now
         self._since = float("-inf")
 
     def refresh(self) -> None:
--- a/dotterelpaddle/tests/streams/test_version_history.py
+++ b/dotterelpaddle/tests/streams/test_version_history.py
@@ -51,6 +51,20 @@
         return set(self.history.recent(service=SERVICE))
 
 
+# Guards against forgetting a version that came back where this router did not see it.
+def test_version_that_was_seen_again_elsewhere_counts_from_then_on() -> None:
+    history = History()
+    history.register("a", "v1")
+    history.register("b", "v2")
+    history.remove("a")
+    history.history.refresh()
+    history.now = MAX_STREAM_SECONDS - 10.0
+    history.history.restore(versions={SERVICE: frozenset({SoftwareVersion("v1")})})
+    history.now = MAX_STREAM_SECONDS + 1.0
+
+    assert history.versions == {"v1", "v2"}
+
+
 # Guards against a version that never expires, because reads of the store restore it.
 def test_version_restored_again_and_again_expires() -> None:
     history = History()
