Tell components and routers of an endpoint in place with another software version

What callers could see: an endpoint that starts again under its name, at its address, with another version and without a time of its start, counted as unchanged. Routers went on to list it with the version before, and their digests agreed; a review had 5 of 12 resumed streams mixed so, three seconds after the entry had changed.

Beside routers of an earlier release digests differ until all are replaced, which costs calls to the store.

--- a/dotterelpaddle/forwarding/entry_tags.py
+++ b/dotterelpaddle/forwarding/entry_tags.py
@@ -30,5 +30,12 @@
     """Return the fields to compare, without those that change with each heartbeat."""
     models = sorted(entry.models)
     cold = ("cold",) if entry.cold_left else ()
-    state = entry.state.value
-    return entry.service, str(entry.address), state, entry.slots, models, *cold
+    return (
+        entry.service,
+        str(entry.address),
+        entry.software_version,
+        entry.state.value,
+        entry.slots,
+        models,
+        *cold,
+    )
