Read what crashes endpoints in the store before the first request of a router

Cause: a process served before it had been told what others knew; where all are new, only the store can tell.

Change: a router reads the row at its start, and its first requests wait for it, at most until 0.15 s after the start, as they do for another router. A new cause counts as settled after a second, as notes take that long in a large fleet.

--- a/dotterelpaddle/forwarding/components.py
+++ b/dotterelpaddle/forwarding/components.py
@@ -146,6 +146,8 @@
     clock = dependencies.clock
     generator = random.Random(settings.router)
     state = build_shared_state(settings=settings, clock=clock)
+    if dependencies.crash_store is None:
+        state.recall.end()
     directory = state.directory
     backend = LinkedBackend(links=dependencies.links)
     reachability = Reachability(
@@ -294,7 +296,10 @@
     )
     filters = (
         RouteFilter(
-            view=state.view, introduction=state.introduction, generator=generator
+            view=state.view,
+            introduction=state.introduction,
+            recall=state.recall,
+            generator=generator,
         ),
         DeadlineFilter(clock=clock),
         ResumptionFilter(finder=stream_finder),
@@ -350,6 +355,7 @@
             crashes=state.crashes,
             is_writer=lambda: peer_summary.is_platform_reader,
             store_clock=state.store_clock,
+            recall=state.recall,
         ),
         metrics=MetricsPage(
             metrics=metrics,
--- a/dotterelpaddle/forwarding/crashes.py
+++ b/dotterelpaddle/forwarding/crashes.py
@@ -47,7 +47,7 @@
 """Seconds after an answer to a request with a part in which no crash counts against the
 part. A sound part that few requests have is answered more often than that."""
 
-SETTLE_SECONDS = 0.5
+SETTLE_SECONDS = 1.0
 """Seconds within which routers tell each other what they know of a new cause: crashes
 that explain it better, and answers to requests with the part."""
 
--- a/dotterelpaddle/forwarding/filters.py
+++ b/dotterelpaddle/forwarding/filters.py
@@ -58,14 +58,21 @@
     Args:
         view: Provides the active configuration.
         introduction: Ends once another router has told what it knows.
+        recall: Ends once the router knows what the store keeps of crashes.
         generator: Random generator that splits requests among the services of a route.
     """
 
     def __init__(
-        self, *, view: FleetView, introduction: Startup, generator: random.Random
+        self,
+        *,
+        view: FleetView,
+        introduction: Startup,
+        recall: Startup,
+        generator: random.Random,
     ) -> None:
         self._view = view
         self._introduction = introduction
+        self._recall = recall
         self._generator = generator
 
     async def __call__(
@@ -80,6 +87,7 @@
         """
         await self._view.wait_until_complete()
         await self._introduction.wait()
+        await self._recall.wait()
         configuration = self._view.configuration
         if configuration is None:
             raise NotAccepting(
--- a/dotterelpaddle/forwarding/shared_state.py
+++ b/dotterelpaddle/forwarding/shared_state.py
@@ -48,6 +48,7 @@
         crashes: Requests and prompt parts that were running when endpoints crashed.
         introduction: Lets the first requests after a start wait for what other routers
             know of such requests.
+        recall: Lets them wait for what the platform's store keeps of these.
         retry_budget: Limits the retries of all routers.
         directory: The other routers.
         stream_origins: Where the streams that callers may resume began.
@@ -66,6 +67,7 @@
     caches: CacheMap
     crashes: CrashTracker
     introduction: Startup
+    recall: Startup
     retry_budget: RetryBudget
     directory: PeerDirectory
     stream_origins: StreamOrigins
@@ -87,6 +89,10 @@
     if settings.first_start or not settings.seeds:
         # No other router can know of earlier crashes.
         introduction.end()
+    recall = Startup(clock=clock, max_wait=INTRODUCTION_WAIT_SECONDS)
+    if settings.first_start:
+        # The store keeps nothing yet.
+        recall.end()
     directory = PeerDirectory(
         own=PeerInfo(
             router=settings.router,
@@ -139,6 +145,7 @@
             clock=clock, may_try_parts=lambda: directory.is_first_by_rank
         ),
         introduction=introduction,
+        recall=recall,
         retry_budget=RetryBudget(
             limits=settings.retry_limits,
             routers=lambda: fleet_size.count,
--- a/dotterelpaddle/forwarding/startup.py
+++ b/dotterelpaddle/forwarding/startup.py
@@ -17,7 +17,8 @@
 
 INTRODUCTION_WAIT_SECONDS = 0.15
 """Seconds after a router's start until which requests wait for another router's first
-report, which arrives some milliseconds after the start if any router runs."""
+report, which arrives some milliseconds after the start if any router runs, and for what
+the platform's store keeps of requests that crash endpoints."""
 
 
 class Startup:
@@ -39,6 +40,11 @@
         """Seconds since the router's start."""
         return self._clock() - self._started_at
 
+    @property
+    def has_ended(self) -> bool:
+        """Whether the router can serve."""
+        return self._ended.is_set()
+
     def end(self) -> None:
         """Let waiting requests go on; the router can serve."""
         self._ended.set()
--- a/dotterelpaddle/peers/crash_archive.py
+++ b/dotterelpaddle/peers/crash_archive.py
@@ -19,12 +19,13 @@
 
     from dotterelpaddle.forwarding.crash_note import CrashNote
     from dotterelpaddle.forwarding.crashes import CrashTracker
+    from dotterelpaddle.forwarding.startup import Startup
     from dotterelpaddle.forwarding.store_clock import StoreClock
 
 log = get_logger(name=__name__)
 
-FIRST_CHECK_SECONDS = 0.1
-"""Seconds after the start until a router has heard of others that write for it."""
+CLOCK_INTERVAL_SECONDS = 0.005
+"""Seconds between two checks whether the store's time is known, right after a start."""
 
 CHECK_INTERVAL_SECONDS = 0.2
 """Seconds between two checks. What was blocked since the last one is forgotten if all
@@ -63,6 +64,7 @@
         crashes: Requests and prompt parts that crash endpoints.
         is_writer: Returns whether this router writes for all.
         store_clock: Estimates the clock of the store.
+        recall: Lets the first requests wait until the row has been read.
     """
 
     def __init__(
@@ -72,11 +74,13 @@
         crashes: CrashTracker,
         is_writer: Callable[[], bool],
         store_clock: StoreClock,
+        recall: Startup,
     ) -> None:
         self._store = store
         self._crashes = crashes
         self._is_writer = is_writer
         self._store_clock = store_clock
+        self._recall_startup = recall
         self._has_recalled = False
         self._failing = False
         self._written: frozenset[object] = frozenset()
@@ -85,20 +89,33 @@
         """Read and write what is due until cancelled."""
         if self._store is None:
             return
-        await anyio.sleep(FIRST_CHECK_SECONDS)
+        await self._recall_first(store=self._store)
         while True:
             try:
                 await self._synchronize(store=self._store)
                 self._failing = False
             except PlatformError as error:
-                if not self._failing:
-                    log.warning(
-                        "crash_archive_failing", cause=error.message, peer=error.peer
-                    )
-                self._failing = True
+                self._log_failure(error=error)
                 await anyio.sleep(FAILURE_COOLDOWN_SECONDS)
             await anyio.sleep(CHECK_INTERVAL_SECONDS)
 
+    async def _recall_first(self, *, store: CrashStore) -> None:
+        """Read the row before the first request; all other routers may be new too."""
+        if self._recall_startup.has_ended:
+            return
+        while self._store_clock.earliest_time() is None:
+            await anyio.sleep(CLOCK_INTERVAL_SECONDS)
+        try:
+            await self._recall(store=store)
+        except PlatformError as error:
+            self._log_failure(error=error)
+        self._recall_startup.end()
+
+    def _log_failure(self, *, error: PlatformError) -> None:
+        if not self._failing:
+            log.warning("crash_archive_failing", cause=error.message, peer=error.peer)
+        self._failing = True
+
     async def _synchronize(self, *, store: CrashStore) -> None:
         if not self._is_writer():
             self._has_recalled = False
--- a/dotterelpaddle/tests/peers/test_crash_archive.py
+++ b/dotterelpaddle/tests/peers/test_crash_archive.py
@@ -11,6 +11,7 @@
 from dotterelpaddle.forwarding.crash_subjects import PartSubject
 from dotterelpaddle.forwarding.crashes import MIN_BLOCK_SECONDS, CrashTracker
 from dotterelpaddle.forwarding.revisions import FIRST_ERA
+from dotterelpaddle.forwarding.startup import Startup
 from dotterelpaddle.forwarding.store_clock import StoreClock, StoreTime
 from dotterelpaddle.ids import EndpointId, PartKey
 from dotterelpaddle.peers.crash_archive import CrashArchive
@@ -43,6 +44,7 @@
             crashes=self.crashes,
             is_writer=lambda: True,
             store_clock=store_clock,
+            recall=Startup(clock=anyio.current_time),
         ).run()
 
     async def run_for(self, *, seconds: float) -> None:
