Take a row of versions for complete only in the era of the store that it was written in

Cause: the row that tells which versions a service has had named no era, so that an old one told new routers that there had been one version only. Trace: `streams_recalled` with versions, then `stream_origin` with source sole_version. Class: data of the store without the store's own time.

Change: the row names the era. In another era its versions count, but don't tell that there were no others; streams that nobody knows are refused then. A row of an earlier release does not tell it either.

--- a/dotterelpaddle/platform/store.py
+++ b/dotterelpaddle/platform/store.py
@@ -96,6 +96,11 @@
             max_keepalive_connections=4,
         )
 
+    @property
+    def era(self) -> StoreEra | None:
+        """Latest era that an answer has named, None before any answer."""
+        return self._era
+
     async def aclose(self) -> None:
         """Close all connections."""
         await self._pool.aclose()
@@ -320,7 +325,8 @@
         known = self._era
         era = _decode_era(headers=headers, peer=peer)
         if era is None:
-            return FIRST_ERA if known is None else known
+            self._era = FIRST_ERA if known is None else known
+            return self._era
         if known is not None and era < known:
             raise PlatformUnavailable(
                 f"the store answered in era {era}, but has named era {known} before",
--- a/dotterelpaddle/streams/archive.py
+++ b/dotterelpaddle/streams/archive.py
@@ -30,8 +30,9 @@
     from dotterelpaddle.forwarding.model import FleetConfiguration
     from dotterelpaddle.forwarding.store_clock import StoreClock, StoreTime
     from dotterelpaddle.forwarding.view import FleetView
-    from dotterelpaddle.ids import ServiceName, SoftwareVersion
+    from dotterelpaddle.ids import ServiceName, SoftwareVersion, StoreEra
     from dotterelpaddle.streams.origins import StreamOrigins, StreamRecord
+    from dotterelpaddle.streams.rows import VersionsRow
     from dotterelpaddle.streams.version_history import VersionHistory
 
 log = get_logger(name=__name__)
@@ -59,6 +60,10 @@
 class StreamStore(Protocol):
     """The rows of the platform's store that belong to the streams of this fleet."""
 
+    @property
+    def era(self) -> StoreEra | None:
+        """Latest era that an answer of the store has named, None before any answer."""
+
     async def stream_rows(self) -> dict[str, bytes]:
         """Read all rows.
 
@@ -187,9 +192,11 @@
 
         A router that has not seen all versions yet writes none.
         """
-        if not self._history.is_complete:
+        assert self._store is not None
+        era = self._store.era
+        if not self._history.is_complete or era is None:
             return {}
-        row = encode_versions_row(versions=self._versions())
+        row = encode_versions_row(versions=self._versions(), era=era)
         elapsed = self._clock() - self._versions_written_at
         if row == self._written_versions and elapsed < REWRITE_SECONDS:
             return {}
@@ -216,7 +223,7 @@
         for key, row in rows.items():
             try:
                 if key == VERSIONS_KEY:
-                    self._history.restore(versions=decode_versions_row(row=row))
+                    self._apply_versions(row=decode_versions_row(row=row))
                 else:
                     self._origins.receive(
                         records=decode_records_row(row=row), forward=False
@@ -230,6 +237,18 @@
             versions=VERSIONS_KEY in rows,
         )
 
+    def _apply_versions(self, *, row: VersionsRow) -> None:
+        """Add archived versions.
+
+        A store that has come back from a copy has lost what was written last, also of
+        versions that came since.
+        """
+        assert self._store is not None
+        self._history.restore(
+            versions=row.versions,
+            is_complete=row.era is not None and row.era == self._store.era,
+        )
+
     def _log_failure(self, *, error: PlatformError) -> None:
         if not self._failing:
             log.warning("stream_archive_failing", cause=error.message, peer=error.peer)
--- a/dotterelpaddle/streams/rows.py
+++ b/dotterelpaddle/streams/rows.py
@@ -5,12 +5,13 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
 
 import orjson
 
 from dotterelpaddle.exceptions import ControlError
-from dotterelpaddle.ids import ServiceName, SoftwareVersion
+from dotterelpaddle.ids import ServiceName, SoftwareVersion, StoreEra
 from dotterelpaddle.streams.messages import decode_records, encode_records
 from dotterelpaddle.streams.origins import MAX_STREAM_SECONDS
 
@@ -25,6 +26,25 @@
 
 Versions = dict[ServiceName, frozenset[SoftwareVersion]]
 
+NO_SERVICE = ServiceName("")
+"""Key of the era of the store beside the services of a row. Earlier releases take it
+for a service."""
+
+ERA_FIELD = "era"
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class VersionsRow:
+    """The versions of each service, as one router knew them.
+
+    Attributes:
+        versions: Versions of each service.
+        era: Era of the store in which the row was written, None if it does not say.
+    """
+
+    versions: Versions
+    era: StoreEra | None
+
 
 def records_key(*, time: StoreTime, interval: float, part: int) -> str:
     """Return the key of a row with records.
@@ -56,16 +76,17 @@
 
 
 def encode_versions_row(
-    *, versions: Mapping[ServiceName, frozenset[SoftwareVersion]]
+    *, versions: Mapping[ServiceName, frozenset[SoftwareVersion]], era: StoreEra
 ) -> bytes:
-    """Encode the versions of each service."""
-    return orjson.dumps(
-        {service: sorted(each) for service, each in versions.items()},
-        option=orjson.OPT_SORT_KEYS,
-    )
+    """Encode the versions of each service, and the era of the store."""
+    fields: dict[str, Any] = {
+        service: sorted(each) for service, each in versions.items()
+    }
+    fields[NO_SERVICE] = {ERA_FIELD: era}
+    return orjson.dumps(fields, option=orjson.OPT_SORT_KEYS)
 
 
-def decode_versions_row(*, row: bytes) -> Versions:
+def decode_versions_row(*, row: bytes) -> VersionsRow:
     """Decode the versions of each service.
 
     Raises:
@@ -73,11 +94,20 @@
     """
     try:
         fields: Any = orjson.loads(row)
-        return {
+        era = fields.pop(NO_SERVICE, {}).get(ERA_FIELD)
+        versions = {
             ServiceName(service): frozenset(
                 SoftwareVersion(str(version)) for version in versions
             )
             for service, versions in fields.items()
         }
-    except (orjson.JSONDecodeError, AttributeError, TypeError) as error:
+        return VersionsRow(
+            versions=versions, era=None if era is None else StoreEra(int(era))
+        )
+    except (
+        orjson.JSONDecodeError,
+        AttributeError,
+        TypeError,
+        ValueError,
+    ) as error:
         raise ControlError(f"row has no versions: {error!r}") from error
--- a/dotterelpaddle/streams/version_history.py
+++ b/dotterelpaddle/streams/version_history.py
@@ -51,17 +51,24 @@
         )
 
     def restore(
-        self, *, versions: Mapping[ServiceName, frozenset[SoftwareVersion]]
+        self,
+        *,
+        versions: Mapping[ServiceName, frozenset[SoftwareVersion]],
+        is_complete: bool,
     ) -> None:
         """Add the versions that services had before this router started.
 
-        The history then goes back as far as that of the router which recorded them.
+        Args:
+            versions: The versions.
+            is_complete: Whether no other version was there, so that the history goes
+                back as far as that of the router which recorded them.
         """
         now = self._clock()
         for service, restored in versions.items():
             for version in restored:
                 self._gone_at[StreamOrigin(service=service, version=version)] = now
-        self._since = float("-inf")
+        if is_complete:
+            self._since = float("-inf")
 
     def refresh(self) -> None:
         """Record removed endpoints, and forget versions that are gone for long."""
--- a/dotterelpaddle/tests/streams/test_archive.py
+++ b/dotterelpaddle/tests/streams/test_archive.py
@@ -38,6 +38,7 @@
         self.rows: dict[str, bytes] = {}
         self.away = False
         self.reads = 0
+        self.era = StoreEra(0)
 
     async def stream_rows(self) -> dict[str, bytes]:
         self.reads += 1
@@ -117,6 +118,27 @@
     assert after.history.versions == {"v1", "v2"}
 
 
+# Guards against a row of before a version came, in a store that is back from a copy.
+async def test_versions_of_an_earlier_era_do_not_tell_that_there_were_no_others() -> (
+    None
+):
+    store = MemoryStore()
+    before = Archivist(store=store, first_start=True)
+    before.history.register("a", "v1")
+    await before.write()
+    store.era = StoreEra(1)
+    after = Archivist(store=store, first_start=False)
+    after.history.register("a", "v1")
+    await after.archive.read()
+    assert not after.history.history.is_complete
+
+    await before.write()
+    after.history.now += 1.0
+    await after.archive.read()
+
+    assert after.history.history.is_complete
+
+
 async def test_nothing_but_the_versions_is_written_while_there_is_one() -> None:
     router = Archivist(store=MemoryStore(), first_start=True)
     router.history.register("a", "v1")
@@ -126,7 +148,8 @@
     rows = router.store.rows
 
     assert {*rows} == {VERSIONS_KEY}
-    assert decode_versions_row(row=rows[VERSIONS_KEY]) == {SERVICE: {V1}}
+    versions = decode_versions_row(row=rows[VERSIONS_KEY]).versions
+    assert versions == {SERVICE: {V1}}
 
 
 # Guards against streams that began before a second version came, and are lost with it.
@@ -204,7 +227,8 @@
     after.history.register("a", "v2")
     await after.write()
 
-    assert decode_versions_row(row=store.rows[VERSIONS_KEY]) == {SERVICE: {V1, V2}}
+    versions = decode_versions_row(row=store.rows[VERSIONS_KEY]).versions
+    assert versions == {SERVICE: {V1, V2}}
 
 
 async def test_store_that_is_away_tells_nothing() -> None:
--- a/dotterelpaddle/tests/streams/test_version_history.py
+++ b/dotterelpaddle/tests/streams/test_version_history.py
@@ -59,7 +59,8 @@
     history.remove("a")
     history.history.refresh()
     history.now = MAX_STREAM_SECONDS - 10.0
-    history.history.restore(versions={SERVICE: frozenset({SoftwareVersion("v1")})})
+    restored = {SERVICE: frozenset({SoftwareVersion("v1")})}
+    history.history.restore(versions=restored, is_complete=True)
     history.now = MAX_STREAM_SECONDS + 1.0
 
     assert history.versions == {"v1", "v2"}
@@ -69,11 +70,11 @@
 def test_version_restored_again_and_again_expires() -> None:
     history = History()
     restored = {SERVICE: frozenset({SoftwareVersion("v1")})}
-    history.history.restore(versions=restored)
+    history.history.restore(versions=restored, is_complete=True)
     history.register("a", "v2")
     for _ in range(3):
         history.now += MAX_STREAM_SECONDS / 3
-        history.history.restore(versions=restored)
+        history.history.restore(versions=restored, is_complete=True)
     history.now += 1.0
 
     assert history.versions == {"v2"}
