Leave the row of crashes as it is until what was read from it has settled

What callers could see: a router that had just read the row wrote it empty, and whole again a second later, so that another loss of all routers within that second forgot what was blocked.

Cause: causes count as settled a second after they became known here, and only settled ones were written, though what was read had settled long before.

Change: nothing is written while any cause is unsettled.

--- a/dotterelpaddle/forwarding/crashes.py
+++ b/dotterelpaddle/forwarding/crashes.py
@@ -228,11 +228,11 @@
         return [each.note(now=now) for each in known[:MAX_NOTES_FOR_NEW_ROUTER]]
 
     def notes_of_causes(self) -> list[CrashNote]:
-        """Return the notes of the crashes of all settled causes."""
+        """Return the notes of the crashes of all causes."""
         now = self._clock()
         return [
             event.note(now=now)
-            for subject in self.settled_causes
+            for subject in self.causes
             for event in self._suspects[subject].reportable(subject=subject)
             if event.kind is NoteKind.ENDED
         ]
--- a/dotterelpaddle/peers/crash_archive.py
+++ b/dotterelpaddle/peers/crash_archive.py
@@ -140,6 +140,8 @@
         log.info("crashes_recalled", crashes=len(notes))
 
     async def _write_changes(self, *, store: CrashStore) -> None:
+        if self._crashes.settled_causes != self._crashes.causes:
+            return
         notes = self._crashes.notes_of_causes()[:MAX_CRASHES]
         crashes = _crashes_in(notes)
         time = self._store_clock.earliest_time()
--- a/dotterelpaddle/tests/peers/test_crash_archive.py
+++ b/dotterelpaddle/tests/peers/test_crash_archive.py
@@ -9,7 +9,11 @@
 
 from dotterelpaddle.exceptions import ControlError, RequestBlocked
 from dotterelpaddle.forwarding.crash_subjects import PartSubject
-from dotterelpaddle.forwarding.crashes import MIN_BLOCK_SECONDS, CrashTracker
+from dotterelpaddle.forwarding.crashes import (
+    MIN_BLOCK_SECONDS,
+    SETTLE_SECONDS,
+    CrashTracker,
+)
 from dotterelpaddle.forwarding.revisions import FIRST_ERA
 from dotterelpaddle.forwarding.startup import Startup
 from dotterelpaddle.forwarding.store_clock import StoreClock, StoreTime
@@ -109,6 +113,22 @@
     run_in_virtual_time(main)
 
 
+# Guards against a row that a router which has just read it writes empty for a second.
+def test_row_is_not_emptied_by_the_router_that_has_just_read_it() -> None:
+    async def main() -> None:
+        store = MemoryCrashStore()
+        first = Writer(store=store)
+        first.crash()
+        await first.run_for(seconds=SYNCHRONIZED_SECONDS)
+        row = store.row
+        second = Writer(store=store)
+        await second.run_for(seconds=SETTLE_SECONDS / 2)
+        assert second.blocked
+        assert store.row == row
+
+    run_in_virtual_time(main)
+
+
 # Guards against a sound part that is blocked again after each loss of all routers.
 def test_cleared_part_leaves_the_row() -> None:
     async def main() -> None:
