Give the faults of the soak of cut links a generator of their own

Cause: callers drew their paths, and the router that comes and goes its times, from the generator of the faults. A seed that had failed could not be played again.

Change: faults, paths and stops each have a generator that is made from the seed, and choosing a router takes one draw, however many routers there are.

--- a/dotterelpaddle/tests/forwarding/test_cut_off_soak.py
+++ b/dotterelpaddle/tests/forwarding/test_cut_off_soak.py
@@ -44,13 +44,16 @@
 
     Attributes:
         fleet: The routers and the endpoints.
-        generator: Source of the faults.
+        generator: Source of the faults, and of nothing else: how often callers draw
+            depends on the speed of the machine.
+        paths: Source of the paths that callers ask for.
         refused: Ids of requests whose callers were told that they had not run.
         statuses: Number of answers by status; 0 for a broken connection.
     """
 
     fleet: Fleet
     generator: random.Random
+    paths: random.Random
     refused: set[bytes] = field(default_factory=set)
     statuses: Counter[int] = field(default_factory=Counter)
 
@@ -84,7 +87,9 @@
             runner.silent_until = 0.0
 
     def _links(self):
-        return self.generator.choice(self.fleet.links)
+        # One draw for any number of routers, as the last one comes and goes.
+        links = self.fleet.links
+        return links[int(self.generator.random() * len(links))]
 
     def _some_endpoints(self):
         addresses = list(self.fleet.addresses.values())
@@ -95,7 +100,7 @@
     async def call_until_cancelled(self, *, router: int) -> None:
         """Send requests to one router, one after the other."""
         while True:
-            await self.call(router=router, path=self.generator.choice(PATHS))
+            await self.call(router=router, path=self.paths.choice(PATHS))
             await anyio.sleep(0.01)
 
     async def call(self, *, router: int, path: str) -> int:
@@ -147,12 +152,15 @@
 async def test_requests_survive_links_that_come_and_go(seed: int) -> None:
     """Guards against answers and promises that break on the way through a router."""
     generator = random.Random(seed)
+    stops = random.Random(f"{seed} stops")
     async with run_fleet(runners=RUNNERS, routers=ROUTERS) as fleet:
         for runner in fleet.runners.values():
             runner.events, runner.pause = EVENTS, EVENT_PAUSE_SECONDS
-        faults = Faults(fleet=fleet, generator=generator)
+        faults = Faults(
+            fleet=fleet, generator=generator, paths=random.Random(f"{seed} paths")
+        )
         async with anyio.create_task_group() as tasks:
-            tasks.start_soon(_stop_and_start, fleet, generator)
+            tasks.start_soon(_stop_and_start, fleet, stops)
             for router in range(ROUTERS):
                 for _ in range(CALLERS_PER_ROUTER):
                     tasks.start_soon(_call_forever, faults, router)
