--- a/dotterelpaddle/tests/forwarding/test_prompt_parts_soak.py
+++ b/dotterelpaddle/tests/forwarding/test_prompt_parts_soak.py
@@ -137,10 +137,10 @@
 
 
 async def _watch_blocked(world: CrashWorld, blocked: set[PartSubject]) -> None:
-    """Collect the parts for which callers are told to stay away at any time."""
+    """Collect the parts that are blocked at any time."""
     while True:
         for host in world.hosts:
             if host.parts is not None:
-                causes = host.parts.state.crashes.settled_causes
+                causes = host.parts.state.crashes.causes
                 blocked |= {each for each in causes if isinstance(each, PartSubject)}
         await anyio.sleep(0.1)
