Log requests that a connection drops before they are begun

The hypotheses on requests without an answer can't be told apart by the lines of today: a request that has been read behind another one on its connection is dropped by the server library without a line. `requests_dropped` tells how many, and whether the caller or the router closed the connection. No other logic changes.

--- a/dotterelpaddle/forwarding/caller_protocol.py
+++ b/dotterelpaddle/forwarding/caller_protocol.py
@@ -45,6 +45,7 @@
             super().__init__(*args, **kwargs)
             self._head_bytes = 0
             self._head_timer: asyncio.TimerHandle | None = None
+            self._caller_closed = False
 
         def connection_made(self, transport: asyncio.Transport) -> None:  # type: ignore[override]
             """Start the idle timer, also for a caller that never sends a request."""
@@ -81,9 +82,20 @@
             self._finish_head()
             super().on_headers_complete()
 
+        def eof_received(self) -> None:
+            """Record that the caller has closed the connection."""
+            self._caller_closed = True
+            super().eof_received()
+
         def connection_lost(self, exc: Exception | None) -> None:
-            """Cancel the timers of the connection."""
+            """Cancel the timers, and log the requests that nothing has begun."""
             self._finish_head()
+            if self.pipeline:
+                log.warning(
+                    "requests_dropped",
+                    requests=len(self.pipeline),
+                    caller_closed=self._caller_closed or exc is not None,
+                )
             self._unset_keepalive_if_required()
             super().connection_lost(exc)
 
