Keep a silent attempt open until another endpoint delivers

Callers of idempotent requests and of streams that may be resumed got 502 or a cut stream from sound endpoints that fell silent for a second: 8 of 12 streams and 7 of 171 requests at a single endpoint, 4 of 13 streams at the only endpoint of a version, 20 of 662 with a whole service silent (sightings).

Cause: a timeout, short because a retry may follow, ended the attempt; only then the router asked whether one can (no other endpoint of the service or version, no budget, no attempts left, refusals, another silent endpoint). Requests that may not run twice were never given up so, which is why they lost nothing. Evidence: attempt_failed with EndpointSilent, then retry_withheld or no endpoint, then the end, while the stand-in went on 0.1 to 0.6 s later.

Change: a timeout reports silence and ends nothing. Another attempt is sent as early as before, under the same bounds, beside the silent one. The first of them that has something to pass on (an event of a stream, the head of a success) takes the lead and cancels the others, so that no two endpoints work on a request for long and no event is passed on twice. Where no attempt may follow, the silent one goes on until the deadline.

--- a/dotterelpaddle/forwarding/attempt_log.py
+++ b/dotterelpaddle/forwarding/attempt_log.py
@@ -75,3 +75,29 @@
         streaming=exchange.reply.started,
         parts=[part.digest for part in shared_parts(request=exchange.request)],
     )
+
+
+def log_silent_attempt(
+    *,
+    exchange: ForwardExchange,
+    endpoint: EndpointId,
+    progress: AttemptProgress,
+    seconds: float,
+) -> None:
+    """Log an attempt that has brought nothing for longer than usual.
+
+    Args:
+        exchange: The request.
+        endpoint: Where the attempt went.
+        progress: How far it came.
+        seconds: Seconds since it was sent.
+    """
+    log.info(
+        "attempt_silent",
+        request_id=exchange.request.request_id,
+        endpoint=endpoint,
+        attempt=exchange.attempts.count,
+        state=progress.attempt.state.value,
+        seconds=round(seconds, 4),
+        streaming=exchange.reply.started,
+    )
--- /dev/null
+++ b/dotterelpaddle/forwarding/call.py
@@ -0,0 +1,129 @@
+"""One request to an endpoint, and its answer."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+import httpcore
+
+from dotterelpaddle.exceptions import AnswerBroken, EndpointSilent
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+    from dotterelpaddle.endpoint.evidence import Observer
+    from dotterelpaddle.endpoint.patience import Patience
+    from dotterelpaddle.endpoint.pool import Connection
+    from dotterelpaddle.forwarding.attempt_race import OpenAttempt
+    from dotterelpaddle.forwarding.interface import (
+        AnswerHead,
+        ForwardRequest,
+        RequestMetadata,
+    )
+    from dotterelpaddle.forwarding.liveness import EndpointLiveness
+    from dotterelpaddle.forwarding.model import EndpointEntry
+
+MAX_ANSWER_BYTES = 8 * 1024 * 1024
+"""Limit on a buffered answer; the largest known ones take a few KB."""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ForwardCall:
+    """A request to send to one endpoint.
+
+    Attributes:
+        entry: Registration of the endpoint.
+        request: The caller's request.
+        body: Its complete body.
+        metadata: Metadata that the router adds as headers.
+        timeouts: Timeouts of each stage.
+        new_connection: Whether to use a new connection only, on which no late answer
+            to an earlier request can arrive.
+        observe: Receives each observed stage of the request.
+        attempt: Is told when the endpoint falls silent and when it sends something.
+    """
+
+    entry: EndpointEntry
+    request: ForwardRequest
+    body: bytes
+    metadata: RequestMetadata
+    timeouts: Patience
+    new_connection: bool
+    observe: Observer
+    attempt: OpenAttempt
+
+
+class ForwardAnswer:
+    """An answer whose head has arrived and whose body can be streamed.
+
+    Args:
+        head: Status and headers.
+        response: The httpcore response.
+        connection: Connection that carries the answer.
+        call: The request that it answers.
+        liveness: Records when bytes arrive.
+    """
+
+    def __init__(
+        self,
+        *,
+        head: AnswerHead,
+        response: httpcore.Response,
+        connection: Connection,
+        call: ForwardCall,
+        liveness: EndpointLiveness,
+    ) -> None:
+        self._head = head
+        self._response = response
+        self._connection = connection
+        self._gap_timeout = call.timeouts.gap
+        self._endpoint = call.entry.endpoint
+        self._attempt = call.attempt
+        self._liveness = liveness
+
+    @property
+    def head(self) -> AnswerHead:
+        """Status and headers."""
+        return self._head
+
+    async def chunks(self) -> AsyncIterator[bytes]:
+        """Stream the body.
+
+        Raises:
+            EndpointSilent: If no chunk arrived until the request's deadline.
+            AnswerBroken: If the body ended early or the connection was reset.
+        """
+        try:
+            async for chunk in self._response.aiter_stream():
+                # The first chunk still had the longer timeout for the first byte.
+                self._connection.stream.read_timeout = self._gap_timeout
+                self._attempt.report_data()
+                self._liveness.record_bytes(endpoint=self._endpoint)
+                yield chunk
+        except httpcore.ReadTimeout as error:
+            raise EndpointSilent(
+                "the endpoint sent no more of the answer in time", peer=self._endpoint
+            ) from error
+        except (httpcore.NetworkError, httpcore.ProtocolError) as error:
+            raise AnswerBroken(
+                f"the connection broke during the answer: {error}", peer=self._endpoint
+            ) from error
+
+    async def read(self) -> bytes:
+        """Read the complete body.
+
+        Raises:
+            EndpointSilent: If no chunk arrived until the request's deadline.
+            AnswerBroken: If the body is incomplete or exceeds the limit.
+        """
+        chunks: list[bytes] = []
+        size = 0
+        async for chunk in self.chunks():
+            size += len(chunk)
+            if size > MAX_ANSWER_BYTES:
+                raise AnswerBroken(
+                    f"the answer exceeds {MAX_ANSWER_BYTES} bytes", peer=self._endpoint
+                )
+            chunks.append(chunk)
+        return b"".join(chunks)
--- a/dotterelpaddle/forwarding/client.py
+++ b/dotterelpaddle/forwarding/client.py
@@ -3,14 +3,13 @@
 from __future__ import annotations
 
 from contextlib import asynccontextmanager
-from dataclasses import dataclass
 from functools import partial
 from typing import TYPE_CHECKING
 
 import anyio
 import httpcore
 
-from dotterelpaddle.endpoint.evidence import Evidence, Observer
+from dotterelpaddle.endpoint.evidence import Evidence
 from dotterelpaddle.endpoint.pool import Connection, ConnectionPool, PoolLimits
 from dotterelpaddle.exceptions import (
     AnswerBroken,
@@ -20,6 +19,7 @@
     MalformedRequest,
     Step,
 )
+from dotterelpaddle.forwarding.call import ForwardAnswer
 from dotterelpaddle.forwarding.exceptions import EndpointReplaced, IdleConnectionLost
 
 if TYPE_CHECKING:
@@ -27,13 +27,8 @@
 
     from dotterelpaddle.address import Address
     from dotterelpaddle.clock import Clock
-    from dotterelpaddle.endpoint.patience import Patience
-    from dotterelpaddle.forwarding.interface import (
-        AnswerHead,
-        ForwardRequest,
-        RequestMetadata,
-        WireCodec,
-    )
+    from dotterelpaddle.forwarding.call import ForwardCall
+    from dotterelpaddle.forwarding.interface import AnswerHead, WireCodec
     from dotterelpaddle.forwarding.liveness import EndpointLiveness
     from dotterelpaddle.forwarding.model import EndpointEntry
     from dotterelpaddle.forwarding.notices import EndpointNotices
@@ -42,12 +37,13 @@
     from dotterelpaddle.network import LinkedBackend
     from dotterelpaddle.peers.tunnels import TunnelBackend
 
-MAX_ANSWER_BYTES = 8 * 1024 * 1024
-"""Limit on a buffered answer; the largest known ones take a few KB."""
-
 SLOW_RECHECK_SECONDS = 0.1
 """Interval of checks whether a slow endpoint is still alive."""
 
+SILENCE_RECHECK_SECONDS = 0.5
+"""Interval of reports on an endpoint that stays silent, after each of which another
+attempt may be sent."""
+
 POOL_LIMITS = PoolLimits(max_open=96, max_idle=16, max_idle_age=3.0)
 """Limits on connections to one endpoint: a router's share of what endpoints accept.
 
@@ -56,103 +52,6 @@
 """
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class ForwardCall:
-    """A request to send to one endpoint.
-
-    Attributes:
-        entry: Registration of the endpoint.
-        request: The caller's request.
-        body: Its complete body.
-        metadata: Metadata that the router adds as headers.
-        timeouts: Timeouts of each stage.
-        new_connection: Whether to use a new connection only, on which no late answer
-            to an earlier request can arrive.
-        observe: Receives each observed stage of the request.
-    """
-
-    entry: EndpointEntry
-    request: ForwardRequest
-    body: bytes
-    metadata: RequestMetadata
-    timeouts: Patience
-    new_connection: bool
-    observe: Observer
-
-
-class ForwardAnswer:
-    """An answer whose head has arrived and whose body can be streamed.
-
-    Args:
-        head: Status and headers.
-        response: The httpcore response.
-        connection: Connection that carries the answer.
-        call: The request that it answers.
-        liveness: Records when bytes arrive.
-    """
-
-    def __init__(
-        self,
-        *,
-        head: AnswerHead,
-        response: httpcore.Response,
-        connection: Connection,
-        call: ForwardCall,
-        liveness: EndpointLiveness,
-    ) -> None:
-        self._head = head
-        self._response = response
-        self._connection = connection
-        self._gap_timeout = call.timeouts.gap
-        self._endpoint = call.entry.endpoint
-        self._liveness = liveness
-
-    @property
-    def head(self) -> AnswerHead:
-        """Status and headers."""
-        return self._head
-
-    async def chunks(self) -> AsyncIterator[bytes]:
-        """Stream the body.
-
-        Raises:
-            EndpointSilent: If no chunk arrived within the timeout.
-            AnswerBroken: If the body ended early or the connection was reset.
-        """
-        try:
-            async for chunk in self._response.aiter_stream():
-                # The first chunk still had the longer timeout for the first byte.
-                self._connection.stream.read_timeout = self._gap_timeout
-                self._liveness.record_bytes(endpoint=self._endpoint)
-                yield chunk
-        except httpcore.ReadTimeout as error:
-            raise EndpointSilent(
-                "the endpoint sent no more of the answer in time", peer=self._endpoint
-            ) from error
-        except (httpcore.NetworkError, httpcore.ProtocolError) as error:
-            raise AnswerBroken(
-                f"the connection broke during the answer: {error}", peer=self._endpoint
-            ) from error
-
-    async def read(self) -> bytes:
-        """Read the complete body.
-
-        Raises:
-            EndpointSilent: If no chunk arrived within the timeout.
-            AnswerBroken: If the body is incomplete or exceeds the limit.
-        """
-        chunks: list[bytes] = []
-        size = 0
-        async for chunk in self.chunks():
-            size += len(chunk)
-            if size > MAX_ANSWER_BYTES:
-                raise AnswerBroken(
-                    f"the answer exceeds {MAX_ANSWER_BYTES} bytes", peer=self._endpoint
-                )
-            chunks.append(chunk)
-        return b"".join(chunks)
-
-
 class ForwardClient:
     """Sends requests to endpoints over pooled connections.
 
@@ -200,7 +99,7 @@
             EndpointUnreachable: If the connect failed; nothing was sent.
             EndpointRefused: If the endpoint stated that it did not run the request.
             EndpointReplaced: If another endpoint has the address.
-            EndpointSilent: If no answer started within the timeout.
+            EndpointSilent: If no answer started until the request's deadline.
             AnswerBroken: If the connection broke.
             ForeignAnswer: If the answer belongs to another request.
         """
@@ -215,7 +114,10 @@
             connection.stream.read_timeout = call.timeouts.first_byte
             connection.stream.read_extension = partial(self._extra_wait, call, sent_at)
             response = await self._send_request(call=call, connection=connection)
-            connection.stream.read_extension = None
+            call.attempt.report_data()
+            connection.stream.read_extension = partial(
+                _wait_in_silence, call, sent_at, self._clock
+            )
             self._liveness.record_answer_start(
                 endpoint=call.entry.endpoint, sent_at=sent_at
             )
@@ -237,17 +139,19 @@
                 liveness=self._liveness,
             )
         finally:
+            connection.stream.read_extension = None
             with anyio.CancelScope(shield=True):
                 if response is not None:
                     await response.aclose()
                 await _release(pool=pool, connection=connection)
 
     def _extra_wait(self, call: ForwardCall, sent_at: float) -> float:
-        """Return the seconds to extend a timed-out wait; 0 or less ends the wait."""
-        if not self._liveness.is_slow(endpoint=call.entry.endpoint, sent_at=sent_at):
-            return 0.0
-        seconds_left = call.timeouts.slow_first_byte - (self._clock() - sent_at)
-        return min(seconds_left, SLOW_RECHECK_SECONDS)
+        """Return the seconds to extend a timed-out wait for the start of an answer."""
+        if self._liveness.is_slow(endpoint=call.entry.endpoint, sent_at=sent_at):
+            seconds_left = call.timeouts.slow_first_byte - (self._clock() - sent_at)
+            if seconds_left > 0.0:
+                return min(seconds_left, SLOW_RECHECK_SECONDS)
+        return _wait_in_silence(call, sent_at, self._clock)
 
     async def discard_expired(self) -> None:
         """Close idle connections beyond their maximum age, in all pools."""
@@ -333,6 +237,15 @@
         )
 
 
+def _wait_in_silence(call: ForwardCall, sent_at: float, clock: Clock) -> float:
+    """Report a silent endpoint; return the seconds to wait on, 0 at the deadline."""
+    seconds_left = call.metadata.time_left - (clock() - sent_at)
+    if seconds_left <= 0.0:
+        return 0.0
+    call.attempt.report_silence()
+    return min(seconds_left, SILENCE_RECHECK_SECONDS)
+
+
 def _check_answers(*, head: AnswerHead, call: ForwardCall, reused: bool) -> None:
     """Check that the answer is the intended endpoint's, to this request.
 
--- a/dotterelpaddle/forwarding/exceptions.py
+++ b/dotterelpaddle/forwarding/exceptions.py
@@ -6,15 +6,45 @@
 
 from __future__ import annotations
 
+from enum import Enum
 from typing import TYPE_CHECKING
 
-from dotterelpaddle.exceptions import AnswerBroken, EndpointError, EndpointRefused
+from dotterelpaddle.exceptions import (
+    AnswerBroken,
+    EndpointError,
+    EndpointRefused,
+    RequestError,
+)
 
 if TYPE_CHECKING:
     from dotterelpaddle.exceptions import Step
     from dotterelpaddle.forwarding.exchange import BufferedAnswer
 
 
+class RetryObstacle(Enum):
+    """Why no retry follows a failed or silent attempt."""
+
+    DEADLINE = "deadline"
+    MAY_HAVE_RUN = "may_have_run"
+    ANSWER_STARTED = "answer_started"
+    MAX_ATTEMPTS = "max_attempts"
+    BUDGET = "budget"
+    NO_ENDPOINT = "no_endpoint"
+    BLOCKED = "blocked"
+
+
+class RetryWithheld(RequestError):
+    """No retry may follow an attempt that failed or fell silent.
+
+    Attributes:
+        obstacle: Why none may follow.
+    """
+
+    def __init__(self, *, obstacle: RetryObstacle) -> None:
+        super().__init__(f"no retry may follow: {obstacle.value}")
+        self.obstacle = obstacle
+
+
 class EndpointReplaced(EndpointRefused):
     """Another endpoint now has the address; it refused the request."""
 
--- a/dotterelpaddle/forwarding/metrics.py
+++ b/dotterelpaddle/forwarding/metrics.py
@@ -58,6 +58,10 @@
             name="attempts_failed_total",
             doc="Attempts that brought no answer, by service and error.",
         )
+        self._silences = counter(
+            name="attempts_silent_total",
+            doc="Attempts whose endpoint sent nothing for long, by service.",
+        )
         self._blocked = counter(
             name="requests_blocked_total",
             doc="Requests that were sent to no endpoint as others ended under them.",
@@ -106,6 +110,10 @@
         """Count an attempt without a successful answer."""
         self._failures.inc({"service": service, "error": error})
 
+    def count_silent_attempt(self, *, service: str) -> None:
+        """Count an attempt whose endpoint has sent nothing for longer than usual."""
+        self._silences.inc({"service": service})
+
     def count_blocked_request(self, *, service: str) -> None:
         """Count a request blocked because endpoints crashed during it."""
         self._blocked.inc({"service": service})
--- a/dotterelpaddle/forwarding/progress.py
+++ b/dotterelpaddle/forwarding/progress.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from enum import Enum
 from typing import TYPE_CHECKING
 
 from dotterelpaddle.dispatch.outcome import AttemptState
@@ -24,16 +23,6 @@
     from dotterelpaddle.ids import EndpointId
 
 
-class RetryObstacle(Enum):
-    """Why no retry follows a failed attempt."""
-
-    DEADLINE = "deadline"
-    MAY_HAVE_RUN = "may_have_run"
-    ANSWER_STARTED = "answer_started"
-    MAX_ATTEMPTS = "max_attempts"
-    BUDGET = "budget"
-
-
 class TriedEndpoints:
     """Endpoints to which the router has tried to send a request."""
 
--- a/dotterelpaddle/forwarding/relays.py
+++ b/dotterelpaddle/forwarding/relays.py
@@ -21,11 +21,8 @@
 
 if TYPE_CHECKING:
     from dotterelpaddle.clock import Clock
-    from dotterelpaddle.forwarding.client import (
-        ForwardAnswer,
-        ForwardCall,
-        ForwardClient,
-    )
+    from dotterelpaddle.forwarding.call import ForwardAnswer, ForwardCall
+    from dotterelpaddle.forwarding.client import ForwardClient
     from dotterelpaddle.forwarding.exchange import ForwardExchange
     from dotterelpaddle.forwarding.model import EndpointEntry
     from dotterelpaddle.streams.origins import StreamOrigins
@@ -132,6 +129,7 @@
             events = buffer.feed(chunk=chunk)
             if not events:
                 continue
+            await call.attempt.take_lead()
             call.observe(Evidence.OUTPUT)
             if not reply.started:
                 self._record_origin(entry=call.entry)
@@ -186,6 +184,8 @@
         AnswerBroken: If it is incomplete, or a success without proof of origin.
     """
     head = answer.head
+    if head.status in SUCCESS_STATUSES and head.has_origin_proof:
+        await call.attempt.take_lead()
     buffered = BufferedAnswer(head=head, body=await answer.read())
     call.observe(Evidence.ANSWER_COMPLETE)
     if head.status >= MIN_SERVER_ERROR_STATUS or head.status in NOT_EXECUTED_STATUSES:
--- a/dotterelpaddle/standins/behaviours.py
+++ b/dotterelpaddle/standins/behaviours.py
@@ -112,8 +112,22 @@
     events: int = 0
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class FallSilent:
+    """The endpoint runs the request, sends nothing for a while, and goes on.
+
+    Attributes:
+        seconds: How long it sends nothing.
+        events: Events of a stream before that.
+    """
+
+    seconds: float
+    events: int = 0
+
+
 Behaviour = (
     Serve
+    | FallSilent
     | Refuse
     | WrongEndpoint
     | Fail
--- a/dotterelpaddle/standins/runner.py
+++ b/dotterelpaddle/standins/runner.py
@@ -26,6 +26,7 @@
     CutAnswer,
     ExtraAnswer,
     Fail,
+    FallSilent,
     Foreign,
     Garbage,
     Hang,
@@ -199,7 +200,7 @@
                 if reset:
                     _reset_on_close(stream)
                 return False
-            case Hang() | CutAnswer() | Serve() if _is_stream(request):
+            case Hang() | CutAnswer() | FallSilent() | Serve() if _is_stream(request):
                 return await self._stream(stream, request, behaviour)
             case Hang():
                 await self._wait_for_close(stream, request)
@@ -207,6 +208,9 @@
             case CutAnswer():
                 await stream.send(self._whole(request)[:-3])
                 return False
+            case FallSilent(seconds=seconds):
+                await anyio.sleep(seconds)
+                await stream.send(self._whole(request))
             case _:
                 await stream.send(self._whole(request))
         return True
@@ -221,7 +225,7 @@
                 last = min(last, first + events - 1)
         await stream.send(self._head(request, framing=b"transfer-encoding: chunked"))
         for number in range(first, last + 1):
-            await anyio.sleep(self.pause)
+            await anyio.sleep(_pause_before(number - first, behaviour, self.pause))
             event = b"id: %d\ndata: e%d %s\n\n"
             content = event % (number, number, self.version.encode())
             await stream.send(_chunk(content))
@@ -355,6 +359,16 @@
     raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
 
 
+def _pause_before(events: int, behaviour: Behaviour, pause: float) -> float:
+    """Return the seconds before the next event of a stream, after some events."""
+    match behaviour:
+        case FallSilent(seconds=seconds, events=events_before) if (
+            events == events_before
+        ):
+            return seconds
+    return pause
+
+
 def _is_stream(request: Received) -> bool:
     return request.target.startswith(STREAM_PATH)
 
