Answer all requests of a connection before a stopping router closes it

Cause: a router that drains, or is isolated, says 'connection: close' with each answer, also while another request waits behind; uvicorn then closes the connection and drops its queue. Its shutdown marks only the latest request as the last one, which drops one that is read after that. Evidence: `requests_dropped` with caller_closed false.

Change: an answer closes the connection only if no request waits behind it, and a shutdown closes each connection once all that was read from it is answered.

Failing before: test_requests_sent_at_once_are_all_answered_by_a_stopping_router and ..._before_a_shutdown_ends, 1 answer of 3 and 1 of 2 ("assert 1 == 2"). A stream that is cut still ends its connection, as no complete answer may follow on it.

--- a/dotterelpaddle/forwarding/app.py
+++ b/dotterelpaddle/forwarding/app.py
@@ -13,6 +13,7 @@
     DotterelpaddleError,
     RequestError,
 )
+from dotterelpaddle.forwarding.caller_protocol import has_next_request
 from dotterelpaddle.forwarding.exchange import ForwardExchange
 from dotterelpaddle.forwarding.relays import NOT_EXECUTED_STATUSES
 from dotterelpaddle.forwarding.reply import ForwardReply
@@ -116,7 +117,9 @@
         received_at = self._clock()
         reply = ForwardReply(
             send=send,
-            should_close=lambda: self._draining_or_isolated,
+            should_close=lambda: (
+                self._draining_or_isolated and not has_next_request(scope=scope)
+            ),
             clock=self._clock,
         )
         try:
--- a/dotterelpaddle/forwarding/caller_protocol.py
+++ b/dotterelpaddle/forwarding/caller_protocol.py
@@ -10,7 +10,7 @@
 
 if TYPE_CHECKING:
     import asyncio
-    from collections.abc import Callable
+    from collections.abc import Callable, Mapping
 
     from dotterelpaddle.forwarding.model import CallerLimits
 
@@ -23,12 +23,25 @@
 router closes the connection costs the caller a retry.
 """
 
+HAS_NEXT_REQUEST = "dotterelpaddle.has_next_request"
+"""Entry in the state of an ASGI scope: tells whether another request waits.
+
+It waits on the connection of the scope's own request and is answered after it, so the
+connection stays open.
+"""
+
 HEADERS_TOO_LARGE_ANSWER = (
     b"HTTP/1.1 431 Request Header Fields Too Large\r\n"
     b"content-length: 0\r\nconnection: close\r\n\r\n"
 )
 
 
+def has_next_request(*, scope: Mapping[str, Any]) -> bool:
+    """Return whether another request waits on the connection of an ASGI scope."""
+    waits = scope.get("state", {}).get(HAS_NEXT_REQUEST)
+    return waits is not None and waits()
+
+
 def caller_protocol(
     *, limits: Callable[[], CallerLimits | None]
 ) -> type[asyncio.Protocol]:
@@ -46,6 +59,7 @@
             self._head_bytes = 0
             self._head_timer: asyncio.TimerHandle | None = None
             self._caller_closed = False
+            self._shutting_down = False
 
         def connection_made(self, transport: asyncio.Transport) -> None:  # type: ignore[override]
             """Start the idle timer, also for a caller that never sends a request."""
@@ -77,11 +91,27 @@
                 self.transport.write(HEADERS_TOO_LARGE_ANSWER)
                 self.transport.close()
 
+        def on_message_begin(self) -> None:
+            """Let the application ask for requests that wait behind this one."""
+            super().on_message_begin()
+            self.scope["state"][HAS_NEXT_REQUEST] = lambda: bool(self.pipeline)
+
         def on_headers_complete(self) -> None:
             """Stop the timer of the head; the body follows."""
             self._finish_head()
             super().on_headers_complete()
 
+        def on_response_complete(self) -> None:
+            """Begin the next request; close the connection if the server stops."""
+            super().on_response_complete()
+            if self._shutting_down:
+                self._close_if_idle()
+
+        def shutdown(self) -> None:
+            """Close the connection once all requests read from it are answered."""
+            self._shutting_down = True
+            self._close_if_idle()
+
         def eof_received(self) -> None:
             """Record that the caller has closed the connection."""
             self._caller_closed = True
@@ -99,6 +129,11 @@
             self._unset_keepalive_if_required()
             super().connection_lost(exc)
 
+        def _close_if_idle(self) -> None:
+            # uvicorn keeps the latest request here, which is answered last.
+            if self.cycle is None or self.cycle.response_complete:
+                self.transport.close()
+
         @property
         def _reading_head(self) -> bool:
             """Whether the next bytes belong to a request head."""
--- a/dotterelpaddle/tests/forwarding/test_callers.py
+++ b/dotterelpaddle/tests/forwarding/test_callers.py
@@ -5,7 +5,13 @@
 import anyio
 import pytest
 
-from dotterelpaddle.tests.forwarding.harness import Fleet, configuration, run_fleet
+from dotterelpaddle.standins.behaviours import FallSilent
+from dotterelpaddle.tests.forwarding.harness import (
+    Fleet,
+    configuration,
+    run_fleet,
+    wait_until,
+)
 
 pytestmark = pytest.mark.anyio
 
@@ -62,3 +68,32 @@
         content = await _read_until_closed(stream)
 
     assert b"200 OK" in content
+
+
+async def _responses(stream: anyio.abc.SocketStream) -> list[bytes]:
+    """Return the status lines of all responses until the connection ends."""
+    content = await _read_until_closed(stream)
+    return [line for line in content.split(b"\r\n") if b"HTTP/1.1 " in line]
+
+
+# Guards against dropping a request that came behind another one on its connection, as
+# the answer before it closes the connection of a router that stops.
+async def test_requests_sent_at_once_are_all_answered_by_a_stopping_router() -> None:
+    async with run_fleet() as fleet, await _connect(fleet) as stream:
+        fleet.routers[0].components.app.start_draining()
+        await stream.send(_request(fleet) * 3)
+
+        assert len(await _responses(stream)) == 3
+    assert len(fleet.runners["runner-1"].runs) == 3
+
+
+# Guards against dropping it as the server closes its connections meanwhile.
+async def test_requests_sent_at_once_are_all_answered_before_a_shutdown_ends() -> None:
+    async with run_fleet() as fleet, await _connect(fleet) as stream:
+        runner = fleet.runners["runner-1"]
+        runner.plan.append(FallSilent(seconds=0.5))
+        await stream.send(_request(fleet) * 2)
+        await wait_until(lambda: runner.runs)
+        await fleet.stack.aclose()
+
+        assert len(await _responses(stream)) == 2
