Apply a raised idle limit to connections that are open

Callers that go by the newest limit met a close: 34 of 468 requests with limits of 30 s and 0.8 s in turn (sightings). None of them had been sent on, so each cost a retry.

Cause: the limit was read once, as the connection was made. Change: each idle time starts with the active limit, and a connection whose limit has been raised meanwhile stays open for the rest of it. A lowered limit holds from the next answer on.

Failing before: test_raised_idle_limit_holds_for_open_connections (EndOfStream at the second request).

--- a/dotterelpaddle/forwarding/caller_protocol.py
+++ b/dotterelpaddle/forwarding/caller_protocol.py
@@ -60,16 +60,14 @@
             self._head_timer: asyncio.TimerHandle | None = None
             self._caller_closed = False
             self._shutting_down = False
+            self._idle_since = 0.0
 
         def connection_made(self, transport: asyncio.Transport) -> None:  # type: ignore[override]
             """Start the idle timer, also for a caller that never sends a request."""
             super().connection_made(transport)
-            active_limits = limits()
-            self.timeout_keep_alive = (
-                active_limits.idle_timeout if active_limits else DEFAULT_IDLE_SECONDS  # type: ignore[assignment]
-            )
+            self._idle_since = self.loop.time()
             self.timeout_keep_alive_task = self.loop.call_later(
-                self.timeout_keep_alive, self.timeout_keep_alive_handler
+                _idle_timeout(limits()), self.timeout_keep_alive_handler
             )
 
         def data_received(self, data: bytes) -> None:
@@ -103,6 +101,8 @@
 
         def on_response_complete(self) -> None:
             """Begin the next request; close the connection if the server stops."""
+            self._idle_since = self.loop.time()
+            self.timeout_keep_alive = _idle_timeout(limits())  # type: ignore[assignment]
             super().on_response_complete()
             if self._shutting_down:
                 self._close_if_idle()
@@ -129,6 +129,16 @@
             self._unset_keepalive_if_required()
             super().connection_lost(exc)
 
+        def timeout_keep_alive_handler(self) -> None:
+            """Close an idle connection, unless its limit has been raised meanwhile."""
+            closes_at = self._idle_since + _idle_timeout(limits())
+            if closes_at <= self.loop.time():
+                super().timeout_keep_alive_handler()
+                return
+            self.timeout_keep_alive_task = self.loop.call_at(
+                closes_at, self.timeout_keep_alive_handler
+            )
+
         def _close_if_idle(self) -> None:
             # uvicorn keeps the latest request here, which is answered last.
             if self.cycle is None or self.cycle.response_complete:
@@ -152,3 +162,8 @@
             self.transport.close()
 
     return CallerProtocol
+
+
+def _idle_timeout(limits: CallerLimits | None) -> float:
+    """Return the seconds after which an idle connection is closed."""
+    return limits.idle_timeout if limits is not None else DEFAULT_IDLE_SECONDS
--- a/dotterelpaddle/tests/forwarding/test_callers.py
+++ b/dotterelpaddle/tests/forwarding/test_callers.py
@@ -17,6 +17,8 @@
 
 LIMITS = {**configuration()["limits"], "headerTimeoutMs": 150, "maxHeaderBytes": 2000}
 
+LOW_IDLE_SECONDS = 2
+
 
 async def _connect(fleet: Fleet) -> anyio.abc.SocketStream:
     address = fleet.routers[0].callers
@@ -97,3 +99,20 @@
         await fleet.stack.aclose()
 
         assert len(await _responses(stream)) == 2
+
+
+# Guards against closing connections that callers may use, as a limit that was raised
+# later holds for new connections only.
+async def test_raised_idle_limit_holds_for_open_connections() -> None:
+    limits = {**LIMITS, "idleTimeoutMs": 1000 * LOW_IDLE_SECONDS}
+    async with run_fleet(limits=limits) as fleet, await _connect(fleet) as stream:
+        await stream.send(_request(fleet))
+        await stream.receive()
+        raised = configuration(2, limits={**LIMITS, "idleTimeoutMs": 15000})
+        fleet.store.configure(configuration=raised)
+        view = fleet.routers[0].components.state.view
+        await wait_until(lambda: view.version == 2)
+        await anyio.sleep(LOW_IDLE_SECONDS + 0.2)
+        await stream.send(_request(fleet))
+
+        assert b"200 OK" in await stream.receive()
