Tell every request of a connection that its caller has left

Endpoints worked on, up to the deadline, for callers that had closed a connection with a second request waiting behind the first.

Cause: uvicorn tells only the latest request of a connection that it is lost, and the one in progress is an earlier one. Change: the protocol keeps the requests that are not answered and tells all of them.

Failing before: test_caller_that_leaves_with_two_requests_ends_the_first_one (the endpoint's connection stays open beyond 10 s).

--- a/dotterelpaddle/forwarding/caller_protocol.py
+++ b/dotterelpaddle/forwarding/caller_protocol.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import deque
 from typing import TYPE_CHECKING, Any
 
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
@@ -12,6 +13,8 @@
     import asyncio
     from collections.abc import Callable, Mapping
 
+    from uvicorn.protocols.http.httptools_impl import RequestResponseCycle
+
     from dotterelpaddle.forwarding.model import CallerLimits
 
 log = get_logger(name=__name__)
@@ -61,6 +64,7 @@
             self._caller_closed = False
             self._shutting_down = False
             self._idle_since = 0.0
+            self._unanswered: deque[RequestResponseCycle] = deque()
 
         def connection_made(self, transport: asyncio.Transport) -> None:  # type: ignore[override]
             """Start the idle timer, also for a caller that never sends a request."""
@@ -98,9 +102,11 @@
             """Stop the timer of the head; the body follows."""
             self._finish_head()
             super().on_headers_complete()
+            self._unanswered.append(self.cycle)
 
         def on_response_complete(self) -> None:
             """Begin the next request; close the connection if the server stops."""
+            self._unanswered.popleft()
             self._idle_since = self.loop.time()
             self.timeout_keep_alive = _idle_timeout(limits())  # type: ignore[assignment]
             super().on_response_complete()
@@ -118,7 +124,7 @@
             super().eof_received()
 
         def connection_lost(self, exc: Exception | None) -> None:
-            """Cancel the timers, and log the requests that nothing has begun."""
+            """Cancel the timers and all requests; log those that nothing has begun."""
             self._finish_head()
             if self.pipeline:
                 log.warning(
@@ -127,6 +133,10 @@
                     caller_closed=self._caller_closed or exc is not None,
                 )
             self._unset_keepalive_if_required()
+            # uvicorn tells only the latest request, which may wait behind another one.
+            for cycle in self._unanswered:
+                cycle.disconnected = True
+                cycle.message_event.set()
             super().connection_lost(exc)
 
         def timeout_keep_alive_handler(self) -> None:
--- a/dotterelpaddle/tests/forwarding/test_callers.py
+++ b/dotterelpaddle/tests/forwarding/test_callers.py
@@ -5,10 +5,13 @@
 import anyio
 import pytest
 
-from dotterelpaddle.standins.behaviours import FallSilent
+from dotterelpaddle.platform.names import Header
+from dotterelpaddle.standins.behaviours import FallSilent, Hang
 from dotterelpaddle.tests.forwarding.harness import (
     Fleet,
+    Headers,
     configuration,
+    route,
     run_fleet,
     wait_until,
 )
@@ -25,8 +28,8 @@
     return await anyio.connect_tcp(address.host, address.port)
 
 
-def _request(fleet: Fleet) -> bytes:
-    lines = [name + b": " + value for name, value in fleet.headers().items()]
+def _request(fleet: Fleet, headers: Headers | None = None) -> bytes:
+    lines = [name + b": " + value for name, value in fleet.headers(headers).items()]
     return b"GET /safe/ HTTP/1.1\r\n" + b"\r\n".join(lines) + b"\r\n\r\n"
 
 
@@ -116,3 +119,16 @@
         await stream.send(_request(fleet))
 
         assert b"200 OK" in await stream.receive()
+
+
+# Guards against endpoints that work on for a caller that has left with another request
+# waiting behind the first one.
+async def test_caller_that_leaves_with_two_requests_ends_the_first_one() -> None:
+    routes = [route("safe", "idempotent", timeoutMs=60000)]
+    async with run_fleet(routes=routes) as fleet:
+        runner = fleet.runners["runner-1"]
+        runner.plan.append(Hang())
+        async with await _connect(fleet) as stream:
+            await stream.send(_request(fleet, {Header.TIME_LEFT_MS: b"60000"}) * 2)
+            await wait_until(lambda: runner.runs)
+        await wait_until(lambda: runner.closed_early)
