Take the rest of a refused body for a body, not for a request head

Cause: the router takes bytes for a head as soon as the answer is complete, also if the body is not. Evidence: head_too_large lines with 100 KB received. Change: the protocol notes whether it is within a body.

Failing before: test_rest_of_a_refused_body_does_not_count_as_a_request_head (413 and 431 for 413 and 200).

--- a/dotterelpaddle/forwarding/caller_protocol.py
+++ b/dotterelpaddle/forwarding/caller_protocol.py
@@ -60,6 +60,7 @@
         def __init__(self, *args: Any, **kwargs: Any) -> None:
             super().__init__(*args, **kwargs)
             self._head_bytes = 0
+            self._receives_body = False
             self._head_timer: asyncio.TimerHandle | None = None
             self._caller_closed = False
             self._shutting_down = False
@@ -101,9 +102,15 @@
         def on_headers_complete(self) -> None:
             """Stop the timer of the head; the body follows."""
             self._finish_head()
+            self._receives_body = True
             super().on_headers_complete()
             self._unanswered.append(self.cycle)
 
+        def on_message_complete(self) -> None:
+            """Record that the next bytes belong to another request."""
+            self._receives_body = False
+            super().on_message_complete()
+
         def on_response_complete(self) -> None:
             """Begin the next request; close the connection if the server stops."""
             self._unanswered.popleft()
@@ -157,7 +164,8 @@
         @property
         def _reading_head(self) -> bool:
             """Whether the next bytes belong to a request head."""
-            return self.cycle is None or self.cycle.response_complete
+            answered = self.cycle is None or self.cycle.response_complete
+            return answered and not self._receives_body
 
         def _finish_head(self) -> None:
             self._head_bytes = 0
--- a/dotterelpaddle/tests/forwarding/test_callers.py
+++ b/dotterelpaddle/tests/forwarding/test_callers.py
@@ -132,3 +132,20 @@
             await stream.send(_request(fleet, {Header.TIME_LEFT_MS: b"60000"}) * 2)
             await wait_until(lambda: runner.runs)
         await wait_until(lambda: runner.closed_early)
+
+
+# Guards against taking the rest of a body that was refused early for a request head:
+# the caller's connection was closed while it still sent, and its next request lost.
+async def test_rest_of_a_refused_body_does_not_count_as_a_request_head() -> None:
+    limits = {**LIMITS, "headerTimeoutMs": 3000, "maxBodyBytes": 100}
+    async with run_fleet(limits=limits) as fleet, await _connect(fleet) as stream:
+        part = b"x" * 1000
+        await stream.send(_request(fleet, {b"content-length": b"5000"}) + part)
+        received = await stream.receive()
+        await stream.send(part * 3)
+        await anyio.sleep(0.1)
+        await stream.send(part + _request(fleet, {b"connection": b"close"}))
+        received += await _read_until_closed(stream)
+
+    statuses = [each[:3] for each in received.split(b"HTTP/1.1 ")[1:]]
+    assert statuses == [b"413", b"200"]
