Read the body of a request that offers another protocol

A request with 'Connection: Upgrade' and an Upgrade header ran without its body (12 of 12 cases), its body ran as a request of its own where it came in a second read (3 of 3), and a whole request behind it got no answer.

Cause: httptools ends such a message at its head, and uvicorn drops the rest of the read and parses what follows as a new request. Evidence: a probe of h2c, websocket and another protocol, with a length and chunked, in one read and two; one line of uvicorn, 'Unsupported upgrade request.' Change: the protocol declines the offer by parsing the head once more without it.

Failing before: test_request_that_offers_an_upgrade_runs_once_with_its_body.

--- a/dotterelpaddle/forwarding/caller_protocol.py
+++ b/dotterelpaddle/forwarding/caller_protocol.py
@@ -5,6 +5,7 @@
 from collections import deque
 from typing import TYPE_CHECKING, Any
 
+import httptools
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
 from dotterelpaddle.logs import get_logger
@@ -61,6 +62,7 @@
             super().__init__(*args, **kwargs)
             self._head_bytes = 0
             self._receives_body = False
+            self._declined_head = b""
             self._head_timer: asyncio.TimerHandle | None = None
             self._caller_closed = False
             self._shutting_down = False
@@ -84,7 +86,7 @@
                     self._head_timer = self.loop.call_later(
                         active_limits.header_timeout, self._close_slow_head
                     )
-            super().data_received(data)
+            self._parse(data)
             too_long = (
                 active_limits is not None
                 and self._head_bytes > active_limits.max_header_bytes
@@ -101,6 +103,9 @@
 
         def on_headers_complete(self) -> None:
             """Stop the timer of the head; the body follows."""
+            if self.parser.should_upgrade() and self._offers_protocol:
+                self._declined_head = self._head_without_offer()
+                return
             self._finish_head()
             self._receives_body = True
             super().on_headers_complete()
@@ -108,6 +113,8 @@
 
         def on_message_complete(self) -> None:
             """Record that the next bytes belong to another request."""
+            if self._declined_head:
+                return
             self._receives_body = False
             super().on_message_complete()
 
@@ -167,6 +174,37 @@
             answered = self.cycle is None or self.cycle.response_complete
             return answered and not self._receives_body
 
+        @property
+        def _offers_protocol(self) -> bool:
+            """Whether the request offers to switch to another protocol."""
+            return any(name == b"upgrade" for name, _ in self.headers)
+
+        def _parse(self, data: bytes) -> None:
+            self._unset_keepalive_if_required()
+            try:
+                self.parser.feed_data(data)
+            except httptools.HttpParserUpgrade as offer:
+                # The parser takes the head of such a request for all of it, whether it
+                # has a body or not.
+                head, self._declined_head = self._declined_head, b""
+                if head:
+                    self.parser = httptools.HttpRequestParser(self)
+                    self.parser.set_dangerous_leniencies(lenient_data_after_close=True)
+                    self._parse(head + data[offer.args[0] :])
+            except httptools.HttpParserError:
+                message = "Invalid HTTP request received."
+                self.logger.warning(message)
+                self.send_400_response(message)
+
+        def _head_without_offer(self) -> bytes:
+            """Return the head of a request as if it offered no other protocol."""
+            version = self.parser.get_http_version().encode()
+            lines = [self.parser.get_method() + b" " + self.url + b" HTTP/" + version]
+            lines += [
+                b"%s: %s" % each for each in self.headers if each[0] != b"upgrade"
+            ]
+            return b"\r\n".join(lines) + b"\r\n\r\n"
+
         def _finish_head(self) -> None:
             self._head_bytes = 0
             if self._head_timer is not None:
--- a/dotterelpaddle/tests/forwarding/test_callers.py
+++ b/dotterelpaddle/tests/forwarding/test_callers.py
@@ -149,3 +149,22 @@
 
     statuses = [each[:3] for each in received.split(b"HTTP/1.1 ")[1:]]
     assert statuses == [b"413", b"200"]
+
+
+# Guards against a request that offers another protocol: it ran without its body, and
+# its body as a request of its own.
+async def test_request_that_offers_an_upgrade_runs_once_with_its_body() -> None:
+    async with run_fleet() as fleet, await _connect(fleet) as stream:
+        runner = fleet.runners["runner-1"]
+        body = _request(fleet, {b"connection": b"close"})
+        headers = {
+            b"connection": b"Upgrade, HTTP2-Settings",
+            b"upgrade": b"h2c",
+            b"content-length": str(len(body)).encode(),
+        }
+        await stream.send(_request(fleet, headers))
+        await anyio.sleep(0.1)
+        await stream.send(body + _request(fleet, {b"connection": b"close"}))
+        await _read_until_closed(stream)
+
+    assert [each.body for each in runner.runs] == [body, b""]
