Keep a daemon alive that is told to reload while it starts

Callers whose connections had been taken by the socket of a router that starts were reset when SIGHUP came within its first 0.35 s: the process ended without a line, 8 of 8.

Cause: the socket listens 0.1 s after the start, and the signal is handled 0.25 s later; until then its default action ends the process. Change: it is ignored from the first statement of the daemon on, until the receiver takes over. A signal before that statement still ends the process; nothing listens then.

Failing before: test_reload_does_not_end_a_daemon_that_starts (exit -1, not 7).

--- a/dotterelpaddle/daemon/__main__.py
+++ b/dotterelpaddle/daemon/__main__.py
@@ -9,6 +9,7 @@
 
 import gc
 import os
+import signal
 import sys
 from pathlib import Path
 from typing import TYPE_CHECKING
@@ -40,6 +41,8 @@
     Returns:
         The exit code.
     """
+    # A reload changes nothing, but would end the process until it handles signals.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     # Imported modules are never garbage. To scan them takes 30 ms during the start and
     # as much again in each later collection, so they are frozen below.
     gc.disable()
--- a/dotterelpaddle/tests/daemon/test_process.py
+++ b/dotterelpaddle/tests/daemon/test_process.py
@@ -7,7 +7,7 @@
 import subprocess
 import sys
 from contextlib import contextmanager
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 import anyio
 import httpcore
@@ -47,6 +47,23 @@
     return address
 
 
+def _settings(*, callers: Address, readiness: Address, store: Address) -> Any:
+    """Return the content of a settings file."""
+    return {
+        "router": "router-1",
+        "failure_domain": "here",
+        "listen": {
+            "callers": str(callers),
+            "readiness": str(readiness),
+            "control": str(_free_address()),
+        },
+        "peers": {"address": str(_free_address())},
+        "store": str(store),
+        "shutdown_seconds": 4,
+        "repeats": {"share": 0.2, "allowance": 50, "window_seconds": 10},
+    }
+
+
 @contextmanager
 def _daemon(*, path: Path) -> Iterator[subprocess.Popen[bytes]]:
     environment = {**os.environ, "DOTTERELPADDLE_SETTINGS": str(path)}
@@ -72,6 +89,29 @@
     assert b"set DOTTERELPADDLE_SETTINGS" in ended.stderr
 
 
+# Guards against a router that a reload ends before it handles signals: connections
+# that its socket had taken meanwhile were reset.
+def test_reload_does_not_end_a_daemon_that_starts(tmp_path: Path) -> None:
+    program = (
+        "import os, signal, sys\n"
+        "from dotterelpaddle.daemon import __main__ as daemon\n"
+        "def listen(address):\n"
+        "    os.kill(os.getpid(), signal.SIGHUP)\n"
+        "    sys.exit(7)\n"
+        "daemon._listen = listen\n"
+        "daemon.main()\n"
+    )
+    path = tmp_path / "settings.json"
+    address = _free_address()
+    settings = _settings(callers=address, readiness=address, store=address)
+    path.write_bytes(orjson.dumps(settings))
+    environment = {**os.environ, "DOTTERELPADDLE_SETTINGS": str(path)}
+    command = [sys.executable, "-c", program]
+    ended = subprocess.run(command, env=environment, capture_output=True, check=False)
+
+    assert ended.returncode == 7
+
+
 def test_daemon_imports_no_unused_modules() -> None:
     listing = (
         "import sys, dotterelpaddle.daemon.unused_imports;"
@@ -96,20 +136,8 @@
     async with run_store(store=store) as at, run_runner(runner=runner) as endpoint:
         entry = runner.entry(address=endpoint, service=SERVICE)
         store.put(table=Table.ENDPOINTS, key="runner-1", value=entry)
-        settings = {
-            "router": "router-1",
-            "failure_domain": "here",
-            "listen": {
-                "callers": str(callers),
-                "readiness": str(readiness),
-                "control": str(_free_address()),
-            },
-            "peers": {"address": str(_free_address())},
-            "store": str(at),
-            "shutdown_seconds": 4,
-            "repeats": {"share": 0.2, "allowance": 50, "window_seconds": 10},
-        }
         path = tmp_path / "settings.yaml"
+        settings = _settings(callers=callers, readiness=readiness, store=at)
         path.write_bytes(orjson.dumps(settings))
         with _daemon(path=path) as process:
             async with httpcore.AsyncConnectionPool() as http:
