Give a silent attempt up only if a retry follows

Callers of chats, streams and services of our own interface got 502 or a cut answer, well before their deadline, from sound endpoints that were silent for a second: with the retry budget spent, at the last attempt, at the only endpoint (its second attempt silent too, or its link cut so that the probe failed), and in the middle of long answers, which can't be resumed at all.

Cause: the limit for an answer's begin or its next part ended the attempt; only then Attempts asked whether a retry may follow. Evidence: EndpointSilent out of relay.send, then the same error to the caller; the stand-ins are silent for 1 s, the limit is 0.2 s.

Change: when a limit passes, the connection asks before it ends the exchange. An attempt is given up only once the budget is charged for its retry and there is an endpoint for it: the same one, if it takes a new connection, else another one of the pool while attempts are left. Otherwise the wait goes on, and the same is asked each time the limit passes again, until the deadline. The order after that is as before: a chat is cancelled by name at its engine before the engine gets it again, so that none runs twice there, and what may run once only is never given up. Neither a stream that has its last token nor the rest of a refusal is waited for any longer than before. Two things follow from asking before the end: a probe takes no slot of its pool, since the silent attempt still has its own, and a read that timed out behind a cut link keeps what it has read for the next one.

A retry that follows may still fail; what the first attempt would have brought is then lost, as before. Keeping both open takes more than this change: one engine must not run a chat twice, so the second could only go to another engine.

--- a/dotterelpaddle/dispatch/attempt_log.py
+++ b/dotterelpaddle/dispatch/attempt_log.py
@@ -11,6 +11,7 @@
     from dotterelpaddle.exceptions import EndpointError
     from dotterelpaddle.pipeline import Exchange
     from dotterelpaddle.placement.interface import Decision
+    from dotterelpaddle.records.model import Endpoint
 
 log = get_logger(name=__name__)
 
@@ -52,3 +53,23 @@
         message=error.message,
         state=state.value,
     )
+
+
+def log_silence(
+    *, exchange: Exchange, endpoint: Endpoint, begun: bool, retried: bool
+) -> None:
+    """Write that an endpoint has sent nothing for longer than usual.
+
+    Args:
+        exchange: The request.
+        endpoint: The silent endpoint.
+        begun: Whether its answer had begun.
+        retried: Whether a retry follows; the attempt goes on otherwise.
+    """
+    log.info(
+        "attempt_silent",
+        request_id=exchange.request_id,
+        endpoint=endpoint.name,
+        begun=begun,
+        retried=retried,
+    )
--- a/dotterelpaddle/dispatch/attempts.py
+++ b/dotterelpaddle/dispatch/attempts.py
@@ -2,14 +2,20 @@
 
 from __future__ import annotations
 
+from functools import partial
 from typing import TYPE_CHECKING
 
 import anyio
 
-from dotterelpaddle.dispatch.attempt_log import log_decision, log_failure
+from dotterelpaddle.dispatch.attempt_log import (
+    log_decision,
+    log_failure,
+    log_silence,
+)
 from dotterelpaddle.dispatch.budget import RetryBudget, backoff
 from dotterelpaddle.dispatch.patience import PatienceBook, wait_kind
 from dotterelpaddle.dispatch.placing import placement_request
+from dotterelpaddle.dispatch.retries import MIN_TIME_LEFT, Course, Retries
 from dotterelpaddle.dispatch.target import Progress, Target
 from dotterelpaddle.exceptions import (
     AnswerBroken,
@@ -37,6 +43,7 @@
     from dotterelpaddle.dispatch.relay import Relay
     from dotterelpaddle.dispatch.target import Result
     from dotterelpaddle.endpoint.caller import EndpointCaller
+    from dotterelpaddle.endpoint.patience import KeepWaiting
     from dotterelpaddle.ids import EndpointId
     from dotterelpaddle.pipeline import Exchange
     from dotterelpaddle.placement.interface import Placer
@@ -44,9 +51,6 @@
 
 log = get_logger(name=__name__)
 
-MIN_TIME_LEFT = 0.001
-"""Seconds below which nothing is sent any more."""
-
 
 class Attempts:
     """Places and sends attempts.
@@ -80,14 +84,20 @@
     ) -> None:
         self._placer = placer
         self._catalog = catalog
-        self._caller = caller
-        self._budget = budget
         self._patience = patience
         self._canceller = canceller
         self._options = options
         self._metrics = metrics
         self._clock = clock
         self._generator = generator
+        self._retries = Retries(
+            catalog=catalog,
+            caller=caller,
+            budget=budget,
+            options=options,
+            metrics=metrics,
+            clock=clock,
+        )
 
     async def run(
         self,
@@ -107,6 +117,11 @@
             RequestError: If none did and none may follow.
         """
         failure: EndpointError | None = None
+        course = Course(
+            exchange=exchange,
+            visited=visited,
+            placements_left=self._options.max_attempts,
+        )
         for retry in range(self._options.max_attempts):
             if retry:
                 await self._back_off(retry=retry)
@@ -117,9 +132,10 @@
                 async with self._placer.grant(request=request) as grant:
                     endpoint = grant.decision.endpoint
                     visited.add(endpoint.name)
+                    course.placements_left -= 1
                     log_decision(exchange=exchange, decision=grant.decision)
                     return await self._at_endpoint(
-                        exchange=exchange, relay=relay, grant=grant
+                        course=course, relay=relay, grant=grant
                     )
             except EndpointError as error:
                 failure = error
@@ -127,13 +143,13 @@
                 if failure is None:
                     raise
                 break
-            if not self._may_retry(exchange=exchange, failure=failure):
+            if not self._retries.claim(course=course, failure=failure):
                 break
         assert failure is not None
         raise failure
 
     async def _at_endpoint(
-        self, *, exchange: Exchange, relay: Relay, grant: Grant
+        self, *, course: Course, relay: Relay, grant: Grant
     ) -> Result:
         """Send an attempt, and a second one to the same endpoint if it lives.
 
@@ -141,28 +157,29 @@
         new connection does. The endpoint that was chosen has the chat's cache,
         so it comes before others.
         """
+        exchange = course.exchange
         endpoint = grant.decision.endpoint
         try:
             return await self._once(
-                exchange=exchange, relay=relay, grant=grant, fresh=False
+                course=course, relay=relay, grant=grant, fresh=False
             )
         except (EndpointSilent, AnswerBroken) as error:
-            alive = await self._probe(endpoint=endpoint, error=error)
+            alive = await self._is_alive(course=course, endpoint=endpoint, error=error)
             grant.report(
                 result=(AttemptResult.TIMED_OUT if alive else AttemptResult.UNREACHABLE)
             )
-            if not alive or not self._may_retry(exchange=exchange, failure=error):
+            if not alive or not self._retries.claim(course=course, failure=error):
                 self._abandon(exchange=exchange, endpoint=endpoint)
                 raise
         await self._clear(exchange=exchange, endpoint=endpoint)
         return await self._once(
-            exchange=exchange, relay=relay, grant=grant, fresh=True, last=True
+            course=course, relay=relay, grant=grant, fresh=True, last=True
         )
 
     async def _once(
         self,
         *,
-        exchange: Exchange,
+        course: Course,
         relay: Relay,
         grant: Grant,
         fresh: bool,
@@ -171,18 +188,29 @@
         """Send one attempt and report how it went.
 
         Args:
-            exchange: The request.
+            course: The attempts so far.
             relay: Sends the attempt.
             grant: Where to send it.
             fresh: Whether only a new connection may carry it.
             last: Whether the endpoint gets no other attempt, whatever happens.
         """
+        exchange = course.exchange
         self._check_wanted(exchange=exchange)
         endpoint = grant.decision.endpoint
         attempt = exchange.attempts.begin(idempotent=exchange.idempotent)
         progress = Progress(attempt=attempt, clock=self._clock)
         target = self._target(
-            exchange=exchange, endpoint=endpoint, progress=progress, fresh=fresh
+            exchange=exchange,
+            endpoint=endpoint,
+            progress=progress,
+            fresh=fresh,
+            keep_waiting=partial(
+                self._keep_waiting,
+                course=course,
+                endpoint=endpoint,
+                progress=progress,
+                last=last,
+            ),
         )
         try:
             result = await relay.send(target=target)
@@ -239,6 +267,7 @@
         endpoint: Endpoint,
         progress: Progress,
         fresh: bool,
+        keep_waiting: KeepWaiting,
     ) -> Target:
         time_left = exchange.deadline - self._clock()
         patience = self._patience.patience(
@@ -252,24 +281,23 @@
             time_left=time_left,
             fresh=fresh or not exchange.idempotent,
             progress=progress,
+            keep_waiting=keep_waiting,
         )
 
-    def _may_retry(self, *, exchange: Exchange, failure: EndpointError) -> bool:
-        """Tell whether another attempt may follow.
-
-        One after a failed connection costs no endpoint anything, so it does not
-        come out of the retry budget.
-        """
-        if not exchange.attempts.may_send(idempotent=exchange.idempotent):
-            return False
-        if exchange.reply.started and not _resumable(exchange=exchange):
-            return False
-        if exchange.deadline - self._clock() < MIN_TIME_LEFT:
-            return False
-        nothing_sent = isinstance(failure, EndpointUnreachable)
-        allowed = nothing_sent or self._budget.take()
-        self._metrics.count_retry(allowed=allowed)
-        return allowed
+    async def _keep_waiting(
+        self, *, course: Course, endpoint: Endpoint, progress: Progress, last: bool
+    ) -> bool:
+        """Tell whether a silent attempt goes on because no retry may follow."""
+        retried = await self._retries.follows_silence(
+            course=course, endpoint=endpoint, same_endpoint=not last
+        )
+        log_silence(
+            exchange=course.exchange,
+            endpoint=endpoint,
+            begun=progress.first_byte_time is not None,
+            retried=retried,
+        )
+        return not retried
 
     async def _back_off(self, *, retry: int) -> None:
         seconds = backoff(
@@ -280,10 +308,12 @@
         )
         await anyio.sleep(seconds)
 
-    async def _probe(self, *, endpoint: Endpoint, error: EndpointError) -> bool:
-        alive = await self._caller.probe(
-            endpoint=endpoint, timeout=self._options.probe_timeout
-        )
+    async def _is_alive(
+        self, *, course: Course, endpoint: Endpoint, error: EndpointError
+    ) -> bool:
+        alive, course.alive = course.alive, None
+        if alive is None or not isinstance(error, EndpointSilent):
+            alive = await self._retries.probe(endpoint=endpoint)
         log.warning(
             "connection_lost",
             endpoint=endpoint.name,
@@ -313,14 +343,6 @@
         log_failure(exchange=exchange, state=progress.attempt.state, error=error)
 
 
-def _resumable(*, exchange: Exchange) -> bool:
-    match exchange.work:
-        case ChatWork(stream=True):
-            return True
-        case _:
-            return False
-
-
 def _result_of(*, error: EndpointError) -> AttemptResult:
     match error:
         case EndpointLeaving():
--- a/dotterelpaddle/dispatch/chat_relay.py
+++ b/dotterelpaddle/dispatch/chat_relay.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from functools import partial
 from typing import TYPE_CHECKING, Any
 
 import orjson
@@ -25,6 +26,7 @@
     from dotterelpaddle.dispatch.target import Progress
     from dotterelpaddle.endpoint.answer import Answer
     from dotterelpaddle.endpoint.engine import EngineClient
+    from dotterelpaddle.endpoint.patience import KeepWaiting
     from dotterelpaddle.pipeline import ChatWork, Exchange
 
 STREAM_HEADERS = {
@@ -54,7 +56,11 @@
     async def send(self, *, target: Target) -> Result:
         """Send one attempt."""
         chat = _chat_call(
-            exchange=self._exchange, content=self._content, target=target, resume_at=0
+            exchange=self._exchange,
+            content=self._content,
+            target=target,
+            resume_at=0,
+            keep_waiting=target.keep_waiting,
         )
         async with self._engines.chat(
             endpoint=target.endpoint, chat=chat, observe=target.progress.observe
@@ -118,6 +124,7 @@
             content=self._content,
             target=target,
             resume_at=self._checker.next_offset,
+            keep_waiting=partial(self._keep_waiting, target=target),
         )
         async with self._engines.chat(
             endpoint=target.endpoint, chat=chat, observe=target.progress.observe
@@ -153,6 +160,10 @@
             raise AnswerBroken("the stream ended before the answer", peer=answer.peer)
         progress.longest_gap = longest
 
+    async def _keep_waiting(self, *, target: Target) -> bool:
+        # What comes after the last token is no part of the answer.
+        return not self._checker.finished and await target.keep_waiting()
+
     async def _rejected(self, *, answer: Answer) -> Result:
         if self._exchange.reply.started:
             raise failed(answer=answer)
@@ -172,7 +183,12 @@
 
 
 def _chat_call(
-    *, exchange: Exchange, content: Mapping[str, Any], target: Target, resume_at: int
+    *,
+    exchange: Exchange,
+    content: Mapping[str, Any],
+    target: Target,
+    resume_at: int,
+    keep_waiting: KeepWaiting,
 ) -> ChatCall:
     return ChatCall(
         request_id=exchange.request_id,
@@ -182,4 +198,5 @@
         resume_at=resume_at,
         patience=target.patience,
         fresh=target.fresh,
+        keep_waiting=keep_waiting,
     )
--- a/dotterelpaddle/dispatch/service_relay.py
+++ b/dotterelpaddle/dispatch/service_relay.py
@@ -70,6 +70,7 @@
             time_left=target.time_left,
             patience=target.patience,
             fresh=target.fresh,
+            keep_waiting=target.keep_waiting,
         )
 
     async def _read(self, *, answer: Answer, progress: Progress) -> Result:
--- a/dotterelpaddle/dispatch/target.py
+++ b/dotterelpaddle/dispatch/target.py
@@ -13,7 +13,7 @@
 
     from dotterelpaddle.clock import Clock
     from dotterelpaddle.dispatch.outcome import Attempt
-    from dotterelpaddle.endpoint.patience import Patience
+    from dotterelpaddle.endpoint.patience import KeepWaiting, Patience
     from dotterelpaddle.records.model import Endpoint
 
 
@@ -85,6 +85,8 @@
         time_left: Seconds until the caller's deadline.
         fresh: Whether only a new connection may carry it.
         progress: Takes in the evidence.
+        keep_waiting: Asked when a deadline on progress passes; False if a retry
+            follows.
     """
 
     endpoint: Endpoint
@@ -92,6 +94,7 @@
     time_left: float
     fresh: bool
     progress: Progress
+    keep_waiting: KeepWaiting
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/dotterelpaddle/endpoint/answer.py
+++ b/dotterelpaddle/endpoint/answer.py
@@ -115,7 +115,9 @@
         return content
 
     async def refusal(self) -> Refusal:
-        """Read why the endpoint refused, as far as it can be read."""
+        """Read why the endpoint refused, as far as it can be read in time."""
+        # That it refused is known, and what comes of the reason is for the log.
+        self._connection.http.keep_waiting = None
         try:
             content = await self._collect(limit=MAX_REFUSAL)
         except (EndpointSilent, AnswerBroken):
--- a/dotterelpaddle/endpoint/caller.py
+++ b/dotterelpaddle/endpoint/caller.py
@@ -11,7 +11,7 @@
 
 from dotterelpaddle.endpoint.answer import LEAVING_REASONS, Answer
 from dotterelpaddle.endpoint.evidence import Evidence, Observer, ignore
-from dotterelpaddle.endpoint.patience import CONTROL_PATIENCE, Patience
+from dotterelpaddle.endpoint.patience import CONTROL_PATIENCE, KeepWaiting, Patience
 from dotterelpaddle.endpoint.pool import Connection, ConnectionPool, PoolLimits
 from dotterelpaddle.exceptions import (
     AnswerBroken,
@@ -50,6 +50,8 @@
         request_id: Name that the answer must echo, None for control calls.
         patience: Deadlines on progress.
         fresh: Whether only a new connection may carry it.
+        keep_waiting: Asked when a deadline on progress passes; without it, the
+            call ends then.
     """
 
     method: str = "GET"
@@ -59,6 +61,7 @@
     request_id: RequestId | None = None
     patience: Patience = CONTROL_PATIENCE
     fresh: bool = False
+    keep_waiting: KeepWaiting | None = None
 
 
 class EndpointCaller:
@@ -90,7 +93,8 @@
         Raises:
             EndpointUnreachable: If no connection could be had; nothing was sent.
             EndpointRefused: If the endpoint refused before running anything.
-            EndpointSilent: If no answer began within the patience.
+            EndpointSilent: If no answer began within the patience, and it was not
+                to be waited for any longer.
             AnswerBroken: If the connection broke.
             ForeignAnswer: If the answer belongs to another request.
         """
@@ -100,6 +104,7 @@
         response: httpcore.Response | None = None
         try:
             connection.stream.read_timeout = call.patience.first_byte
+            connection.http.keep_waiting = call.keep_waiting
             response = await _exchange(
                 endpoint=endpoint, connection=connection, call=call, observe=observe
             )
@@ -113,6 +118,7 @@
             await _check(answer=answer, call=call, observe=observe)
             yield answer
         finally:
+            connection.http.keep_waiting = None
             with anyio.CancelScope(shield=True):
                 if response is not None:
                     await response.aclose()
@@ -123,14 +129,15 @@
 
         Idle connections are closed if so: the caller suspects that one went
         silent, and those opened earlier may have gone the same way.
+
+        Args:
+            endpoint: The endpoint.
+            timeout: Seconds in which the connection must stand.
         """
         pool = self._pool(address=endpoint.address)
-        try:
-            connection = await pool.acquire(fresh=True, timeout=timeout)
-        except EndpointUnreachable:
+        if not await pool.probe(timeout=timeout):
             return False
         await pool.discard_idle()
-        await pool.release(connection=connection)
         return True
 
     async def discard_expired(self) -> None:
--- a/dotterelpaddle/endpoint/engine.py
+++ b/dotterelpaddle/endpoint/engine.py
@@ -68,6 +68,7 @@
             request_id=chat.request_id,
             patience=chat.patience,
             fresh=chat.fresh,
+            keep_waiting=chat.keep_waiting,
         )
         return self._caller.call(endpoint=endpoint, call=call, observe=observe)
 
--- a/dotterelpaddle/endpoint/engine_messages.py
+++ b/dotterelpaddle/endpoint/engine_messages.py
@@ -10,7 +10,7 @@
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
-    from dotterelpaddle.endpoint.patience import Patience
+    from dotterelpaddle.endpoint.patience import KeepWaiting, Patience
     from dotterelpaddle.ids import (
         AdapterId,
         AffinityKey,
@@ -34,6 +34,7 @@
         resume_at: Offset of the first token that is wanted.
         patience: Deadlines on progress.
         fresh: Whether only a new connection may carry it.
+        keep_waiting: Asked when a deadline on progress passes.
     """
 
     request_id: RequestId
@@ -43,6 +44,7 @@
     resume_at: int = 0
     patience: Patience
     fresh: bool = False
+    keep_waiting: KeepWaiting | None = None
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/dotterelpaddle/endpoint/http_connection.py
+++ b/dotterelpaddle/endpoint/http_connection.py
@@ -17,6 +17,7 @@
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
 
+    from dotterelpaddle.endpoint.patience import KeepWaiting
     from dotterelpaddle.network import LinkedStream
 
 READ_BYTES = 64 * 1024
@@ -150,6 +151,16 @@
         self._stream = stream
         self._state = _State.IDLE
         self._used = False
+        self._keep_waiting: KeepWaiting | None = None
+
+    @property
+    def keep_waiting(self) -> KeepWaiting | None:
+        """Asked before a read that timed out ends the exchange, None to end it."""
+        return self._keep_waiting
+
+    @keep_waiting.setter
+    def keep_waiting(self, callback: KeepWaiting | None) -> None:
+        self._keep_waiting = callback
 
     async def handle_async_request(
         self, request: httpcore.Request
@@ -222,12 +233,24 @@
             return
 
     async def _receive(self, answer: _Answer) -> None:
-        data = await self._stream.read(READ_BYTES)
+        data = await self._read()
         if data:
             answer.feed(data)
         else:
             answer.end()
 
+    async def _read(self) -> bytes:
+        while True:
+            try:
+                return await self._stream.read(READ_BYTES)
+            except httpcore.ReadTimeout:
+                keep_waiting = self._keep_waiting
+                if keep_waiting is None:
+                    raise
+                # Something may have come while it was asked.
+                if not await keep_waiting() and not self._stream.can_read:
+                    raise
+
 
 class _Body:
     """The body of an answer, as httpcore's answers hold it.
--- a/dotterelpaddle/endpoint/patience.py
+++ b/dotterelpaddle/endpoint/patience.py
@@ -2,8 +2,12 @@
 
 from __future__ import annotations
 
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
+KeepWaiting = Callable[[], Awaitable[bool]]
+"""Is asked when a limit on progress passes; whether to wait for as long again."""
+
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Patience:
--- a/dotterelpaddle/endpoint/pool.py
+++ b/dotterelpaddle/endpoint/pool.py
@@ -137,6 +137,24 @@
             peer=str(self._address),
         )
 
+    async def probe(self, *, timeout: float) -> bool:
+        """Tell whether a new connection can be had; it is closed again.
+
+        It takes no slot: silent connections that hold them all are no reason to
+        take the endpoint for dead.
+
+        Args:
+            timeout: Seconds in which it must stand.
+        """
+        with anyio.move_on_after(timeout):
+            try:
+                connection = await self._open(timeout=timeout)
+            except EndpointUnreachable:
+                return False
+            await connection.aclose()
+            return True
+        return False
+
     async def release(self, *, connection: Connection) -> None:
         """Give a connection back; it is kept if its last exchange was whole."""
         self._slots.release()
--- a/dotterelpaddle/endpoint/service.py
+++ b/dotterelpaddle/endpoint/service.py
@@ -14,7 +14,7 @@
 
     from dotterelpaddle.endpoint.answer import Answer
     from dotterelpaddle.endpoint.caller import EndpointCaller
-    from dotterelpaddle.endpoint.patience import Patience
+    from dotterelpaddle.endpoint.patience import KeepWaiting, Patience
     from dotterelpaddle.ids import RequestId
     from dotterelpaddle.records.model import Endpoint
 
@@ -56,6 +56,7 @@
         time_left: Seconds until the caller's deadline.
         patience: Deadlines on progress.
         fresh: Whether only a new connection may carry it.
+        keep_waiting: Asked when a deadline on progress passes.
     """
 
     request_id: RequestId
@@ -67,6 +68,7 @@
     time_left: float
     patience: Patience
     fresh: bool = False
+    keep_waiting: KeepWaiting | None = None
 
 
 class ServiceClient:
@@ -91,6 +93,7 @@
             request_id=call.request_id,
             patience=call.patience,
             fresh=call.fresh,
+            keep_waiting=call.keep_waiting,
         )
         return self._caller.call(endpoint=endpoint, call=sent, observe=observe)
 
--- a/dotterelpaddle/network.py
+++ b/dotterelpaddle/network.py
@@ -41,6 +41,7 @@
         self._peer = peer
         self._links = links
         self._blocked = b""
+        self._held = b""
         self._bytes_written = 0
         self._bytes_received = 0
         self._read_timeout: float | None = None
@@ -79,15 +80,29 @@
         """Whether some written bytes have not been sent yet."""
         return bool(self._blocked or self._stream.get_extra_info("unsent"))
 
+    @property
+    def can_read(self) -> bool:
+        """Whether a read returns at once."""
+        if self._links.has_faults and not self._links.is_open(peer=self._peer):
+            return False
+        return bool(self._held or self._stream.get_extra_info("is_readable"))
+
     async def read(self, max_bytes: int, timeout: float | None = None) -> bytes:
-        """Read some bytes; empty at the end of the stream."""
+        """Read some bytes; empty at the end of the stream.
+
+        Raises:
+            httpcore.ReadTimeout: If there is nothing in time; what comes later is
+                there for the next read.
+        """
         if timeout is None:
             timeout = self._read_timeout
         if self._blocked:
             await self._send_blocked(timeout=timeout)
-        data = await self._read_with_extensions(max_bytes, timeout)
+        data = self._held or await self._read_with_extensions(max_bytes, timeout)
         if self._links.has_faults:
+            self._held = data
             await self._wait_for_link(timeout=timeout, error=httpcore.ReadTimeout)
+        self._held = b""
         self._bytes_received += len(data)
         return data
 
--- a/dotterelpaddle/tests/endpoint/test_caller.py
+++ b/dotterelpaddle/tests/endpoint/test_caller.py
@@ -108,3 +108,17 @@
             await read(caller, replace(endpoint, address=moved))
         await caller.aclose()
         tasks.cancel_scope.cancel()
+
+
+# Guards against an endpoint that is taken for dead because silent connections, whose
+# requests still wait, are as many as may be open.
+async def test_an_endpoint_is_probed_while_its_pool_is_full():
+    async with run_service(address=ANYWHERE, name="s0") as service:
+        caller = EndpointCaller(
+            links=Links(), clock=monotonic, limits=PoolLimits(max_open=1)
+        )
+        endpoint = endpoint_of(standin=service, pool=SERVICES)
+        async with caller.call(endpoint=endpoint, call=CALL) as first:
+            assert await caller.probe(endpoint=endpoint, timeout=0.5)
+            await first.read()
+        await caller.aclose()
