--- a/dotterelpaddle/standins/runner.py
+++ b/dotterelpaddle/standins/runner.py
@@ -84,6 +84,9 @@
             ended, which all its answers tell; None if it bears any number.
         room: Requests that it serves at a time; it rejects others. None for no bound.
         silent_until: Time on the loop's clock until which it answers nothing.
+        held_until: Time on the loop's clock until which it sends nothing at all, also
+            within answers; afterwards it goes on where it was.
+        answer_parts: Parts in which it sends each answer that is no stream.
         rejected_at: Times of its rejections for want of room.
         plan: Behaviours for the next requests; `Serve` afterwards.
         received: All received requests.
@@ -99,6 +102,8 @@
     rejection_limit: int | None = None
     room: int | None = None
     silent_until: float = 0.0
+    held_until: float = 0.0
+    answer_parts: int = 1
     rejected_at: list[float] = field(default_factory=list)
     plan: deque[Behaviour] = field(default_factory=deque)
     received: list[Received] = field(default_factory=list)
@@ -169,34 +174,38 @@
                 refusal = {Header.NOT_EXECUTED: b"1"}
                 if retry_after:
                     refusal[Header.RETRY_AFTER] = retry_after
-                await stream.send(self._whole(request, status=status, extra=refusal))
+                await self._send(
+                    stream, self._whole(request, status=status, extra=refusal)
+                )
                 return True
             case WrongEndpoint():
-                await stream.send(self._whole(request, status=421, sealed=False))
+                await self._send(stream, self._whole(request, status=421, sealed=False))
                 return True
         self.runs.append(request)
         match behaviour:
             case Fail(status=status):
-                await stream.send(self._whole(request, status=status))
+                await self._send(stream, self._whole(request, status=status))
             case LoseAnswer():
                 return False
             case Garbage():
-                await stream.send(b"\x00\x01 this is no answer\r\n\r\n")
+                await self._send(stream, b"\x00\x01 this is no answer\r\n\r\n")
                 return False
             case Foreign(request_id=request_id):
-                await stream.send(self._whole(request, request_id=request_id))
+                await self._send(stream, self._whole(request, request_id=request_id))
             case Unsealed():
-                await stream.send(self._whole(request, sealed=False))
+                await self._send(stream, self._whole(request, sealed=False))
             case ExtraAnswer(request_id=request_id):
                 extra = self._whole(request, request_id=request_id)
-                await stream.send(self._whole(request) + extra)
+                await self._send(stream, self._whole(request) + extra)
             case Unframed(events=events) if _is_stream(request):
                 await self._unframed_stream(stream, request, events)
                 return False
             case Unframed(reset=reset):
-                await stream.send(self._head(request, framing=b"connection: close"))
+                await self._send(
+                    stream, self._head(request, framing=b"connection: close")
+                )
                 body = self._body(request)
-                await stream.send(body[:-3] if reset else body)
+                await self._send(stream, body[:-3] if reset else body)
                 if reset:
                     _reset_on_close(stream)
                 return False
@@ -206,15 +215,28 @@
                 await self._wait_for_close(stream, request)
                 return False
             case CutAnswer():
-                await stream.send(self._whole(request)[:-3])
+                await self._send(stream, self._whole(request)[:-3])
                 return False
             case FallSilent(seconds=seconds):
                 await anyio.sleep(seconds)
-                await stream.send(self._whole(request))
+                await self._send(stream, self._whole(request))
             case _:
-                await stream.send(self._whole(request))
+                await self._send_in_parts(stream, self._whole(request))
         return True
 
+    async def _send(self, stream: SocketStream, data: bytes) -> None:
+        """Send bytes once the endpoint holds nothing back."""
+        while anyio.current_time() < self.held_until:
+            await anyio.sleep_until(self.held_until)
+        await stream.send(data)
+
+    async def _send_in_parts(self, stream: SocketStream, data: bytes) -> None:
+        size = -(-len(data) // self.answer_parts)
+        for start in range(0, len(data), size):
+            if start:
+                await anyio.sleep(self.pause)
+            await self._send(stream, data[start : start + size])
+
     async def _stream(
         self, stream: SocketStream, request: Received, behaviour: Behaviour
     ) -> bool:
@@ -223,20 +245,22 @@
         match behaviour:
             case Hang(events=events) | CutAnswer(events=events):
                 last = min(last, first + events - 1)
-        await stream.send(self._head(request, framing=b"transfer-encoding: chunked"))
+        await self._send(
+            stream, self._head(request, framing=b"transfer-encoding: chunked")
+        )
         for number in range(first, last + 1):
             await anyio.sleep(_pause_before(number - first, behaviour, self.pause))
             event = b"id: %d\ndata: e%d %s\n\n"
             content = event % (number, number, self.version.encode())
-            await stream.send(_chunk(content))
+            await self._send(stream, _chunk(content))
         match behaviour:
             case Hang():
                 await self._wait_for_close(stream, request)
                 return False
             case CutAnswer():
-                await stream.send(_chunk(b"id: %d\nda" % (last + 1)))
+                await self._send(stream, _chunk(b"id: %d\nda" % (last + 1)))
                 return False
-        await stream.send(b"0\r\n\r\n")
+        await self._send(stream, b"0\r\n\r\n")
         return True
 
     async def _unframed_stream(
@@ -245,13 +269,13 @@
         """Send a stream without chunks; end within an event after `events` of them."""
         first = int(request.headers.get(Header.LAST_EVENT_ID, b"0")) + 1
         last = self.events if events is None else first + events - 1
-        await stream.send(self._head(request, framing=b"connection: close"))
+        await self._send(stream, self._head(request, framing=b"connection: close"))
         for number in range(first, last + 1):
             await anyio.sleep(self.pause)
             event = b"id: %d\ndata: e%d %s\n\n"
-            await stream.send(event % (number, number, self.version.encode()))
+            await self._send(stream, event % (number, number, self.version.encode()))
         if events is not None:
-            await stream.send(b"id: %d\nda" % (last + 1))
+            await self._send(stream, b"id: %d\nda" % (last + 1))
 
     async def _wait_for_close(self, stream: SocketStream, request: Received) -> None:
         try:
