Count a silent attempt against the route's limit before its answer starts

Found by the review of the fix, before landing: a request ran at five endpoints that hang, where its route allows two.

Cause: that a request has been sent was observed only with the head of its answer, or as the attempt ended; a silent attempt ended before. Change: it is observed when the wait for the answer times out, at the latest; then the request has been written.

Failing before: test_silent_attempts_count_against_the_routes_limit (assert 5 == 2).

--- a/dotterelpaddle/forwarding/client.py
+++ b/dotterelpaddle/forwarding/client.py
@@ -147,6 +147,8 @@
 
     def _extra_wait(self, call: ForwardCall, sent_at: float) -> float:
         """Return the seconds to extend a timed-out wait for the start of an answer."""
+        # The answer is awaited once the request has been written.
+        call.observe(Evidence.SENT)
         if self._liveness.is_slow(endpoint=call.entry.endpoint, sent_at=sent_at):
             seconds_left = call.timeouts.slow_first_byte - (self._clock() - sent_at)
             if seconds_left > 0.0:
--- a/dotterelpaddle/tests/forwarding/test_silent_endpoints.py
+++ b/dotterelpaddle/tests/forwarding/test_silent_endpoints.py
@@ -6,8 +6,15 @@
 
 import pytest
 
+from dotterelpaddle.ids import ServiceName
 from dotterelpaddle.standins.behaviours import Behaviour, FallSilent, Hang, Refuse
-from dotterelpaddle.tests.forwarding.harness import Fleet, route, run_fleet, wait_until
+from dotterelpaddle.tests.forwarding.harness import (
+    SERVICE,
+    Fleet,
+    route,
+    run_fleet,
+    wait_until,
+)
 
 pytestmark = pytest.mark.anyio
 
@@ -125,3 +132,17 @@
         await wait_until(lambda: sum(len(each.closed_early) for each in runners) == 1)
 
     assert answer.status == 200
+
+
+# Guards against attempts beyond the route's limit, as silent ones count as not sent.
+async def test_silent_attempts_count_against_the_routes_limit() -> None:
+    routes = [route("safe", "idempotent", timeoutMs=3000, sloMs=200, maxAttempts=2)]
+    async with run_fleet(runners=5, routes=routes) as fleet:
+        budget = fleet.routers[0].components.state.retry_budget
+        await wait_until(lambda: budget.has_room(service=ServiceName(SERVICE)))
+        for runner in fleet.runners.values():
+            runner.plan.append(Hang())
+        answer = await fleet.call(PLAIN)
+
+    assert answer.status == 504
+    assert sum(len(runner.runs) for runner in fleet.runners.values()) == 2
