Close connections that are idle after a refused body

Cause: any byte stops the idle timer, which starts again with an answer only. Change: it also starts again after bytes that belong to no request in progress and to no head.

Failing before: test_connection_is_closed_when_idle_after_a_refused_body, part and all.

--- a/dotterelpaddle/forwarding/caller_protocol.py
+++ b/dotterelpaddle/forwarding/caller_protocol.py
@@ -72,10 +72,7 @@
         def connection_made(self, transport: asyncio.Transport) -> None:  # type: ignore[override]
             """Start the idle timer, also for a caller that never sends a request."""
             super().connection_made(transport)
-            self._idle_since = self.loop.time()
-            self.timeout_keep_alive_task = self.loop.call_later(
-                _idle_timeout(limits()), self.timeout_keep_alive_handler
-            )
+            self._start_idle_timer()
 
         def data_received(self, data: bytes) -> None:
             """Process bytes; refuse a request head that exceeds its limits."""
@@ -87,6 +84,7 @@
                         active_limits.header_timeout, self._close_slow_head
                     )
             self._parse(data)
+            self._wait_if_idle()
             too_long = (
                 active_limits is not None
                 and self._head_bytes > active_limits.max_header_bytes
@@ -153,6 +151,19 @@
                 cycle.message_event.set()
             super().connection_lost(exc)
 
+        def _wait_if_idle(self) -> None:
+            """Start the idle timer again, which the rest of a refused body stops."""
+            answered = self.cycle is not None and self.cycle.response_complete
+            if answered and self._head_timer is None:
+                self._unset_keepalive_if_required()
+                self._start_idle_timer()
+
+        def _start_idle_timer(self) -> None:
+            self._idle_since = self.loop.time()
+            self.timeout_keep_alive_task = self.loop.call_later(
+                _idle_timeout(limits()), self.timeout_keep_alive_handler
+            )
+
         def timeout_keep_alive_handler(self) -> None:
             """Close an idle connection, unless its limit has been raised meanwhile."""
             closes_at = self._idle_since + _idle_timeout(limits())
--- a/dotterelpaddle/tests/forwarding/test_callers.py
+++ b/dotterelpaddle/tests/forwarding/test_callers.py
@@ -168,3 +168,17 @@
         await _read_until_closed(stream)
 
     assert [each.body for each in runner.runs] == [body, b""]
+
+
+# Guards against a connection that stays open for good after a body that was refused.
+@pytest.mark.parametrize("rest", [1000, 4000], ids=["part", "all"])
+async def test_connection_is_closed_when_idle_after_a_refused_body(rest: int) -> None:
+    limits = {**LIMITS, "idleTimeoutMs": 300, "maxBodyBytes": 100}
+    async with run_fleet(limits=limits) as fleet, await _connect(fleet) as stream:
+        head = _request(fleet, {b"content-length": b"5000"})
+        await stream.send(head + b"x" * 1000)
+        received = await stream.receive()
+        await stream.send(b"x" * rest)
+        received += await _read_until_closed(stream)
+
+    assert received.count(b"HTTP/1.1 413 ") == received.count(b"HTTP/1.1 ") == 1
