Let no error answer to a retry end a stream whose endpoint is silent

Cause: an answer below 500 that is no stream counted as the result, also where the caller had events already. Change: it fails the attempt then.

Failing before: test_stream_outlasts_an_error_answer_to_its_retry[404] and [409].

--- a/dotterelpaddle/forwarding/attempt_race.py
+++ b/dotterelpaddle/forwarding/attempt_race.py
@@ -204,6 +204,7 @@
             with attempt.scope:
                 result = await send(attempt)
                 if result is not None:
+                    await attempt.take_lead()
                     event = AttemptSucceeded(result=result)
         except Exception as error:
             event = AttemptFailed(error=error)
--- a/dotterelpaddle/forwarding/relays.py
+++ b/dotterelpaddle/forwarding/relays.py
@@ -116,12 +116,31 @@
         """Send one attempt."""
         async with self._client.send(call=call) as answer:
             if answer.head.status not in SUCCESS_STATUSES:
-                return await read_buffered_answer(answer=answer, call=call)
+                return self._unless_started(
+                    answer=await read_buffered_answer(answer=answer, call=call),
+                    call=call,
+                )
             check_origin(answer=answer, call=call)
             await self._stream(answer=answer, call=call)
         call.observe(Evidence.ANSWER_COMPLETE)
         return StreamedAnswer()
 
+    def _unless_started(
+        self, *, answer: BufferedAnswer, call: ForwardCall
+    ) -> BufferedAnswer:
+        """Return an answer that is no stream, if the caller has no events yet.
+
+        Raises:
+            FailedAnswer: If the caller has some, so that only a stream can follow.
+        """
+        if self._exchange.reply.started:
+            raise FailedAnswer(
+                f"the endpoint did not go on with the stream: {answer.head.status}",
+                answer=answer,
+                peer=call.entry.endpoint,
+            )
+        return answer
+
     async def _stream(self, *, answer: ForwardAnswer, call: ForwardCall) -> None:
         buffer = EventBuffer()
         reply = self._exchange.reply
--- a/dotterelpaddle/tests/forwarding/test_silent_endpoints.py
+++ b/dotterelpaddle/tests/forwarding/test_silent_endpoints.py
@@ -7,7 +7,7 @@
 import pytest
 
 from dotterelpaddle.ids import ServiceName
-from dotterelpaddle.standins.behaviours import Behaviour, FallSilent, Hang, Refuse
+from dotterelpaddle.standins.behaviours import Behaviour, Fail, FallSilent, Hang, Refuse
 from dotterelpaddle.tests.forwarding.harness import (
     SERVICE,
     Fleet,
@@ -146,3 +146,17 @@
 
     assert answer.status == 504
     assert sum(len(runner.runs) for runner in fleet.runners.values()) == 2
+
+
+# Guards against a stream that is cut because the endpoint asked meanwhile answers with
+# an error, though the silent one goes on.
+@pytest.mark.parametrize("status", [404, 409, 500])
+async def test_stream_outlasts_an_error_answer_to_its_retry(status: int) -> None:
+    async with run_fleet(runners=2, routes=ROUTES) as fleet:
+        for runner in fleet.runners.values():
+            runner.plan = fleet.runners["runner-1"].plan
+        _plan(fleet, "runner-1", IN_STREAM, *[Fail(status=status)] * 20)
+        answer = await fleet.call(STREAM)
+
+    assert answer.status == 200
+    assert answer.content == EVENTS
