Let a plain answer take the lead only once it is complete

Cause: the head showed nothing that can be passed on; a plain answer is passed on whole. Change: such an attempt takes the lead with its complete answer. Answers to prompts still take it at a checked head, so that no two engines work on a prompt for long.

Failing before: test_answer_outlasts_a_broken_answer_to_its_retry, both faults (502).

--- a/dotterelpaddle/forwarding/relays.py
+++ b/dotterelpaddle/forwarding/relays.py
@@ -203,7 +203,9 @@
         AnswerBroken: If it is incomplete, or a success without proof of origin.
     """
     head = answer.head
-    if head.status in SUCCESS_STATUSES and head.has_origin_proof:
+    if head.status in SUCCESS_STATUSES and call.request.prompt:
+        # Two engines at work on one prompt would read and write all of it twice.
+        check_origin(answer=answer, call=call)
         await call.attempt.take_lead()
     buffered = BufferedAnswer(head=head, body=await answer.read())
     call.observe(Evidence.ANSWER_COMPLETE)
--- a/dotterelpaddle/tests/forwarding/test_silent_endpoints.py
+++ b/dotterelpaddle/tests/forwarding/test_silent_endpoints.py
@@ -7,7 +7,15 @@
 import pytest
 
 from dotterelpaddle.ids import ServiceName
-from dotterelpaddle.standins.behaviours import Behaviour, Fail, FallSilent, Hang, Refuse
+from dotterelpaddle.standins.behaviours import (
+    Behaviour,
+    CutAnswer,
+    Fail,
+    FallSilent,
+    Hang,
+    Refuse,
+    Unframed,
+)
 from dotterelpaddle.tests.forwarding.harness import (
     SERVICE,
     Fleet,
@@ -160,3 +168,15 @@
 
     assert answer.status == 200
     assert answer.content == EVENTS
+
+
+# Guards against an answer that is given up for one that breaks after its head.
+@pytest.mark.parametrize("fault", [CutAnswer(), Unframed(reset=True)], ids=repr)
+async def test_answer_outlasts_a_broken_answer_to_its_retry(fault: Behaviour) -> None:
+    async with run_fleet(runners=2, routes=ROUTES) as fleet:
+        for runner in fleet.runners.values():
+            runner.plan = fleet.runners["runner-1"].plan
+        _plan(fleet, "runner-1", AT_START, *[fault] * 20)
+        answer = await fleet.call(PLAIN)
+
+    assert answer.status == 200
