Give an owner's grant back that no request uses

Found by the review, before landing: a grant for an attempt that was not sent after all (the silent one went on meanwhile, the budget was spent, the request was blocked) stayed in the router's reports, so that the owner counted a request more at that endpoint until the router's next request there, which then went uncounted.

Cause: a choice that is taken back was forgotten by the map of caches alone. Change: the placer gives the grant back.

test_granted_request_that_is_not_sent_is_reported_no_more needs the new method; the review showed the leak with the real reporter: {'e1': 1} with nothing in flight.

--- a/dotterelpaddle/forwarding/attempts.py
+++ b/dotterelpaddle/forwarding/attempts.py
@@ -238,6 +238,7 @@
 
     def _retract(self, *, choice: Choice) -> None:
         """Forget what was recorded of an endpoint that gets no attempt."""
+        self._placer.retract(choice=choice)
         self._caches.retract_parts(
             endpoint=choice.entry.endpoint, parts=choice.new_parts
         )
--- a/dotterelpaddle/owners/placer.py
+++ b/dotterelpaddle/owners/placer.py
@@ -113,6 +113,11 @@
         )
         return replace(choice, local_reason=choice_or_reason)
 
+    def retract(self, *, choice: Choice) -> None:
+        """Give a choice up for which no request is sent."""
+        if choice.decided_by is not None:
+            self._reporter.abandon_grant(endpoint=choice.entry.endpoint)
+
     async def _choose_by_owners(
         self,
         *,
--- a/dotterelpaddle/owners/reporting.py
+++ b/dotterelpaddle/owners/reporting.py
@@ -130,8 +130,12 @@
         self._pending.pop(pending.number, None)
         grant = pending.grant
         if grant is not None and grant.endpoint is not None:
-            self._consume_grant(grant.endpoint)
-            self._mark_changed(grant.endpoint)
+            self.abandon_grant(endpoint=grant.endpoint)
+
+    def abandon_grant(self, *, endpoint: EndpointId) -> None:
+        """Drop a grant for an endpoint that gets no request after all."""
+        self._consume_grant(endpoint)
+        self._mark_changed(endpoint)
 
     def _on_load_change(self, endpoint: EndpointId, count: int) -> None:
         """Schedule a report of a change, unless the endpoint's owner granted it."""
--- a/dotterelpaddle/tests/owners/test_reporting.py
+++ b/dotterelpaddle/tests/owners/test_reporting.py
@@ -69,3 +69,19 @@
     harness.now += 2 * REPORT_INTERVAL_SECONDS
 
     assert router.reporter.take_due_domains() == set()
+
+
+# Guards against owners that count a request for good that was granted and not sent, as
+# a silent attempt went on meanwhile.
+def test_granted_request_that_is_not_sent_is_reported_no_more() -> None:
+    harness, router = _router()
+    _, grant_request = router.open_request()
+    grant = harness.owner.decide(request=grant_request)
+    router.reporter.resolve(grant=grant)
+    assert grant.endpoint is not None
+    granted = router.reporter.build_report(domain=HERE).loads
+    router.reporter.abandon_grant(endpoint=grant.endpoint)
+
+    assert granted == {grant.endpoint: 1}
+    assert not router.reporter.build_report(domain=HERE).loads
+    assert router.reporter.take_due_domains() == {HERE}
