--- a/dotterelpaddle/standins/behaviours.py
+++ b/dotterelpaddle/standins/behaviours.py
@@ -141,3 +141,13 @@
     | Hang
 )
 """What the endpoint does with one request."""
+
+
+def pause_before(events: int, behaviour: Behaviour, pause: float) -> float:
+    """Return the seconds before the next event of a stream, after some events."""
+    match behaviour:
+        case FallSilent(seconds=seconds, events=events_before) if (
+            events == events_before
+        ):
+            return seconds
+    return pause
--- a/dotterelpaddle/standins/runner.py
+++ b/dotterelpaddle/standins/runner.py
@@ -36,6 +36,7 @@
     Unframed,
     Unsealed,
     WrongEndpoint,
+    pause_before,
 )
 
 if TYPE_CHECKING:
@@ -249,7 +250,7 @@
             stream, self._head(request, framing=b"transfer-encoding: chunked")
         )
         for number in range(first, last + 1):
-            await anyio.sleep(_pause_before(number - first, behaviour, self.pause))
+            await anyio.sleep(pause_before(number - first, behaviour, self.pause))
             event = b"id: %d\ndata: e%d %s\n\n"
             content = event % (number, number, self.version.encode())
             await self._send(stream, _chunk(content))
@@ -383,16 +384,6 @@
     raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
 
 
-def _pause_before(events: int, behaviour: Behaviour, pause: float) -> float:
-    """Return the seconds before the next event of a stream, after some events."""
-    match behaviour:
-        case FallSilent(seconds=seconds, events=events_before) if (
-            events == events_before
-        ):
-            return seconds
-    return pause
-
-
 def _is_stream(request: Received) -> bool:
     return request.target.startswith(STREAM_PATH)
 
