Give soaks of silences that run side by side hosts of their own

A trial beside two soaks failed at its start: ports are chosen on 127.0.0.1, and another soak used one of them on the routers' hosts (EADDRINUSE in their logs). The failure was hidden, too, since the context was cancelled on its way out.

--- a/dotterelpaddle/tests/forwarding/silence_world.py
+++ b/dotterelpaddle/tests/forwarding/silence_world.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import os
 import random
 import signal
 from collections import Counter
@@ -16,6 +17,7 @@
 import anyio
 import httpcore
 
+from dotterelpaddle.address import Address
 from dotterelpaddle.standins.runner import Received, RunnerStandin, run_runner
 from dotterelpaddle.standins.store import run_store
 from dotterelpaddle.tests.forwarding.harness import (
@@ -81,6 +83,11 @@
         )
         self.store.configure(configuration=configuration(**self._fields()))
 
+    def _address(self, number: int, port: int) -> Address:
+        """Address of a router; soaks that run side by side have hosts of their own."""
+        high, low = divmod(os.getpid() % 62500, 250)
+        return Address(host=f"127.{high + 1}.{low}.{number}", port=self.ports[port])
+
     @property
     def calls(self) -> list[Call]:
         """All requests that were sent whole."""
@@ -289,29 +296,29 @@
     async with (
         httpcore.AsyncConnectionPool() as http,
         anyio.create_task_group() as tasks,
-        AsyncExitStack() as stack,
     ):
-        world = SilenceWorld(
-            directory=directory,
-            generator=random.Random(seed),
-            stack=stack,
-            tasks=tasks,
-            http=http,
-            versions=versions,
-        )
-        world.store_address = await stack.enter_async_context(
-            run_store(store=world.store)
-        )
-        await world.add_endpoints()
-        for _ in range(routers):
-            router = world.add_router(source=source)
-            world.callers.routers = [*world.callers.routers, router.callers]
-        try:
-            await world.start_all(first_start=True)
-            for _ in range(callers):
-                tasks.start_soon(world.callers.call)
-            yield world
-        finally:
-            tasks.cancel_scope.cancel()
-            for router in world.routers:
-                router.end()
+        async with AsyncExitStack() as stack:
+            world = SilenceWorld(
+                directory=directory,
+                generator=random.Random(seed),
+                stack=stack,
+                tasks=tasks,
+                http=http,
+                versions=versions,
+            )
+            world.store_address = await stack.enter_async_context(
+                run_store(store=world.store)
+            )
+            await world.add_endpoints()
+            for _ in range(routers):
+                router = world.add_router(source=source)
+                world.callers.routers = [*world.callers.routers, router.callers]
+            try:
+                await world.start_all(first_start=True)
+                for _ in range(callers):
+                    tasks.start_soon(world.callers.call)
+                yield world
+            finally:
+                for router in world.routers:
+                    router.end()
+        tasks.cancel_scope.cancel()
