Let routers in the soak of silences stop within 12 s

With 4 s, of which 2.6 s go to draining, a stopping router cuts what takes longer than a second: 7 requests in 5 of 22 scenes beside stops, each next to the line 'Cancel N running task(s), timeout graceful shutdown exceeded'.

--- a/dotterelpaddle/tests/forwarding/silence_world.py
+++ b/dotterelpaddle/tests/forwarding/silence_world.py
@@ -55,6 +55,8 @@
 CONFIGURATION_SECONDS = 0.7
 SIGHUP_SECONDS = 0.4
 STOP_PAUSE_SECONDS = 0.2
+SHUTDOWN_SECONDS = 12
+"""A stopping router cuts the answers that take longer, which are none here."""
 
 
 @dataclass(kw_only=True)
@@ -312,6 +314,7 @@
             await world.add_endpoints()
             for _ in range(routers):
                 router = world.add_router(source=source)
+                router.shutdown_seconds = SHUTDOWN_SECONDS
                 world.callers.routers = [*world.callers.routers, router.callers]
             try:
                 await world.start_all(first_start=True)
