Ask the soak of links for half of the calls that a running router could serve

The check asked for half of all calls, also of those during which no running router had a link to any endpoint, so that a 503 is right. Now calls count that begin and end while a running router has a link, without an outage between; half of these are asked for, as before. What a stopping router could carry counts against us. The check is as strict wherever a link exists, and the same for plans without outages.

--- a/dotterelpaddle/tests/forwarding/test_cut_off_soak.py
+++ b/dotterelpaddle/tests/forwarding/test_cut_off_soak.py
@@ -21,7 +21,7 @@
 from dotterelpaddle.tests.forwarding.harness import run_fleet, wait_until
 
 if TYPE_CHECKING:
-    from dotterelpaddle.tests.forwarding.harness import Fleet
+    from dotterelpaddle.tests.forwarding.harness import Fleet, Headers
 
 pytestmark = pytest.mark.anyio
 
@@ -48,7 +48,9 @@
             depends on the speed of the machine.
         paths: Source of the paths that callers ask for.
         refused: Ids of requests whose callers were told that they had not run.
-        statuses: Number of answers by status; 0 for a broken connection.
+        statuses: Number of answers by status; 0 for a broken connection. Only calls
+            during all of which a running router had a link to an endpoint count.
+        outages: Number of times at which the last link of all running routers broke.
     """
 
     fleet: Fleet
@@ -56,10 +58,23 @@
     paths: random.Random
     refused: set[bytes] = field(default_factory=set)
     statuses: Counter[int] = field(default_factory=Counter)
+    outages: int = 0
+    _had_link: bool = True
 
     def step(self) -> None:
         """Let one thing happen."""
         self.generator.choice((self.cut, self.refuse, self.heal, self.silence))()
+        self.note_links()
+
+    def note_links(self) -> None:
+        """Record whether any running router still has a link to an endpoint."""
+        has_link = any(
+            links.is_open(peer=address) and not links.is_refused(peer=address)
+            for links in self.fleet.links
+            for address in self.fleet.addresses.values()
+        )
+        self.outages += self._had_link and not has_link
+        self._had_link = has_link
 
     def cut(self) -> None:
         """Connections of a router to some endpoints hang."""
@@ -106,6 +121,13 @@
     async def call(self, *, router: int, path: str) -> int:
         """Send a request and check what can be checked at once."""
         headers = self.fleet.headers()
+        had_link, outages = self._had_link, self.outages
+        status = await self._send(router=router, path=path, headers=headers)
+        if had_link and outages == self.outages:
+            self.statuses[status] += 1
+        return status
+
+    async def _send(self, *, router: int, path: str, headers: Headers) -> int:
         try:
             response = await self.fleet.http.request(
                 "POST",
@@ -114,10 +136,8 @@
                 content=b"",
             )
         except (httpcore.NetworkError, httpcore.ProtocolError):
-            self.statuses[0] += 1
             return 0
         request_id = headers[Header.REQUEST_ID]
-        self.statuses[response.status] += 1
         if response.status == 200:
             assert dict(response.headers)[Header.REQUEST_ID] == request_id
         if response.status in NOT_EXECUTED_STATUSES and "unsafe" in path:
@@ -136,16 +156,19 @@
         assert not self.refused & runs.keys()
 
 
-async def _stop_and_start(fleet: Fleet, generator: random.Random) -> None:
+async def _stop_and_start(faults: Faults, generator: random.Random) -> None:
     """Let one more router come and go; it carries connections of others."""
+    fleet = faults.fleet
     while True:
         async with AsyncExitStack() as stack:
             outer, fleet.stack = fleet.stack, stack
             router = await fleet.add_router(shutdown_timeout=3.0)
             fleet.stack = outer
+            faults.note_links()
             await anyio.sleep(generator.uniform(0.5, 1.5))
             fleet.routers.remove(router)
             fleet.links.pop()
+            faults.note_links()
 
 
 @pytest.mark.parametrize("seed", range(FIRST_SEED, FIRST_SEED + SEED_COUNT))
@@ -160,7 +183,7 @@
             fleet=fleet, generator=generator, paths=random.Random(f"{seed} paths")
         )
         async with anyio.create_task_group() as tasks:
-            tasks.start_soon(_stop_and_start, fleet, stops)
+            tasks.start_soon(_stop_and_start, faults, stops)
             for router in range(ROUTERS):
                 for _ in range(CALLERS_PER_ROUTER):
                     tasks.start_soon(_call_forever, faults, router)
