--- a/dotterelpaddle/peers/tunnel_server.py
+++ b/dotterelpaddle/peers/tunnel_server.py
@@ -8,7 +8,7 @@
 
 from __future__ import annotations
 
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, contextmanager
 from typing import TYPE_CHECKING
 
 import anyio
@@ -20,7 +20,7 @@
 from dotterelpaddle.logs import get_logger
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator, Awaitable, Callable
+    from collections.abc import AsyncIterator, Awaitable, Callable, Iterator
 
     from anyio.abc import SocketStream
 
@@ -95,14 +95,20 @@
         listener = await anyio.create_tcp_listener(
             local_host=address.host, local_port=address.port
         )
-        async with listener, accepting(listener=listener, handler=self._handle):
+        async with listener, accepting(listener=listener, handler=self.handle):
             port = listener.extra(anyio.abc.SocketAttribute.local_port)
-            self._address = Address(host=address.host, port=port)
-            try:
+            with self.announced(address=Address(host=address.host, port=port)):
                 yield
                 await self._drain()
-            finally:
-                self._address = None
+
+    @contextmanager
+    def announced(self, *, address: Address) -> Iterator[None]:
+        """Let reports tell the address until the context ends."""
+        self._address = address
+        try:
+            yield
+        finally:
+            self._address = None
 
     def stop_within(self, *, seconds: float) -> None:
         """Set the time that open tunnels have when the context of `serve` ends."""
@@ -115,7 +121,8 @@
                 self._closed = anyio.Event()
                 await self._closed.wait()
 
-    async def _handle(self, stream: SocketStream) -> None:
+    async def handle(self, stream: SocketStream) -> None:
+        """Serve one connection of another router."""
         self._open += 1
         try:
             async with stream:
--- a/dotterelpaddle/tests/forwarding/crash_world.py
+++ b/dotterelpaddle/tests/forwarding/crash_world.py
@@ -220,8 +220,9 @@
             finally:
                 calls.remove(call)
 
-    async def _run_process(self, host: Router) -> None:
-        parts = build_router(
+    def build_parts(self, host: Router, **fields: Any) -> Components:
+        """Build the components of a router's process."""
+        return build_router(
             router=host.name,
             failure_domain=host.domain,
             address=host.address,
@@ -230,7 +231,11 @@
             first_start=host.name not in self._started_at,
             protocols=PlatformCodec(),
             crash_store=self.store,
+            **fields,
         )
+
+    async def _run_process(self, host: Router) -> None:
+        parts = self.build_parts(host)
         parts.state.store_clock.record_answer(
             time=StoreTime(era=FIRST_ERA, seconds=anyio.current_time()),
             requested_at=anyio.current_time(),
--- a/dotterelpaddle/tests/memory_network.py
+++ b/dotterelpaddle/tests/memory_network.py
@@ -9,9 +9,7 @@
 import anyio
 import httpcore
 
-from dotterelpaddle.address import Address
-from dotterelpaddle.links import Links
-from dotterelpaddle.network import LinkedBackend, LinkedStream
+from dotterelpaddle.transport import TcpBackend
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable, Iterator
@@ -22,10 +20,9 @@
         MemoryObjectSendStream,
     )
 
-    Handler = Callable[[Any], Awaitable[None]]
+    from dotterelpaddle.address import Address
 
-ANY_PEER = Address(host="10.0.0.0", port=1)
-"""Placeholder address of the peer; tests never cut its link."""
+    Handler = Callable[[Any], Awaitable[None]]
 
 MIN_WAIT_SECONDS = 1e-6
 """Minimum duration of a wait; a shorter one may not advance a virtual clock."""
@@ -64,6 +61,8 @@
 
     async def write(self, buffer: bytes, timeout: float | None = None) -> None:
         """Send all bytes at once."""
+        if not buffer:
+            return
         try:
             await self._outgoing.send(buffer)
         except (anyio.BrokenResourceError, anyio.ClosedResourceError) as error:
@@ -136,7 +135,7 @@
             stream.close()
             scope.cancel()
 
-    async def connect(self, host: str, port: int) -> LinkedStream:
+    async def connect(self, host: str, port: int) -> ClientEnd:
         """Open a connection.
 
         Raises:
@@ -152,11 +151,7 @@
         scope = anyio.CancelScope()
         self._open.setdefault((host, port), []).append((scope, server))
         self.tasks.start_soon(self._serve, handler, server, scope)
-        return LinkedStream(
-            stream=ClientEnd(incoming=from_server, outgoing=to_server),
-            peer=ANY_PEER,
-            links=Links(),
-        )
+        return ClientEnd(incoming=from_server, outgoing=to_server)
 
     async def _serve(
         self, handler: Handler, stream: ServerEnd, scope: anyio.CancelScope
@@ -172,13 +167,12 @@
         """Route all connections of this process's routers over this network."""
 
         async def _connect(
-            _: LinkedBackend,
+            _: TcpBackend,
             host: str,
             port: int,
-            timeout: float | None = None,
-            **rest: object,
-        ) -> LinkedStream:
+            *rest: object,
+        ) -> ClientEnd:
             return await self.connect(host, port)
 
-        with patch.object(LinkedBackend, "connect_tcp", _connect):
+        with patch.object(TcpBackend, "connect_tcp", _connect):
             yield
--- a/dotterelpaddle/tests/owners/hosts.py
+++ b/dotterelpaddle/tests/owners/hosts.py
@@ -121,6 +121,7 @@
     stream_store: Any = None,
     crash_store: Any = None,
     documents: Any = None,
+    links: Links | None = None,
 ) -> Components:
     """Build a router's components, without endpoints.
 
@@ -138,6 +139,7 @@
         stream_store: Keeps records of streams, None for none.
         crash_store: Keeps what crashes endpoints, None for nothing.
         documents: Decodes the documents of the store, None without any.
+        links: Links of its process, None for links without faults.
     """
     unused: Any = None
     return build_components(
@@ -164,7 +166,7 @@
             protocols=protocols,
             documents=documents,
             cache_reader=unused,
-            links=Links(),
+            links=Links() if links is None else links,
             clock=clock,
         ),
     )
