Name tunnel servers of the whole fleet to routers that reach no endpoint

Cause: a router connects through those others that report to it, and in a fleet of more than 16 routers these are the two aggregators of its failure domain. With both cut off as well, it knew nobody, though the platform's other routers were all well. Evidence: NoEndpoint at members of failure domains whose aggregators are cut off, for as long as the cut lasts; single routers of these domains, to which the aggregators' role had moved, served all. Class: the way out of a fault is known only to those who share the fault.

Routers that reach no endpoint of a service say so in their reports. Aggregators then name them four tunnel servers at a time, drawn at random for each report from all that they know; aggregators of other failure domains tell theirs when one asks. So a cut-off domain spreads over the whole fleet instead of two routers, at no cost while nobody asks, and at some 100 bytes a report otherwise. Servers are asked in random order for the same reason, no longer those of the own failure domain first.

--- a/dotterelpaddle/forwarding/components.py
+++ b/dotterelpaddle/forwarding/components.py
@@ -40,6 +40,7 @@
 from dotterelpaddle.peers.plan import ReportPlan
 from dotterelpaddle.peers.summary import PeerSummary
 from dotterelpaddle.peers.tunnel_server import TunnelServer
+from dotterelpaddle.peers.tunnel_servers import TunnelServers
 from dotterelpaddle.peers.tunnels import TunnelBackend
 from dotterelpaddle.pipeline import compose
 from dotterelpaddle.streams.archive import StreamArchive
@@ -156,8 +157,11 @@
         failure_domain=settings.failure_domain,
         clock=clock,
     )
+    tunnel_servers = TunnelServers(
+        directory=directory, clock=clock, generator=generator
+    )
     tunnels = TunnelBackend(
-        directory=directory,
+        servers=tunnel_servers,
         backend=backend,
         links=dependencies.links,
         clock=clock,
@@ -342,6 +346,7 @@
             owners=owners,
             reachability=reachability,
             tunnel_server=tunnel_server,
+            tunnel_servers=tunnel_servers,
             stream_origins=state.stream_origins,
             stream_lookup=stream_lookup,
             generator=generator,
--- a/dotterelpaddle/forwarding/reachability.py
+++ b/dotterelpaddle/forwarding/reachability.py
@@ -15,6 +15,7 @@
 import anyio
 import httpcore
 
+from dotterelpaddle.forwarding.service_groups import group_by_service
 from dotterelpaddle.logs import get_logger
 
 if TYPE_CHECKING:
@@ -81,6 +82,16 @@
         entries = self._view.routed_entries
         return bool(entries) and not self.reachable(entries=entries)
 
+    @property
+    def service_lost(self) -> bool:
+        """Whether this router reaches no endpoint of a service to which routes lead."""
+        if not self._suspects:
+            return False
+        by_service = group_by_service(entries=self._view.routed_entries)
+        return any(
+            not self.reachable(entries=entries) for entries in by_service.values()
+        )
+
     def is_suspect(self, *, endpoint: EndpointId) -> bool:
         """Return whether the last connection to an endpoint failed."""
         return endpoint in self._suspects
--- a/dotterelpaddle/peers/exchange.py
+++ b/dotterelpaddle/peers/exchange.py
@@ -50,6 +50,7 @@
     from dotterelpaddle.peers.messages import PeerInfo
     from dotterelpaddle.peers.plan import Recipient, ReportPlan
     from dotterelpaddle.peers.tunnel_server import TunnelServer
+    from dotterelpaddle.peers.tunnel_servers import TunnelServers
     from dotterelpaddle.streams.lookup import StreamLookup
     from dotterelpaddle.streams.origins import StreamOrigins, StreamRecord
 
@@ -99,6 +100,7 @@
         owners: Processes messages between routers and owners.
         reachability: Endpoints that this router can't connect to.
         tunnel_server: Connects other routers to endpoints.
+        tunnel_servers: Tunnel servers of the other routers.
         stream_origins: Where streams began.
         stream_lookup: Answers other routers that ask for streams.
         generator: Source of jitter.
@@ -120,6 +122,7 @@
         owners: OwnerExchange,
         reachability: Reachability,
         tunnel_server: TunnelServer,
+        tunnel_servers: TunnelServers,
         stream_origins: StreamOrigins,
         stream_lookup: StreamLookup,
         generator: random.Random,
@@ -138,6 +141,7 @@
         self._owners = owners
         self._reachability = reachability
         self._tunnel_server = tunnel_server
+        self._tunnel_servers = tunnel_servers
         self._stream_origins = stream_origins
         self._stream_lookup = stream_lookup
         self._generator = generator
@@ -229,6 +233,7 @@
                 for use in uses[origin]
             ),
             streams=streams.get(recipient.scope, ()),
+            tunnel_servers=self._tunnel_servers.to_name(recipient=recipient),
         )
 
     def _build_report(
@@ -266,6 +271,8 @@
             evacuated=self._view.evacuations.snapshot,
             tunnels=self._tunnel_server.address,
             endpoints_lost=self._reachability.endpoints_lost,
+            seeks_tunnels=self._reachability.service_lost
+            or self._tunnel_servers.sought,
         )
 
     def _totals_for(self, *, own: RequestTotals, recipient: Recipient) -> RequestTotals:
@@ -360,6 +367,7 @@
         self._caches.receive(uses=report.uses, forward_as=origin)
         self._crashes.receive(notes=report.crashes, forward=origin is not None)
         self._introduction.end()
+        self._tunnel_servers.receive(report=report)
         self._stream_origins.receive(
             records=report.streams, forward=origin is UseOrigin.SAME_DOMAIN
         )
--- a/dotterelpaddle/peers/messages.py
+++ b/dotterelpaddle/peers/messages.py
@@ -86,6 +86,9 @@
 STREAMS_INDEX = 32
 """Index of the records of streams; earlier releases record none."""
 
+TUNNEL_SERVERS_INDEX = 33
+"""Index of whether tunnel servers are sought, and of those that the sender names."""
+
 UNKNOWN_AGE = None
 """Value of the fields in which earlier releases report the ages of their data.
 
@@ -168,6 +171,7 @@
             ],
             [_time_fields(notice.since) for notice in report.leaving_endpoints],
             encode_records(records=report.streams),
+            [report.seeks_tunnels, [str(each) for each in report.tunnel_servers]],
         ]
     )
 
@@ -198,6 +202,9 @@
             _optional_field(fields, ERAS_INDEX, (FIRST_ERA, FIRST_ERA))
         )
         tunnels, endpoints_lost = _optional_field(fields, TUNNELS_INDEX, (None, False))
+        seeks_tunnels, tunnel_servers = _optional_field(
+            fields, TUNNEL_SERVERS_INDEX, (False, ())
+        )
         configuration_as_of, endpoints_as_of = _optional_field(
             fields, AS_OF_INDEX, (None, None)
         )
@@ -249,6 +256,8 @@
             ),
             tunnels=None if tunnels is None else Address.parse(text=tunnels),
             endpoints_lost=bool(endpoints_lost),
+            seeks_tunnels=bool(seeks_tunnels),
+            tunnel_servers=tuple(Address.parse(text=each) for each in tunnel_servers),
             streams=decode_records(fields=_optional_field(fields, STREAMS_INDEX, ())),
             tells_streams=len(fields) > STREAMS_INDEX,
         )
--- a/dotterelpaddle/peers/report.py
+++ b/dotterelpaddle/peers/report.py
@@ -77,6 +77,9 @@
         evacuated: Evacuated failure domains, None if unknown.
         tunnels: Address at which it connects others to endpoints, None for none.
         endpoints_lost: Whether it reaches no endpoint itself.
+        seeks_tunnels: Whether it, or a router that reports to it, reaches no endpoint
+            of a service and needs tunnel servers of others.
+        tunnel_servers: Addresses of routers that connect others to endpoints.
         streams: Where streams began whose first events have just been passed on.
         tells_streams: Whether its release records where streams began.
     """
@@ -108,5 +111,7 @@
     evacuated: EvacuationSnapshot | None = None
     tunnels: Address | None = None
     endpoints_lost: bool = False
+    seeks_tunnels: bool = False
+    tunnel_servers: tuple[Address, ...] = ()
     streams: tuple[StreamRecord, ...] = ()
     tells_streams: bool = True
--- a/dotterelpaddle/peers/tunnels.py
+++ b/dotterelpaddle/peers/tunnels.py
@@ -30,15 +30,15 @@
     from dotterelpaddle.forwarding.model import EndpointEntry
     from dotterelpaddle.links import Links
     from dotterelpaddle.network import LinkedBackend
-    from dotterelpaddle.peers.directory import Peer, PeerDirectory
+    from dotterelpaddle.peers.tunnel_servers import TunnelServers
 
 log = get_logger(name=__name__)
 
-MAX_PEERS_TRIED = 2
+MAX_SERVERS_TRIED = 2
 """Routers through which one connection is tried."""
 
-PEER_COOLDOWN_SECONDS = 1.0
-"""Seconds for which a router is not asked again after it could not connect."""
+SERVER_COOLDOWN_SECONDS = 1.0
+"""Seconds for which a router is not asked again that could not be reached."""
 
 ENDPOINT_COOLDOWN_SECONDS = 0.4
 """Seconds for which an endpoint counts as unreachable after no router could connect, so
@@ -69,7 +69,7 @@
     """Opens connections to endpoints through other routers.
 
     Args:
-        directory: The other routers.
+        servers: Tunnel servers of the other routers.
         backend: Opens connections to other routers.
         links: The process's links.
         clock: Monotonic clock.
@@ -79,23 +79,23 @@
     def __init__(
         self,
         *,
-        directory: PeerDirectory,
+        servers: TunnelServers,
         backend: LinkedBackend,
         links: Links,
         clock: Clock,
         generator: random.Random,
     ) -> None:
-        self._directory = directory
+        self._servers = servers
         self._backend = backend
         self._links = links
         self._clock = clock
         self._generator = generator
-        self._peer_cooldowns: dict[Address, float] = {}
+        self._server_cooldowns: dict[Address, float] = {}
         self._endpoint_cooldowns: dict[Address, float] = {}
 
     def reachable(self, *, entries: Iterable[EndpointEntry]) -> list[EndpointEntry]:
         """Return the endpoints that another router may reach."""
-        if not self._peers():
+        if not self._usable_servers():
             return []
         now = self._clock()
         return [
@@ -122,9 +122,9 @@
         failure: httpcore.ConnectError | httpcore.ConnectTimeout
         failure = httpcore.ConnectError(f"no other router reaches {target}")
         with anyio.move_on_after(timeout) as scope:
-            for peer in self._peers()[:MAX_PEERS_TRIED]:
+            for server in self._usable_servers()[:MAX_SERVERS_TRIED]:
                 try:
-                    return await self._connect_through(peer, target)
+                    return await self._connect_through(server, target)
                 except (httpcore.ConnectError, httpcore.ConnectTimeout) as error:
                     failure = error
         if scope.cancelled_caught:
@@ -143,44 +143,38 @@
         """Sleep between httpcore's own retries."""
         await anyio.sleep(seconds)
 
-    def _peers(self) -> list[Peer]:
-        """Routers that serve tunnels, those of the own failure domain first."""
+    def _usable_servers(self) -> list[Address]:
+        """Return the tunnel servers to ask, in random order to spread the load."""
         now = self._clock()
-        own_domain = self._directory.own.failure_domain
-        peers = [
-            peer
-            for peer in self._directory.recently_active()
-            if peer.report.tunnels is not None
-            and not peer.report.leaving
-            and not peer.report.endpoints_lost
-            and self._peer_cooldowns.get(peer.report.tunnels, 0.0) <= now
+        servers = [
+            server
+            for server in self._servers.known()
+            if self._server_cooldowns.get(server, 0.0) <= now
         ]
-        self._generator.shuffle(peers)
-        return sorted(peers, key=lambda peer: peer.info.failure_domain != own_domain)
+        self._generator.shuffle(servers)
+        return servers
 
-    async def _connect_through(self, peer: Peer, target: Address) -> LinkedStream:
-        tunnels = peer.report.tunnels
-        assert tunnels is not None
+    async def _connect_through(self, server: Address, target: Address) -> LinkedStream:
         try:
-            stream = await self._backend.connect_tcp(tunnels.host, tunnels.port)
+            stream = await self._backend.connect_tcp(server.host, server.port)
         except httpcore.ConnectError:
-            self._peer_cooldowns[tunnels] = self._clock() + PEER_COOLDOWN_SECONDS
+            self._server_cooldowns[server] = self._clock() + SERVER_COOLDOWN_SECONDS
             raise
         established = False
         try:
             status = await _request_tunnel(stream, target)
             established = status == STATUS_ESTABLISHED
         except httpcore.NetworkError as error:
-            raise httpcore.ConnectError(f"{tunnels}: {error}") from error
+            raise httpcore.ConnectError(f"{server}: {error}") from error
         finally:
             if not established:
                 await stream.aclose()
         if not established:
-            message = f"{peer.info.router} answered {status} for {target}"
+            message = f"the router at {server} answered {status} for {target}"
             if status == STATUS_REFUSED:
                 raise httpcore.ConnectError(message)
             raise httpcore.ConnectTimeout(message)
-        return TunnelStream(stream=stream, peer=tunnels, links=self._links)
+        return TunnelStream(stream=stream, peer=server, links=self._links)
 
 
 async def _request_tunnel(stream: LinkedStream, target: Address) -> int:
--- a/dotterelpaddle/tests/peers/test_messages.py
+++ b/dotterelpaddle/tests/peers/test_messages.py
@@ -114,6 +114,14 @@
     assert decode_report(datagram=encode_report(report=_report())) == _report()
 
 
+def test_tunnel_servers_round_trip() -> None:
+    report = _report(
+        tunnels=OTHER, endpoints_lost=True, seeks_tunnels=True, tunnel_servers=(THIRD,)
+    )
+
+    assert decode_report(datagram=encode_report(report=report)) == report
+
+
 def test_crash_notes_round_trip() -> None:
     notes = (
         CrashNote(
