Suspect all endpoints once connections fail at one after the other

Cause: a refused connect made one endpoint suspect, and a router goes through others only once all endpoints of a service are. Evidence: endpoint_suspected lines spread over the whole cut. Class: what concerns all is learnt one at a time.

Three endpoints in a row to which no connection can be made, with none established between, now make all suspect. Probes of those that are well end that within milliseconds, so that three dead endpoints cost one connect to each other one.

--- a/dotterelpaddle/forwarding/client.py
+++ b/dotterelpaddle/forwarding/client.py
@@ -103,11 +103,14 @@
             AnswerBroken: If the connection broke.
             ForeignAnswer: If the answer belongs to another request.
         """
-        pool = self._pool(entry=call.entry)
+        tunnelled = self._needs_tunnel(entry=call.entry)
+        pool = self._pool(entry=call.entry, tunnelled=tunnelled)
         connection = await pool.acquire(
             fresh=call.new_connection, timeout=call.timeouts.connect
         )
         call.observe(Evidence.CONNECTED)
+        if not connection.reused and not tunnelled:
+            self._reachability.record_connected()
         response: httpcore.Response | None = None
         try:
             sent_at = self._clock()
@@ -168,10 +171,9 @@
             await pool.aclose()
         self._pools.clear()
 
-    def _pool(self, *, entry: EndpointEntry) -> ConnectionPool:
+    def _pool(self, *, entry: EndpointEntry, tunnelled: bool) -> ConnectionPool:
         # Connections to an earlier incarnation, or to another endpoint that had the
         # address, can't be used for this one and don't count against its limit.
-        tunnelled = self._needs_tunnel(entry=entry)
         key = entry.endpoint, entry.address, tunnelled
         pool = self._pools.get(key)
         if pool is None:
--- a/dotterelpaddle/forwarding/reachability.py
+++ b/dotterelpaddle/forwarding/reachability.py
@@ -4,7 +4,8 @@
 request has failed, the router probes the endpoint in the background and sends it no
 requests until a connection succeeds. A connection that timed out makes the whole
 failure domain suspect, unless it is the router's own: a partition cuts off all
-endpoints of a domain at once.
+endpoints of a domain at once. Connections that fail at one endpoint after the other
+make all endpoints suspect: the router may be cut off itself.
 """
 
 from __future__ import annotations
@@ -42,6 +43,11 @@
 """Seconds between two probes of one endpoint."""
 
 
+MIN_FAILED_IN_A_ROW = 3
+"""Endpoints in a row to which no connection can be made that make all suspect. Probes
+end the suspicion within milliseconds if only these are down."""
+
+
 class ConnectionOutcome(Enum):
     """Outcome of an attempt to connect to an endpoint."""
 
@@ -74,6 +80,7 @@
         self._clock = clock
         self._suspects: dict[EndpointId, EndpointEntry] = {}
         self._unreachable: set[EndpointId] = set()
+        self._failed_in_a_row: set[EndpointId] = set()
         self._suspects_added = anyio.Event()
 
     @property
@@ -119,6 +126,17 @@
         self._add_suspects(
             suspects=suspects, because_of=entry.endpoint, timed_out=timed_out
         )
+        self._failed_in_a_row.add(entry.endpoint)
+        if len(self._failed_in_a_row) >= MIN_FAILED_IN_A_ROW:
+            self._add_suspects(
+                suspects=self._view.routed_entries,
+                because_of="connections that fail in a row",
+                timed_out=timed_out,
+            )
+
+    def record_connected(self) -> None:
+        """Record that this router itself has connected to an endpoint."""
+        self._failed_in_a_row.clear()
 
     def suspect_domain(self, *, failure_domain: FailureDomain) -> None:
         """Suspect the endpoints of a failure domain until a probe of each succeeds."""
@@ -169,6 +187,8 @@
             await anyio.sleep(PROBE_INTERVAL_SECONDS)
             if all(each.endpoint != endpoint for each in self._view.entries):
                 break
+        else:
+            self.record_connected()
         del self._suspects[endpoint]
         self._unreachable.discard(endpoint)
         probed.discard(endpoint)
--- a/dotterelpaddle/tests/forwarding/test_cut_off_large_fleet.py
+++ b/dotterelpaddle/tests/forwarding/test_cut_off_large_fleet.py
@@ -19,6 +19,8 @@
 thirds of the share of the others as a failure; the others serve all here."""
 
 ONE_DOMAIN = range(0, ROUTERS, 3)
+THIRD_OF_ROUTERS = random.Random(3).sample(range(ROUTERS), ROUTERS // 3)
+MANY_ENGINES = 42
 MOST_ROUTERS = random.Random(3).sample(range(ROUTERS), 20)
 
 
@@ -40,3 +42,17 @@
     }
 
     assert min(shares.values()) >= MIN_SHARE, shares
+
+
+# Guards against a router that finds out one endpoint at a time that it reaches none,
+# and meanwhile refuses its callers after some failed connections each.
+def test_loss_of_many_endpoints_is_noticed_at_once() -> None:
+    world = run_cut(
+        cut_off=THIRD_OF_ROUTERS,
+        refused=True,
+        routers=ROUTERS,
+        engines=MANY_ENGINES,
+        rate=REQUESTS_PER_SECOND,
+    )
+
+    assert world.served_share(routers=THIRD_OF_ROUTERS) >= MIN_SHARE
