Connect through another router after direct connections were refused

What callers saw: 503 for the request that finds all direct connections refused, while the next one was served through another router.

Cause: an endpoint that refused a connect was left out for the rest of the request, and only connects that timed out were tried once more. But no request reached it by either failure.

--- a/dotterelpaddle/forwarding/attempts.py
+++ b/dotterelpaddle/forwarding/attempts.py
@@ -255,10 +255,10 @@
                 exchange=exchange, excluded=tried.excluded | in_use
             )
         except NoEndpoint:
-            if not tried.connect_timeouts:
+            if not tried.connect_failures:
                 raise
-        # No request reached the endpoints whose connect timed out. They may be slow
-        # rather than unreachable, so the router tries each of them once more.
+        # No request reached the endpoints whose connect failed. They may be slow, or
+        # in reach of other routers, so the router tries each of them once more.
         return await self._place(exchange=exchange, excluded=tried.attempted | in_use)
 
     async def _place(
--- a/dotterelpaddle/forwarding/progress.py
+++ b/dotterelpaddle/forwarding/progress.py
@@ -28,22 +28,22 @@
 
     def __init__(self) -> None:
         self._attempted: set[EndpointId] = set()
-        self._connect_timeouts: set[EndpointId] = set()
+        self._connect_failures: set[EndpointId] = set()
 
     @property
     def attempted(self) -> frozenset[EndpointId]:
-        """Endpoints that received the request, refused it or were unreachable."""
+        """Endpoints that received the request, refused it or were unreachable twice."""
         return frozenset(self._attempted)
 
     @property
-    def connect_timeouts(self) -> frozenset[EndpointId]:
-        """Endpoints whose connect timed out once; one more connect may follow."""
-        return frozenset(self._connect_timeouts)
+    def connect_failures(self) -> frozenset[EndpointId]:
+        """Endpoints whose connect failed once; one more connect may follow."""
+        return frozenset(self._connect_failures)
 
     @property
     def excluded(self) -> frozenset[EndpointId]:
         """Endpoints to avoid in the next attempt: all that were tried."""
-        return self.attempted | self.connect_timeouts
+        return self.attempted | self.connect_failures
 
     def add(self, *, endpoint: EndpointId, failure: EndpointError) -> None:
         """Record the failure of an attempt.
@@ -53,19 +53,17 @@
         match failure:
             case IdleConnectionLost():
                 pass
-            case EndpointUnreachable(timed_out=True) if (
-                endpoint not in self._connect_timeouts
-            ):
-                self._connect_timeouts.add(endpoint)
+            case EndpointUnreachable() if endpoint not in self._connect_failures:
+                self._connect_failures.add(endpoint)
             case _:
                 self._attempted.add(endpoint)
-                self._connect_timeouts.discard(endpoint)
+                self._connect_failures.discard(endpoint)
 
     def connect_timeout(self, *, endpoint: EndpointId) -> float:
         """Return the connect timeout of the next attempt at an endpoint, in seconds."""
         return (
             LAST_CONNECT_TIMEOUT_SECONDS
-            if endpoint in self._connect_timeouts
+            if endpoint in self._connect_failures
             else CONNECT_TIMEOUT_SECONDS
         )
 
--- a/dotterelpaddle/tests/forwarding/test_tunnels.py
+++ b/dotterelpaddle/tests/forwarding/test_tunnels.py
@@ -223,3 +223,14 @@
                 pass
 
         assert answer.partition(b" ")[2][:3] == status
+
+
+# Guards against the request that finds all direct connections refused and is refused
+# itself, although the next one is served through another router.
+async def test_request_whose_direct_connections_are_refused_goes_through_others() -> (
+    None
+):
+    async with run_fleet(runners=2, routers=2) as fleet:
+        fleet.links[CUT_OFF].refuse(peers=frozenset(fleet.addresses.values()))
+
+        assert (await fleet.call("/unsafe/1", router=CUT_OFF)).status == 200
