Let a router learn from connections that it can't make for others

What callers saw: refusals at a cut-off router that asked another one, which was cut off as well and did not know it: its own requests hung on open connections, and it went on being asked, at 0.1 s each time. The new test failed before.

Cause: the tunnel server told the router that asked and nobody else. It now suspects the endpoint as after a connect of its own, so that it probes, says in its reports that it reaches none, and answers further questions at once.

--- a/dotterelpaddle/peers/tunnel_server.py
+++ b/dotterelpaddle/peers/tunnel_server.py
@@ -169,8 +169,10 @@
                 address.host, address.port, CONNECT_TIMEOUT_SECONDS
             )
         except httpcore.ConnectTimeout:
+            self._reachability.suspect(entry=entry, timed_out=True)
             return STATUS_TIMED_OUT, None
         except httpcore.ConnectError:
+            self._reachability.suspect(entry=entry, timed_out=False)
             return STATUS_REFUSED, None
         return STATUS_ESTABLISHED, upstream
 
--- a/dotterelpaddle/tests/forwarding/test_tunnels.py
+++ b/dotterelpaddle/tests/forwarding/test_tunnels.py
@@ -234,3 +234,15 @@
         fleet.links[CUT_OFF].refuse(peers=frozenset(fleet.addresses.values()))
 
         assert (await fleet.call("/unsafe/1", router=CUT_OFF)).status == 200
+
+
+# Guards against a cut-off router that goes on being asked for connections, because it
+# learns nothing from those that it could not make.
+async def test_router_that_can_not_connect_for_others_suspects_the_endpoint() -> None:
+    async with run_fleet(runners=1, routers=2) as fleet:
+        peers = frozenset(fleet.addresses.values())
+        fleet.links[THROUGH].refuse(peers=peers)
+        _cut_off(fleet, CUT_OFF)
+        await fleet.call("/safe/1", router=CUT_OFF)
+
+        assert fleet.routers[THROUGH].components.reachability.endpoints_lost
