Count a failed tunnel for the router that could not connect

The new test failed before.

Cause: two routers were asked for a connection, and if both failed, the endpoint counted as unreachable through any router for 0.4 s. Now a router that could not connect is not asked for that endpoint for 0.4 s, the others are; only after three such routers the endpoint counts as unreachable through all, as dozens of routers would else be asked for one that has ended. A router at its limit of tunnels is not asked at all for a second.

--- a/dotterelpaddle/peers/tunnels.py
+++ b/dotterelpaddle/peers/tunnels.py
@@ -18,13 +18,14 @@
 from dotterelpaddle.logs import get_logger
 from dotterelpaddle.network import LinkedStream
 from dotterelpaddle.peers.tunnel_server import (
+    STATUS_BUSY,
     STATUS_ESTABLISHED,
     STATUS_REFUSED,
 )
 
 if TYPE_CHECKING:
     import random
-    from collections.abc import Iterable
+    from collections.abc import Iterable, Sequence
 
     from dotterelpaddle.clock import Clock
     from dotterelpaddle.forwarding.model import EndpointEntry
@@ -37,12 +38,16 @@
 MAX_SERVERS_TRIED = 2
 """Routers through which one connection is tried."""
 
+MAX_SERVERS_FAILED = 3
+"""Routers that could not connect to an endpoint after which it counts as unreachable
+through any, so that requests are refused at once meanwhile."""
+
 SERVER_COOLDOWN_SECONDS = 1.0
 """Seconds for which a router is not asked again that could not be reached."""
 
 ENDPOINT_COOLDOWN_SECONDS = 0.4
-"""Seconds for which an endpoint counts as unreachable after no router could connect, so
-that requests are refused at once meanwhile."""
+"""Seconds for which a router is not asked again for an endpoint to which it could not
+connect."""
 
 MAX_HEAD_BYTES = 4096
 
@@ -91,17 +96,15 @@
         self._clock = clock
         self._generator = generator
         self._server_cooldowns: dict[Address, float] = {}
-        self._endpoint_cooldowns: dict[Address, float] = {}
+        self._failed_until: dict[Address, dict[Address, float]] = {}
 
     def reachable(self, *, entries: Iterable[EndpointEntry]) -> list[EndpointEntry]:
         """Return the endpoints that another router may reach."""
-        if not self._usable_servers():
-            return []
-        now = self._clock()
+        servers = self._usable_servers()
         return [
             entry
             for entry in entries
-            if self._endpoint_cooldowns.get(entry.address, 0.0) <= now
+            if self._servers_for(target=entry.address, servers=servers)
         ]
 
     async def connect_tcp(
@@ -121,21 +124,19 @@
         target = Address(host=host, port=port)
         failure: httpcore.ConnectError | httpcore.ConnectTimeout
         failure = httpcore.ConnectError(f"no other router reaches {target}")
+        servers = self._servers_for(target=target, servers=self._usable_servers())
+        asked: Address | None = None
         with anyio.move_on_after(timeout) as scope:
-            for server in self._usable_servers()[:MAX_SERVERS_TRIED]:
+            for server in servers[:MAX_SERVERS_TRIED]:
+                asked = server
                 try:
                     return await self._connect_through(server, target)
                 except (httpcore.ConnectError, httpcore.ConnectTimeout) as error:
                     failure = error
-        if scope.cancelled_caught:
+                    self._record_failed(server=server, target=target)
+        if scope.cancelled_caught and asked is not None:
+            self._record_failed(server=asked, target=target)
             failure = httpcore.ConnectTimeout(f"no router reached {target} in time")
-        now = self._clock()
-        self._endpoint_cooldowns = {
-            address: until
-            for address, until in self._endpoint_cooldowns.items()
-            if until > now
-        }
-        self._endpoint_cooldowns[target] = now + ENDPOINT_COOLDOWN_SECONDS
         log.warning("tunnel_failed", target=str(target), cause=str(failure))
         raise failure
 
@@ -143,6 +144,35 @@
         """Sleep between httpcore's own retries."""
         await anyio.sleep(seconds)
 
+    def _servers_for(
+        self, *, target: Address, servers: Sequence[Address]
+    ) -> Sequence[Address]:
+        """Return the tunnel servers that may reach an endpoint.
+
+        Args:
+            target: Address of the endpoint.
+            servers: All usable tunnel servers.
+        """
+        now = self._clock()
+        failed = {
+            server
+            for server, until in self._failed_until.get(target, {}).items()
+            if until > now
+        }
+        if len(failed) >= MAX_SERVERS_FAILED:
+            return ()
+        return [server for server in servers if server not in failed]
+
+    def _record_failed(self, *, server: Address, target: Address) -> None:
+        now = self._clock()
+        live = {
+            address: failed
+            for address, failed in self._failed_until.items()
+            if max(failed.values()) > now
+        }
+        live.setdefault(target, {})[server] = now + ENDPOINT_COOLDOWN_SECONDS
+        self._failed_until = live
+
     def _usable_servers(self) -> list[Address]:
         """Return the tunnel servers to ask, in random order to spread the load."""
         now = self._clock()
@@ -169,6 +199,8 @@
         finally:
             if not established:
                 await stream.aclose()
+        if status == STATUS_BUSY:
+            self._server_cooldowns[server] = self._clock() + SERVER_COOLDOWN_SECONDS
         if not established:
             message = f"the router at {server} answered {status} for {target}"
             if status == STATUS_REFUSED:
--- a/dotterelpaddle/tests/forwarding/test_tunnels.py
+++ b/dotterelpaddle/tests/forwarding/test_tunnels.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 import socket
 import struct
 from contextlib import AsyncExitStack
@@ -246,3 +247,18 @@
         await fleet.call("/safe/1", router=CUT_OFF)
 
         assert fleet.routers[THROUGH].components.reachability.endpoints_lost
+
+
+# Guards against an endpoint that counts as unreachable through all routers as soon as
+# two of them can't connect to it.
+async def test_routers_that_can_not_connect_do_not_count_for_the_others(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async with run_fleet(runners=1, routers=4) as fleet:
+        for router in (THROUGH, THROUGH + 1):
+            fleet.links[router].refuse(peers=frozenset(fleet.addresses.values()))
+        _cut_off(fleet, CUT_OFF)
+        # The two that can't connect are asked first.
+        monkeypatch.setattr(random.Random, "shuffle", lambda *_: None)
+
+        assert (await fleet.call("/safe/1", router=CUT_OFF)).status == 200
