--- a/dotterelpaddle/tests/forwarding/crash_world.py
+++ b/dotterelpaddle/tests/forwarding/crash_world.py
@@ -158,7 +158,7 @@
     def start_engine(self, *, address: Address, domain: FailureDomain) -> Engine:
         """Start an endpoint and register it."""
         name = f"engine-{next(self._numbers)}"
-        engine = Engine(name=name, address=address, world=self)
+        engine = self.new_engine(name=name, address=address)
         self._live[name] = engine
         self.network.listen(address=address, handler=engine.handle)
         self._entries[name] = engine.entry(
@@ -168,6 +168,10 @@
         self._update_all(names=(name,), within=START_DELAY_SECONDS)
         return engine
 
+    def new_engine(self, *, name: str, address: Address) -> Engine:
+        """Return an endpoint that is not started yet."""
+        return Engine(name=name, address=address, world=self)
+
     def end_engine(self, *, engine: Engine, under: str = "") -> None:
         """Crash an endpoint, with or without a culprit, and schedule its restart."""
         if engine.name not in self._live:
