Let owners grant the places at brittle endpoints, and keep the lesson by service

Cause: each router had a place of its own, max(1, slots // routers), so that 24 or 58 of them could fill 8 places together; an owner's grant only spread the load. What was learnt was kept by the endpoint's process, so that nobody knew the one that was back. And a rejected request went on to the next endpoint, as full. Class: a division with a remainder for everybody is no bound.

Owners count what all routers have in flight and now grant no more than the slots of an endpoint that the owner or the asker knows to be brittle, for retries too. A request for which there is none waits its turn at its router for half of the latency objective at most, eight for each service, of which the first one asks again after 0.1 s or when a request ends; then it is refused, and no router goes on alone. Where no owner answers, or in a small fleet, routers have the places by rank of a hash, and where routers outnumber the places, some routers have none; without knowing all others, half of the places are used. A limit holds for endpoints of the service that have not answered yet. Small fleets divide as before, but for fleets of more routers than slots.

The test asked for one place for each router where routers outnumber the places, which is the fault; it now asks that all of them together take no more than there are.

--- a/dotterelpaddle/forwarding/brittle.py
+++ b/dotterelpaddle/forwarding/brittle.py
@@ -1,10 +1,16 @@
 """Endpoints that end if they have to reject too many requests within a second.
 
 Such endpoints say so in all their answers, with the number of rejections that they
-bear. The bound holds for all routers together. Each keeps no more requests in flight
-than its part of what an endpoint has room for, so that none is rejected. Where routers
-outnumber the places each still sends one request at a time. After a rejection, which
-then shows that somebody holds more than a part, a router sends nothing for a while.
+bear. The bound holds for all routers together, so that none of them may plan with it:
+an endpoint gets no more requests than it has places.
+
+Where shard owners count what all routers have in flight, they grant the places one by
+one. A router that decides alone has a part of them: an even part, or where routers
+outnumber the places, the place of some routers and of no others. After a rejection,
+which shows that somebody holds more than that, a router sends nothing for a while.
+
+What one endpoint of a service says holds for others of it that have not answered yet,
+such as one that has just started again.
 """
 
 from __future__ import annotations
@@ -13,84 +19,130 @@
 
 from dotterelpaddle.forwarding.fleet_size import SETTLING_SECONDS
 from dotterelpaddle.logs import get_logger
+from dotterelpaddle.placement.rendezvous import digest
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Mapping
+    from collections.abc import Callable, Collection, Mapping
 
     from dotterelpaddle.forwarding.backoffs import EndpointBackoffs
     from dotterelpaddle.forwarding.model import EndpointEntry
-    from dotterelpaddle.ids import EndpointId
+    from dotterelpaddle.ids import EndpointId, RouterId, ServiceName
 
 log = get_logger(name=__name__)
 
 MIN_BACKOFF_SECONDS = 1.0
 """Seconds without requests after a rejection, the time to which the bound applies."""
 
+PLACES_USED_SHARE = 0.5
+"""Share of an endpoint's places that routers have which decide alone and don't know all
+others. Hashing gives some endpoints twice as many routers as the mean."""
+
+_DIGEST_SCALE = 2.0**-64
+
 
 class BrittleEndpoints:
     """Limits what this router sends to brittle endpoints.
 
     Args:
+        router: This router.
         in_flight: Returns the requests of this router in flight, by endpoint.
         backoffs: Tracks the endpoints to which this router sends nothing for a while.
         router_count: Returns the number of routers, None if unknown.
+        known_routers: Returns the routers that this one knows, itself included.
+        has_owners: Returns whether shard owners grant the places.
     """
 
     def __init__(
         self,
         *,
+        router: RouterId,
         in_flight: Callable[[], Mapping[EndpointId, int]],
         backoffs: EndpointBackoffs,
         router_count: Callable[[], int | None],
+        known_routers: Callable[[], Collection[RouterId]],
+        has_owners: Callable[[], bool],
     ) -> None:
+        self._router = router
         self._in_flight = in_flight
         self._backoffs = backoffs
         self._router_count = router_count
-        self._limits: dict[EndpointId, int] = {}
+        self._known_routers = known_routers
+        self._has_owners = has_owners
+        self._limits: dict[EndpointId, int | None] = {}
+        self._service_limits: dict[ServiceName, int] = {}
 
     @property
     def any_known(self) -> bool:
-        """Whether this router knows any brittle endpoint."""
-        return bool(self._limits)
+        """Whether this router knows any service with brittle endpoints."""
+        return bool(self._service_limits)
+
+    @property
+    def owners_grant(self) -> bool:
+        """Whether shard owners grant the places at brittle endpoints."""
+        return self._has_owners()
 
     def record_answer(
-        self, *, endpoint: EndpointId, limit: int | None, rejected: bool
+        self, *, entry: EndpointEntry, limit: int | None, rejected: bool
     ) -> None:
         """Record an answer.
 
         Args:
-            endpoint: Its sender.
+            entry: Its sender.
             limit: Rejections within a second that the endpoint bears, None if it does
                 not limit them.
             rejected: Whether the endpoint rejected the request.
         """
         if limit is None:
-            self._limits.pop(endpoint, None)
+            self._limits[entry.endpoint] = None
+            self._service_limits.pop(entry.service, None)
             return
-        if self._limits.get(endpoint) != limit:
-            log.info("endpoint_brittle", endpoint=endpoint, limit=limit)
-        self._limits[endpoint] = limit
+        if self._limits.get(entry.endpoint) != limit:
+            log.info("endpoint_brittle", endpoint=entry.endpoint, limit=limit)
+        self._limits[entry.endpoint] = self._service_limits[entry.service] = limit
         if rejected:
             self._backoffs.record(
-                endpoint=endpoint, seconds=self._backoff_seconds(limit)
+                endpoint=entry.endpoint, seconds=self._backoff_seconds(limit)
             )
 
+    def is_brittle(self, *, entry: EndpointEntry) -> bool:
+        """Return whether an endpoint, or another one of its service, is brittle."""
+        default = self._service_limits.get(entry.service)
+        return self._limits.get(entry.endpoint, default) is not None
+
     def has_room(self, *, entry: EndpointEntry) -> bool:
-        """Return whether this router may send one more request to an endpoint."""
-        limit = self._limits.get(entry.endpoint)
-        if limit is None:
+        """Return whether this router may send one more request to an endpoint alone."""
+        if not self.is_brittle(entry=entry):
             return True
-        routers = self._router_count()
-        allowed = 1 if routers is None else max(1, entry.slots // routers)
-        return self._in_flight().get(entry.endpoint, 0) < allowed
+        in_flight = self._in_flight().get(entry.endpoint, 0)
+        return in_flight < self._places(entry=entry)
+
+    def _places(self, *, entry: EndpointEntry) -> int:
+        """Return the part of an endpoint's places that is this router's."""
+        count = self._router_count()
+        if count is None:
+            return 1
+        if count <= entry.slots:
+            return entry.slots // count
+        known = self._known_routers()
+        if len(known) < count:
+            share = PLACES_USED_SHARE * entry.slots / count
+            return int(_score(entry, self._router) * _DIGEST_SCALE < share)
+        ranked = sorted(known, key=lambda router: _score(entry, router))
+        return int(self._router in ranked[: entry.slots])
 
     def _backoff_seconds(self, limit: int) -> float:
+        if self.owners_grant:
+            return MIN_BACKOFF_SECONDS
         routers = self._router_count()
         if routers is None:
             return SETTLING_SECONDS
         return max(MIN_BACKOFF_SECONDS, routers / max(1, limit))
 
     def retain(self, *, endpoints: frozenset[EndpointId]) -> None:
-        """Delete the limits of all endpoints except these."""
+        """Delete what is known of all endpoints except these."""
         for endpoint in self._limits.keys() - endpoints:
             del self._limits[endpoint]
+
+
+def _score(entry: EndpointEntry, router: RouterId) -> int:
+    return digest(text=f"{entry.endpoint}/{router}")
--- a/dotterelpaddle/forwarding/candidates.py
+++ b/dotterelpaddle/forwarding/candidates.py
@@ -10,7 +10,6 @@
     from collections.abc import Sequence
 
     from dotterelpaddle.forwarding.backoffs import EndpointBackoffs
-    from dotterelpaddle.forwarding.brittle import BrittleEndpoints
     from dotterelpaddle.forwarding.health import HealthTracker
     from dotterelpaddle.forwarding.interface import HasPrompt
     from dotterelpaddle.forwarding.model import EndpointEntry
@@ -38,7 +37,6 @@
         reachability: Endpoints that this router can't connect to.
         tunnels: Connects through other routers, None if none can.
         backoffs: Endpoints that asked this router to back off.
-        brittle: Limits for endpoints that end if they reject too many requests.
     """
 
     def __init__(
@@ -49,14 +47,12 @@
         reachability: Reachability,
         tunnels: TunnelBackend | None = None,
         backoffs: EndpointBackoffs,
-        brittle: BrittleEndpoints | None = None,
     ) -> None:
         self._view = view
         self._health = health
         self._reachability = reachability
         self._tunnels = tunnels
         self._backoffs = backoffs
-        self._brittle = brittle
 
     def usable(
         self,
@@ -89,7 +85,6 @@
             if serves_model(entry=entry, request=request)
             and not self._health.is_replaced(endpoint=entry.endpoint)
             and not self._backoffs.is_backing_off(endpoint=entry.endpoint)
-            and (self._brittle is None or self._brittle.has_room(entry=entry))
         ]
 
     def usable_or_fallback(
--- a/dotterelpaddle/forwarding/client.py
+++ b/dotterelpaddle/forwarding/client.py
@@ -129,7 +129,7 @@
             )
             _check_answers(head=head, call=call, reused=connection.reused)
             self._notices.process(
-                endpoint=call.entry.endpoint,
+                entry=call.entry,
                 head=head,
                 request_id=call.request.request_id,
             )
--- a/dotterelpaddle/forwarding/components.py
+++ b/dotterelpaddle/forwarding/components.py
@@ -32,6 +32,7 @@
 from dotterelpaddle.owners.owner import Owner
 from dotterelpaddle.owners.placer import OwnerPlacer
 from dotterelpaddle.owners.reporting import InFlightReporter
+from dotterelpaddle.owners.room import RoomQueue
 from dotterelpaddle.owners.shards import ShardMap
 from dotterelpaddle.peers.cache_discovery import CacheDiscovery
 from dotterelpaddle.peers.crash_archive import CrashArchive
@@ -219,7 +220,6 @@
         reachability=reachability,
         tunnels=tunnels,
         backoffs=state.backoffs,
-        brittle=state.brittle,
         cold=state.cold,
         caches=state.caches,
         failure_domain=settings.failure_domain,
@@ -239,6 +239,7 @@
             shards=shards,
             loads=state.loads,
             counts=ShardCounts(clock=clock),
+            brittle=state.brittle,
             failure_domain=settings.failure_domain,
         ),
         clock=clock,
@@ -247,6 +248,8 @@
         view=state.view,
         placer=placer,
         cold=state.cold,
+        brittle=state.brittle,
+        queue=RoomQueue(loads=state.loads),
         shards=shards,
         directory=directory,
         exchange=owners,
--- a/dotterelpaddle/forwarding/notices.py
+++ b/dotterelpaddle/forwarding/notices.py
@@ -12,7 +12,8 @@
     from dotterelpaddle.forwarding.brittle import BrittleEndpoints
     from dotterelpaddle.forwarding.interface import AnswerHead
     from dotterelpaddle.forwarding.leaving import LeavingEndpoints
-    from dotterelpaddle.ids import EndpointId, RequestId
+    from dotterelpaddle.forwarding.model import EndpointEntry
+    from dotterelpaddle.ids import RequestId
 
 log = get_logger(name=__name__)
 
@@ -38,9 +39,10 @@
         self._backoffs = backoffs
 
     def process(
-        self, *, endpoint: EndpointId, head: AnswerHead, request_id: RequestId
+        self, *, entry: EndpointEntry, head: AnswerHead, request_id: RequestId
     ) -> None:
         """Process the head of an answer that comes from this incarnation."""
+        endpoint = entry.endpoint
         if head.leaving or head.retry_after is not None:
             log.info(
                 "endpoint_said",
@@ -51,7 +53,7 @@
                 retry_after=head.retry_after,
             )
         self._brittle.record_answer(
-            endpoint=endpoint, limit=head.rejection_limit, rejected=head.not_executed
+            entry=entry, limit=head.rejection_limit, rejected=head.not_executed
         )
         if head.leaving:
             self._leaving.record(endpoint=endpoint)
--- a/dotterelpaddle/forwarding/placement.py
+++ b/dotterelpaddle/forwarding/placement.py
@@ -32,7 +32,6 @@
     from collections.abc import Sequence
 
     from dotterelpaddle.forwarding.backoffs import EndpointBackoffs
-    from dotterelpaddle.forwarding.brittle import BrittleEndpoints
     from dotterelpaddle.forwarding.cached_prompts import CachedPrompt
     from dotterelpaddle.forwarding.caches import CacheMap
     from dotterelpaddle.forwarding.cold import ColdEndpoints
@@ -78,7 +77,6 @@
         reachability: Endpoints that this router can't connect to.
         tunnels: Connects through other routers, None if none can.
         backoffs: Endpoints that asked this router to back off.
-        brittle: Limits for endpoints that end if they reject too many requests.
         cold: Limits for endpoints that have just started.
         caches: Prompt parts that each endpoint has cached.
         failure_domain: Failure domain of this router.
@@ -94,7 +92,6 @@
         reachability: Reachability,
         tunnels: TunnelBackend | None = None,
         backoffs: EndpointBackoffs,
-        brittle: BrittleEndpoints | None = None,
         cold: ColdEndpoints,
         caches: CacheMap,
         failure_domain: FailureDomain,
@@ -110,7 +107,6 @@
             reachability=reachability,
             tunnels=tunnels,
             backoffs=backoffs,
-            brittle=brittle,
         )
         self._cold = cold
         self._caches = caches
--- a/dotterelpaddle/forwarding/room.py
+++ b/dotterelpaddle/forwarding/room.py
@@ -1,6 +1,7 @@
 """Filter in which requests wait a moment for room at brittle endpoints.
 
-A router keeps few requests in flight at endpoints that bear few rejections. A request
+It applies where routers decide alone. A router then keeps few requests in flight at
+endpoints that bear few rejections. A request
 beyond that waits for one of them to end, as that is sooner than the caller could come
 back. No more requests wait than are in flight; the others are refused at once.
 """
@@ -49,7 +50,7 @@
         """Wait for room if that is worth it, and run the next filter."""
         assert exchange.service is not None
         assert exchange.route is not None
-        if self._brittle.any_known:
+        if self._brittle.any_known and not self._brittle.owners_grant:
             await self._wait(
                 service=exchange.service,
                 seconds=MAX_WAIT_SHARE * exchange.route.latency_objective,
--- a/dotterelpaddle/forwarding/shared_state.py
+++ b/dotterelpaddle/forwarding/shared_state.py
@@ -129,9 +129,12 @@
         liveness=EndpointLiveness(clock=clock),
         backoffs=backoffs,
         brittle=BrittleEndpoints(
+            router=settings.router,
             in_flight=lambda: loads.own,
             backoffs=backoffs,
             router_count=lambda: fleet_size.count,
+            known_routers=lambda: directory.known_routers,
+            has_owners=lambda: bool(directory.owners()),
         ),
         cold=ColdEndpoints(
             router=settings.router,
--- a/dotterelpaddle/owners/messages.py
+++ b/dotterelpaddle/owners/messages.py
@@ -63,6 +63,8 @@
         ignore_bound: Whether the owner chooses even if all endpoints are over their
             load bound.
         cached_at: Endpoint of another shard that caches the shared parts, or None.
+        brittle: Whether the endpoints of the service may get no more requests than
+            they have slots.
     """
 
     service: ServiceName
@@ -73,6 +75,7 @@
     excluded: frozenset[EndpointId]
     ignore_bound: bool
     cached_at: EndpointId | None = None
+    brittle: bool = False
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -137,6 +140,8 @@
                     sorted(query.excluded),
                     query.ignore_bound,
                     query.cached_at,
+                    # Earlier releases accept no further field.
+                    *([True] if query.brittle else []),
                 ]
             )
         case Grant():
@@ -192,7 +197,17 @@
 
 
 def _decode_query(fields: Any) -> PlacementQuery:
-    service, shard, model, prompt, retryable, excluded, ignore_bound, cached_at = fields
+    (
+        service,
+        shard,
+        model,
+        prompt,
+        retryable,
+        excluded,
+        ignore_bound,
+        cached_at,
+        *appended,
+    ) = fields
     return PlacementQuery(
         service=ServiceName(str(service)),
         shard=None if shard is None else FailureDomain(str(shard)),
@@ -204,6 +219,7 @@
         excluded=frozenset(EndpointId(str(each)) for each in excluded),
         ignore_bound=bool(ignore_bound),
         cached_at=_decode_endpoint(cached_at),
+        brittle=bool(appended and appended[0]),
     )
 
 
--- a/dotterelpaddle/owners/owner.py
+++ b/dotterelpaddle/owners/owner.py
@@ -17,6 +17,7 @@
 if TYPE_CHECKING:
     from collections import Counter
 
+    from dotterelpaddle.forwarding.brittle import BrittleEndpoints
     from dotterelpaddle.forwarding.loads import LoadTracker
     from dotterelpaddle.forwarding.placement import ForwardPlacer
     from dotterelpaddle.forwarding.view import FleetView
@@ -42,6 +43,7 @@
         shards: Maps endpoints to the failure domains whose owners count them.
         loads: Requests in flight of this router, and of others by peer reports.
         counts: Requests in flight that other routers report to this owner.
+        brittle: Endpoints that end if they reject too many requests.
         failure_domain: Failure domain of this router.
     """
 
@@ -54,6 +56,7 @@
         shards: ShardMap,
         loads: LoadTracker,
         counts: ShardCounts,
+        brittle: BrittleEndpoints,
         failure_domain: FailureDomain,
     ) -> None:
         self._router = router
@@ -63,6 +66,7 @@
         self._failure_domain = failure_domain
         self._loads = loads
         self._counts = counts
+        self._brittle = brittle
 
     def record_report(self, *, report: InFlightReport) -> None:
         """Record the report of another router; a report of this router is ignored."""
@@ -73,14 +77,15 @@
         """Choose an endpoint for a request, and count the request there."""
         self.record_report(report=request.report)
         query = request.query
+        loads = self._current_loads(query=query)
         try:
             choice = self._placer.choose_in_shard(
                 service=query.service,
                 shard=query.shard,
                 request=query,
                 retryable=query.retryable,
-                excluded=query.excluded,
-                loads=self._current_loads(query=query),
+                excluded=query.excluded | self._full(query=query, loads=loads),
+                loads=loads,
                 ignore_bound=query.ignore_bound,
                 cached_at=query.cached_at,
             )
@@ -106,6 +111,17 @@
             work_tokens=choice.work_tokens,
         )
 
+    def _full(
+        self, *, query: PlacementQuery, loads: Counter[EndpointId]
+    ) -> frozenset[EndpointId]:
+        """Return the brittle endpoints of the service without a free slot."""
+        return frozenset(
+            entry.endpoint
+            for entry in self._view.ready(service=query.service)
+            if loads[entry.endpoint] >= entry.slots
+            and (query.brittle or self._brittle.is_brittle(entry=entry))
+        )
+
     def _current_loads(self, *, query: PlacementQuery) -> Counter[EndpointId]:
         """Requests in flight: in the shard as counted here, elsewhere by peer reports.
 
--- a/dotterelpaddle/owners/placer.py
+++ b/dotterelpaddle/owners/placer.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 from dataclasses import replace
+from functools import partial
 from typing import TYPE_CHECKING
 
+from dotterelpaddle.exceptions import NoEndpoint
 from dotterelpaddle.forwarding.caches import part_tag, shared_parts
 from dotterelpaddle.forwarding.choice import Choice, LocalChoiceReason
 from dotterelpaddle.owners.messages import PlacementQuery
@@ -14,6 +16,7 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
+    from dotterelpaddle.forwarding.brittle import BrittleEndpoints
     from dotterelpaddle.forwarding.cold import ColdEndpoints
     from dotterelpaddle.forwarding.interface import HasPrompt
     from dotterelpaddle.forwarding.model import EndpointEntry
@@ -29,6 +32,7 @@
     from dotterelpaddle.owners.exchange import OwnerExchange
     from dotterelpaddle.owners.messages import Grant
     from dotterelpaddle.owners.reporting import InFlightReporter
+    from dotterelpaddle.owners.room import RoomQueue
     from dotterelpaddle.owners.shards import ShardMap
     from dotterelpaddle.peers.directory import PeerDirectory
 
@@ -36,8 +40,12 @@
 """Shards whose owners a router asks: the second one if all endpoints of the first one
 are over their load bound."""
 
+MAX_BRITTLE_SHARDS_ASKED = 3
+"""Shards whose owners a router asks for a place at a brittle endpoint."""
+
 MIN_CANDIDATES = 2
-"""Usable endpoints below which the router does not ask an owner."""
+"""Usable endpoints below which the router does not ask an owner, unless places at
+brittle endpoints have to be granted."""
 
 
 class OwnerPlacer:
@@ -47,6 +55,8 @@
         view: The current endpoints.
         placer: Chooses where no owner does.
         cold: Limits what this router sends to cold endpoints.
+        brittle: Limits what it sends to endpoints that bear few rejections.
+        queue: Requests that wait for room at such endpoints.
         shards: The shards of all services.
         directory: Lists the owner of each failure domain.
         exchange: Requests grants from owners.
@@ -59,6 +69,8 @@
         view: FleetView,
         placer: ForwardPlacer,
         cold: ColdEndpoints,
+        brittle: BrittleEndpoints,
+        queue: RoomQueue,
         shards: ShardMap,
         directory: PeerDirectory,
         exchange: OwnerExchange,
@@ -67,6 +79,8 @@
         self._view = view
         self._placer = placer
         self._cold = cold
+        self._brittle = brittle
+        self._queue = queue
         self._shards = shards
         self._directory = directory
         self._exchange = exchange
@@ -80,6 +94,7 @@
         retryable: bool,
         excluded: frozenset[EndpointId],
         version: SoftwareVersion | None = None,
+        max_wait: float = 0.0,
     ) -> Choice:
         """Choose an endpoint of a service.
 
@@ -91,28 +106,60 @@
             retryable: Whether the router can retry it at another endpoint.
             excluded: Endpoints that the router has already tried.
             version: The only software version that may serve it, None for any.
+            max_wait: Longest wait for room at brittle endpoints, in seconds.
 
         Raises:
             NoEndpoint: If no endpoint takes work.
         """
-        choice_or_reason = await self._choose_by_owners(
+        brittle = self._is_brittle(service=service)
+        ask = partial(
+            self._choose_by_owners,
             service=service,
             request=request,
             retryable=retryable,
             excluded=excluded,
             version=version,
+            brittle=brittle,
         )
+        choice_or_reason: Choice | LocalChoiceReason
+        choice_or_reason = LocalChoiceReason.NOTHING_GRANTED
+        if not brittle or self._queue.is_empty(service=service):
+            choice_or_reason = await ask()
+        if brittle and choice_or_reason is LocalChoiceReason.NOTHING_GRANTED:
+            choice_or_reason = await self._queue.ask_in_turn(
+                service=service, ask=ask, max_wait=max_wait
+            )
+            if choice_or_reason is LocalChoiceReason.NOTHING_GRANTED:
+                raise NoEndpoint(f"service '{service}' has no endpoint with room")
         if isinstance(choice_or_reason, Choice):
             return choice_or_reason
         choice = self._placer.choose(
             service=service,
             request=request,
             retryable=retryable,
-            excluded=excluded,
+            excluded=excluded | self._full(service=service),
             version=version,
         )
         return replace(choice, local_reason=choice_or_reason)
 
+    def _is_brittle(self, *, service: ServiceName) -> bool:
+        return self._brittle.any_known and any(
+            self._brittle.is_brittle(entry=entry)
+            for entry in self._view.registered(service=service)
+        )
+
+    def _full(self, *, service: ServiceName) -> frozenset[EndpointId]:
+        """Endpoints that get no request of this router while it decides alone."""
+        entries = (
+            *self._view.registered(service=service),
+            *self._view.last_resort(service=service),
+        )
+        return frozenset(
+            entry.endpoint
+            for entry in entries
+            if not self._brittle.has_room(entry=entry)
+        )
+
     def retract(self, *, choice: Choice) -> None:
         """Give a choice up for which no request is sent."""
         if choice.decided_by is not None:
@@ -126,6 +173,7 @@
         retryable: bool,
         excluded: frozenset[EndpointId],
         version: SoftwareVersion | None,
+        brittle: bool,
     ) -> Choice | LocalChoiceReason:
         if not self._directory.owners():
             return LocalChoiceReason.NO_OWNER
@@ -134,7 +182,7 @@
                 service=service, request=request, excluded=excluded, version=version
             )
         )
-        if len(usable) < MIN_CANDIDATES:
+        if len(usable) < (1 if brittle else MIN_CANDIDATES):
             return LocalChoiceReason.FEW_ENDPOINTS
         names = frozenset(entry.endpoint for entry in usable)
         unusable = frozenset(
@@ -146,7 +194,7 @@
             shards=self._shards.shards(service=service),
             entries=usable,
             key=_shard_key(service=service, request=request),
-        )[:MAX_SHARDS_ASKED]
+        )[: MAX_BRITTLE_SHARDS_ASKED if brittle else MAX_SHARDS_ASKED]
         cached_at: EndpointId | None = None
         for shard in ranked:
             domain = self._owning_domain(entries=usable, shard=shard)
@@ -161,8 +209,9 @@
                     prompt=request.prompt,
                     retryable=retryable,
                     excluded=unusable,
-                    ignore_bound=shard == ranked[-1],
+                    ignore_bound=brittle or shard == ranked[-1],
                     cached_at=cached_at,
+                    brittle=brittle,
                 ),
             )
             if pending is None or pending.grant is None:
--- a/dotterelpaddle/peers/directory.py
+++ b/dotterelpaddle/peers/directory.py
@@ -148,7 +148,12 @@
     @property
     def router_count(self) -> int:
         """Number of routers known within the last half minute, this one included."""
-        return 1 + len(self._peers.keys() | self._named.keys())
+        return len(self.known_routers)
+
+    @property
+    def known_routers(self) -> frozenset[RouterId]:
+        """Routers known within the last half minute, this one included."""
+        return frozenset((self._own.router, *self._peers, *self._named))
 
     def announce_leaving(self) -> None:
         """Announce the stop, so that others take over while this router still runs."""
@@ -267,7 +272,7 @@
         """
         now = self._clock()
         known = self._peers.get(report.router)
-        if known is not None and _is_repeated(known=known.report, report=report):
+        if known is not None and report.is_repeated_after(known.report):
             return False
         if known is None or not known.alive:
             log.info(
@@ -389,9 +394,3 @@
         link=report.link,
     )
     return known.info if known is not None and known.info == info else info
-
-
-def _is_repeated(*, known: PeerReport, report: PeerReport) -> bool:
-    """Return whether a report is no newer than the last one of the same process."""
-    same_process = known.incarnation == report.incarnation
-    return same_process and report.sequence <= known.sequence
--- a/dotterelpaddle/peers/report.py
+++ b/dotterelpaddle/peers/report.py
@@ -115,3 +115,8 @@
     tunnel_servers: tuple[Address, ...] = ()
     streams: tuple[StreamRecord, ...] = ()
     tells_streams: bool = True
+
+    def is_repeated_after(self, known: PeerReport) -> bool:
+        """Return whether a known report of the same process is as new."""
+        same_process = known.incarnation == self.incarnation
+        return same_process and self.sequence <= known.sequence
--- a/dotterelpaddle/tests/forwarding/entries.py
+++ b/dotterelpaddle/tests/forwarding/entries.py
@@ -5,6 +5,8 @@
 from typing import TYPE_CHECKING, Any
 
 from dotterelpaddle.address import Address
+from dotterelpaddle.forwarding.backoffs import EndpointBackoffs
+from dotterelpaddle.forwarding.brittle import BrittleEndpoints
 from dotterelpaddle.forwarding.cold import ColdEndpoints
 from dotterelpaddle.forwarding.interface import ForwardRequest, PromptPart
 from dotterelpaddle.forwarding.model import EndpointEntry, EndpointState
@@ -49,6 +51,21 @@
     )
 
 
+def make_brittle(**fields: Any) -> BrittleEndpoints:
+    """Return limits of a router that is alone, but for the given fields."""
+    return BrittleEndpoints(
+        **{
+            "router": RouterId("own"),
+            "in_flight": dict,
+            "backoffs": EndpointBackoffs(clock=lambda: 0.0),
+            "router_count": lambda: 1,
+            "known_routers": lambda: frozenset({RouterId("own")}),
+            "has_owners": lambda: False,
+            **fields,
+        }
+    )
+
+
 def make_request(*parts: tuple[str, int]) -> ForwardRequest:
     """Return a request whose prompt has these shared parts and one unique part."""
     unique = PromptPart(digest="own", tokens=100)
--- a/dotterelpaddle/tests/forwarding/test_leaving.py
+++ b/dotterelpaddle/tests/forwarding/test_leaving.py
@@ -7,7 +7,6 @@
 import pytest
 
 from dotterelpaddle.forwarding.backoffs import MAX_BACKOFF_SECONDS, EndpointBackoffs
-from dotterelpaddle.forwarding.brittle import BrittleEndpoints
 from dotterelpaddle.forwarding.interface import AnswerHead, EndpointsUpdate
 from dotterelpaddle.forwarding.leaving import (
     MAX_NOTICES_PER_REPORT,
@@ -30,7 +29,7 @@
     RequestId,
     ServiceName,
 )
-from dotterelpaddle.tests.forwarding.entries import make_entry
+from dotterelpaddle.tests.forwarding.entries import make_brittle, make_entry
 from dotterelpaddle.tests.revisions import revision_at
 
 ENGINES = ServiceName("engines")
@@ -87,14 +86,13 @@
 
     def receive_answer(self, name: str, **fields: object) -> None:
         """Process the head of an answer."""
-        brittle = BrittleEndpoints(
-            in_flight=dict, backoffs=self.backoffs, router_count=lambda: 1
-        )
         notices = EndpointNotices(
-            leaving=self.leaving, backoffs=self.backoffs, brittle=brittle
+            leaving=self.leaving,
+            backoffs=self.backoffs,
+            brittle=make_brittle(backoffs=self.backoffs),
         )
         notices.process(
-            endpoint=EndpointId(name),
+            entry=make_entry(name, service=ENGINES),
             head=replace(HEAD, **fields),  # type: ignore[arg-type]
             request_id=RequestId("r"),
         )
--- a/dotterelpaddle/tests/forwarding/test_room.py
+++ b/dotterelpaddle/tests/forwarding/test_room.py
@@ -9,7 +9,6 @@
 
 from dotterelpaddle.dispatch.outcome import OutcomeLog
 from dotterelpaddle.forwarding.backoffs import EndpointBackoffs
-from dotterelpaddle.forwarding.brittle import BrittleEndpoints
 from dotterelpaddle.forwarding.exchange import ForwardExchange
 from dotterelpaddle.forwarding.interface import EndpointsUpdate
 from dotterelpaddle.forwarding.loads import LoadTracker
@@ -22,7 +21,7 @@
 from dotterelpaddle.forwarding.room import MAX_WAIT_SHARE, RoomFilter
 from dotterelpaddle.forwarding.view import FleetView
 from dotterelpaddle.ids import EndpointId, FailureDomain, ServiceName
-from dotterelpaddle.tests.forwarding.entries import make_entry
+from dotterelpaddle.tests.forwarding.entries import make_brittle, make_entry
 from dotterelpaddle.tests.revisions import revision_at
 from dotterelpaddle.tests.virtual_time import run_in_virtual_time
 
@@ -45,10 +44,9 @@
                 failure_domain=FailureDomain("here"), clock=anyio.current_time
             )
         )
-        self.brittle = BrittleEndpoints(
+        self.brittle = make_brittle(
             in_flight=lambda: self.loads.own,
             backoffs=EndpointBackoffs(clock=anyio.current_time),
-            router_count=lambda: 1,
         )
         self.filter = RoomFilter(view=self.view, brittle=self.brittle, loads=self.loads)
         self.started: list[tuple[str, float]] = []
@@ -58,7 +56,7 @@
                 revision=revision_at(1), entries=(entry,), is_snapshot=True
             )
         )
-        self.brittle.record_answer(endpoint=ENDPOINT, limit=limit, rejected=False)
+        self.brittle.record_answer(entry=entry, limit=limit, rejected=False)
 
     async def request(self, name: str, *, seconds: float = RUN_SECONDS) -> None:
         """Let a request pass the filter and run at the endpoint."""
--- a/dotterelpaddle/tests/forwarding/test_sensitive_endpoints.py
+++ b/dotterelpaddle/tests/forwarding/test_sensitive_endpoints.py
@@ -9,10 +9,9 @@
 import pytest
 
 from dotterelpaddle.forwarding.backoffs import EndpointBackoffs
-from dotterelpaddle.forwarding.brittle import BrittleEndpoints
 from dotterelpaddle.forwarding.fleet_size import SETTLING_SECONDS
-from dotterelpaddle.ids import EndpointId
-from dotterelpaddle.tests.forwarding.entries import make_entry
+from dotterelpaddle.ids import EndpointId, RouterId
+from dotterelpaddle.tests.forwarding.entries import make_brittle, make_entry
 from dotterelpaddle.tests.forwarding.harness import run_fleet
 
 if TYPE_CHECKING:
@@ -23,6 +22,7 @@
 ROUTERS = 3
 REJECTION_LIMIT = 4
 ROOM = 4
+SLOTS = 6
 CALLERS = 24
 CALLS = 8
 SILENT_SECONDS = 1.0
@@ -63,16 +63,27 @@
 class Router:
     """A router that knows one brittle endpoint."""
 
-    def __init__(self, *, routers: int | None) -> None:
+    def __init__(
+        self,
+        *,
+        routers: int | None,
+        number: int = 0,
+        known: int | None = None,
+        has_owners: bool = False,
+    ) -> None:
         self.now = 0.0
         self.in_flight = {ENDPOINT: 0}
         self.backoffs = EndpointBackoffs(clock=lambda: self.now)
-        self.brittle = BrittleEndpoints(
+        names = [RouterId(f"router-{n}") for n in range(known or routers or 1)]
+        self.brittle = make_brittle(
+            router=RouterId(f"router-{number}"),
             in_flight=lambda: self.in_flight,
             backoffs=self.backoffs,
             router_count=lambda: routers,
+            known_routers=lambda: names,
+            has_owners=lambda: has_owners,
         )
-        self.entry = make_entry(ENDPOINT, slots=6)
+        self.entry = make_entry(ENDPOINT, slots=SLOTS)
 
     def room(self) -> int:
         count = 0
@@ -82,17 +93,54 @@
         return count
 
     def answer(self, *, limit: int | None = 6, rejected: bool = False) -> None:
-        self.brittle.record_answer(endpoint=ENDPOINT, limit=limit, rejected=rejected)
+        self.brittle.record_answer(entry=self.entry, limit=limit, rejected=rejected)
 
 
 # Guards against routers that together send more than a brittle endpoint has room for,
 # are rejected, and then serve none of their callers for a second.
-@pytest.mark.parametrize("routers", [1, 2, 4, 6, 9])
+@pytest.mark.parametrize("routers", [1, 2, 4, 6, 9, 58])
 def test_routers_divide_the_room_of_a_brittle_endpoint(routers: int) -> None:
-    router = Router(routers=routers)
+    rooms = []
+    for number in range(routers):
+        router = Router(routers=routers, number=number)
+        router.answer()
+        rooms.append(router.room())
+
+    assert sum(rooms) == max(routers * (SLOTS // routers), min(routers, SLOTS))
+    assert max(rooms) == max(1, SLOTS // routers)
+
+
+# Guards against 58 routers that each take a place of an endpoint with six, as none of
+# them knows all others.
+def test_routers_of_a_large_fleet_have_places_without_knowing_each_other() -> None:
+    rooms = []
+    for number in range(58):
+        router = Router(routers=58, number=number, known=20)
+        router.answer()
+        rooms.append(router.room())
+
+    assert 1 <= sum(rooms) <= SLOTS
+    assert max(rooms) == 1
+
+
+# Guards against an endpoint that ends again as soon as it is back, since nobody has
+# had an answer of its new process yet.
+def test_limit_holds_for_an_endpoint_that_has_started_again() -> None:
+    router = Router(routers=4)
     router.answer()
+    again = make_entry("started again", service=router.entry.service, slots=SLOTS)
+
+    assert router.brittle.is_brittle(entry=again)
+
 
-    assert router.room() == max(1, 6 // routers)
+# Guards against an endpoint that gets nothing for long after the rejection of a request
+# that was sent before its owner granted the places.
+def test_rejection_pauses_for_a_second_where_owners_grant_places() -> None:
+    router = Router(routers=58, has_owners=True)
+    router.answer(rejected=True)
+    router.now = 1.0
+
+    assert not router.backoffs.is_backing_off(endpoint=ENDPOINT)
 
 
 # Guards against a router that has just started and takes itself for the only one.
--- a/dotterelpaddle/tests/owners/harness.py
+++ b/dotterelpaddle/tests/owners/harness.py
@@ -29,6 +29,7 @@
 from dotterelpaddle.owners.reporting import InFlightReporter
 from dotterelpaddle.owners.shards import ShardMap
 from dotterelpaddle.tests.forwarding.entries import (
+    make_brittle,
     make_entry,
     make_request,
     unbounded_cold_endpoints,
@@ -77,6 +78,7 @@
         loads = LoadTracker(totals=self.shares)
         self.caches = CacheMap(clock=self.clock)
         self.counts = ShardCounts(clock=self.clock)
+        self.brittle = make_brittle(in_flight=lambda: loads.own)
         self.owner = Owner(
             router=RouterId("owner"),
             view=self.view,
@@ -99,6 +101,7 @@
             shards=ShardMap(view=self.view),
             loads=loads,
             counts=self.counts,
+            brittle=self.brittle,
             failure_domain=HERE,
         )
 
