Bound the framing of an answer that has no end, also within its body

What callers saw: 504 at the route's timeout of 2 s; meanwhile the router read 54 to 440 MB from an endpoint that sent chunk sizes, chunk extensions or trailers without end, and had that much less time for others.

Cause: only the head was bounded; the parser takes framing without end, and nothing of it reaches the limit on a plain answer's body. Now 100 KB between two parts of the body end the connection, as in the head.

--- a/dotterelpaddle/endpoint/http_connection.py
+++ b/dotterelpaddle/endpoint/http_connection.py
@@ -23,8 +23,9 @@
 READ_BYTES = 64 * 1024
 """Bytes of one read, at most."""
 
-MOST_HEAD_BYTES = 100 * 1024
-"""Bytes of an answer's head, at most."""
+MAX_FRAMING_BYTES = 100 * 1024
+"""Maximum bytes of an answer's head, and of the framing between two parts of its
+body."""
 
 INFORMATIONAL = range(100, 200)
 WITHOUT_BODY = frozenset({204, 304})
@@ -55,7 +56,7 @@
         self.complete = False
         self.reusable = True
         self._until_end = False
-        self._head_bytes = 0
+        self._framing_bytes = 0
 
     def feed(self, data: bytes) -> None:
         """Take in bytes.
@@ -63,8 +64,7 @@
         Raises:
             httpcore.RemoteProtocolError: If they are no answer in the protocol.
         """
-        if not self.head_complete:
-            self._head_bytes += len(data)
+        self._framing_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade as error:
@@ -76,8 +76,9 @@
             self.reusable = False
             if not self.complete:
                 raise httpcore.RemoteProtocolError(str(error)) from error
-        if not self.head_complete and self._head_bytes > MOST_HEAD_BYTES:
-            raise httpcore.RemoteProtocolError("the head of the answer has no end")
+        if not self.complete and self._framing_bytes > MAX_FRAMING_BYTES:
+            where = "framing of the body" if self.head_complete else "head"
+            raise httpcore.RemoteProtocolError(f"the {where} of the answer has no end")
 
     def end(self) -> None:
         """Note that the other end has closed the connection.
@@ -133,6 +134,7 @@
         """Take in a part of the body."""
         if not self.complete:
             self._parts.append(data)
+            self._framing_bytes = 0
 
     def on_message_complete(self) -> None:
         """End the answer, unless it only was to say that it comes."""
--- a/dotterelpaddle/standins/behaviours.py
+++ b/dotterelpaddle/standins/behaviours.py
@@ -55,6 +55,19 @@
     """The endpoint runs the request and closes the connection without an answer."""
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Endless:
+    """The endpoint sends bytes until the connection is closed.
+
+    Attributes:
+        beginning: Bytes before that, in which `REQUEST_ID` stands for that id.
+        chunk: Bytes that it repeats.
+    """
+
+    beginning: bytes = b""
+    chunk: bytes = b"x" * 16384
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Garbage:
     """The endpoint sends bytes that are not HTTP."""
@@ -133,6 +146,7 @@
     | Fail
     | CutAnswer
     | LoseAnswer
+    | Endless
     | Garbage
     | Foreign
     | ExtraAnswer
--- a/dotterelpaddle/standins/runner.py
+++ b/dotterelpaddle/standins/runner.py
@@ -24,6 +24,7 @@
 from dotterelpaddle.standins.behaviours import (
     Behaviour,
     CutAnswer,
+    Endless,
     ExtraAnswer,
     Fail,
     FallSilent,
@@ -92,6 +93,7 @@
         plan: Behaviours for the next requests; `Serve` afterwards.
         received: All received requests.
         runs: Requests that it has run.
+        endless_bytes: Bytes that it has sent in answers without end.
         closed_early: Requests whose connection was closed before the end of the answer.
     """
 
@@ -110,6 +112,7 @@
     received: list[Received] = field(default_factory=list)
     runs: list[Received] = field(default_factory=list)
     closed_early: list[Received] = field(default_factory=list)
+    endless_bytes: int = 0
     _serving: int = 0
 
     @property
@@ -188,6 +191,11 @@
                 await self._send(stream, self._whole(request, status=status))
             case LoseAnswer():
                 return False
+            case Endless(beginning=beginning, chunk=chunk):
+                await stream.send(beginning.replace(b"REQUEST_ID", request.request_id))
+                while True:
+                    await stream.send(chunk)
+                    self.endless_bytes += len(chunk)
             case Garbage():
                 await self._send(stream, b"\x00\x01 this is no answer\r\n\r\n")
                 return False
--- a/dotterelpaddle/tests/endpoint/test_http_connection.py
+++ b/dotterelpaddle/tests/endpoint/test_http_connection.py
@@ -9,7 +9,7 @@
 import pytest
 from hypothesis import given, strategies as st
 
-from dotterelpaddle.endpoint.http_connection import MOST_HEAD_BYTES, HttpConnection
+from dotterelpaddle.endpoint.http_connection import MAX_FRAMING_BYTES, HttpConnection
 
 HEAD = b"HTTP/1.1 200 OK\r\nX-Name: value\r\n"
 CHUNKED = (
@@ -155,7 +155,7 @@
         b"garbage\r\n\r\n",
         HEAD + b"Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n",
         HEAD + b"Transfer-Encoding: chunked\r\n\r\nzz\r\n",
-        HEAD + b"X: " + MOST_HEAD_BYTES * b"x" + b"\r\n",
+        HEAD + b"X: " + MAX_FRAMING_BYTES * b"x" + b"\r\n",
         b"HTTP/1.1 101 Switching\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\n",
     ],
 )
--- /dev/null
+++ b/dotterelpaddle/tests/forwarding/test_endless_answers.py
@@ -0,0 +1,63 @@
+"""Endpoints that send bytes without end until the connection is closed."""
+
+from __future__ import annotations
+
+import anyio
+import pytest
+
+from dotterelpaddle.standins.behaviours import Endless
+from dotterelpaddle.tests.forwarding.harness import run_fleet
+
+pytestmark = pytest.mark.anyio
+
+MAX_BYTES = 16 * 1024 * 1024
+"""Bytes of one answer that a router may take before it closes the connection."""
+
+MAX_SECONDS = 5.0
+"""Time that callers give their requests."""
+
+HEAD = b"HTTP/1.1 200 OK\r\nx-dotterelpaddle-attempt-id: REQUEST_ID\r\n"
+CHUNKED = HEAD + b"transfer-encoding: chunked\r\n\r\n"
+WITHOUT_END = {
+    "no head": Endless(),
+    "head of one line": Endless(beginning=HEAD + b"x-long: "),
+    "head of many lines": Endless(beginning=HEAD, chunk=b"x-more: 1\r\n" * 1000),
+    "interim heads": Endless(chunk=b"HTTP/1.1 102 Processing\r\n\r\n" * 400),
+    "size of a chunk": Endless(beginning=CHUNKED, chunk=b"0" * 16384),
+    "extension of a chunk": Endless(beginning=CHUNKED + b"5;"),
+    "no chunk": Endless(beginning=CHUNKED),
+    "trailers": Endless(beginning=CHUNKED + b"0\r\n", chunk=b"x-more: 1\r\n" * 1000),
+    "line of an event": Endless(
+        beginning=HEAD + b"content-type: text/event-stream\r\n\r\nid: 1\ndata: "
+    ),
+}
+
+
+# Guards against a router that reads on, and keeps what it reads, as long as an endpoint
+# sends bytes that are no answer, while its caller waits and others are not served.
+@pytest.mark.parametrize("path", ["/safe/1", "/unsafe/1", "/stream/1"])
+@pytest.mark.parametrize("name", WITHOUT_END)
+async def test_answer_without_end_ends_soon_and_takes_little(
+    name: str, path: str
+) -> None:
+    async with run_fleet(runners=1) as fleet:
+        runner = fleet.runners["runner-1"]
+        runner.plan.append(WITHOUT_END[name])
+        others: list[int] = []
+
+        async def _call_others() -> None:
+            while not runner.endless_bytes:
+                await anyio.sleep(0.001)
+            others.append((await fleet.call("/open/1")).status)
+
+        with anyio.fail_after(MAX_SECONDS):
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(_call_others)
+                try:
+                    status = (await fleet.call(path)).status
+                except Exception:  # The connection to the caller is closed.
+                    status = 0
+
+        assert status != 200
+        assert others == [200]
+        assert runner.endless_bytes <= MAX_BYTES
