--- a/dotterelpaddle/forwarding/reachability.py
+++ b/dotterelpaddle/forwarding/reachability.py
@@ -42,7 +42,6 @@
 PROBE_INTERVAL_SECONDS = 0.4
 """Seconds between two probes of one endpoint."""
 
-
 MIN_FAILED_IN_A_ROW = 3
 """Endpoints in a row to which no connection can be made that make all suspect. Probes
 end the suspicion within milliseconds if only these are down."""
--- a/dotterelpaddle/forwarding/room.py
+++ b/dotterelpaddle/forwarding/room.py
@@ -1,9 +1,9 @@
 """Filter in which requests wait a moment for room at brittle endpoints.
 
 It applies where routers decide alone. A router then keeps few requests in flight at
-endpoints that bear few rejections. A request
-beyond that waits for one of them to end, as that is sooner than the caller could come
-back. No more requests wait than are in flight; the others are refused at once.
+endpoints that bear few rejections. A request beyond that waits for one of them to end,
+as that is sooner than the caller could come back. No more requests wait than are in
+flight; the others are refused at once.
 """
 
 from __future__ import annotations
