Check that no version came and went since the row of versions was written

What callers saw: streams joined from two versions. A second version came, began streams and left again before any router could write that to the store; then all routers were lost. The routers that came back read a row of one version, took it for the whole history, and let all streams go on at that version.

Cause: the row is complete at the time of its last write, for its writer; a reader took it for complete at the time of the read.

The row now names the revision of the store up to which its writer knew all endpoints, and these. Who reads it asks the store which endpoints have been removed since; if one of them is not in the row, or the store no longer has these changes, the row is not complete, so that a stream that nobody knows is refused. A row of an earlier release names no revision and is not complete. One more call of the store by each router that meets an unknown stream before it has a history of its own.

--- a/dotterelpaddle/standins/store.py
+++ b/dotterelpaddle/standins/store.py
@@ -25,6 +25,7 @@
 FORBIDDEN = 403
 NOT_FOUND = 404
 HISTORY_LOST = 410
+UNAVAILABLE = 503
 ANYWHERE = Address(host="127.0.0.1", port=0)
 
 
@@ -85,6 +86,7 @@
         page_rows: Maximum number of rows per answer.
         return_before_page: Number of the page of a listing before which it comes back
             from a copy that has all rows; 0 for none.
+        rejects_writes: Whether it rejects transactions, while it answers other calls.
         calls: Paths of the received calls.
     """
 
@@ -92,6 +94,7 @@
     era: int | None = 0
     page_rows: int = 500
     return_before_page: int = 0
+    rejects_writes: bool = False
     calls: list[str] = field(default_factory=list)
     _changes: list[_Change] = field(default_factory=list)
     _oldest: int = 0
@@ -156,6 +159,8 @@
                 await self._reply(send, 200, self._page(query=query))
             case CallPath.WATCH:
                 await self._watch(send=send, query=query)
+            case CallPath.WRITE if self.rejects_writes:
+                await self._reply(send, UNAVAILABLE, {})
             case CallPath.WRITE:
                 await self._write(receive=receive, send=send)
             case _:
--- a/dotterelpaddle/streams/archive.py
+++ b/dotterelpaddle/streams/archive.py
@@ -16,6 +16,7 @@
 from dotterelpaddle.logs import get_logger
 from dotterelpaddle.streams.rows import (
     VERSIONS_KEY,
+    VersionsRow,
     decode_records_row,
     decode_versions_row,
     encode_records_row,
@@ -27,12 +28,13 @@
     from collections.abc import Callable, Mapping
 
     from dotterelpaddle.clock import Clock
+    from dotterelpaddle.forwarding.interface import EndpointsUpdate
     from dotterelpaddle.forwarding.model import FleetConfiguration
+    from dotterelpaddle.forwarding.revisions import StoreRevision
     from dotterelpaddle.forwarding.store_clock import StoreClock, StoreTime
     from dotterelpaddle.forwarding.view import FleetView
     from dotterelpaddle.ids import ServiceName, SoftwareVersion, StoreEra
     from dotterelpaddle.streams.origins import StreamOrigins, StreamRecord
-    from dotterelpaddle.streams.rows import VersionsRow
     from dotterelpaddle.streams.version_history import VersionHistory
 
 log = get_logger(name=__name__)
@@ -78,6 +80,16 @@
             PlatformError: If the store does not confirm them in time.
         """
 
+    async def endpoints_after(
+        self, *, after: StoreRevision, wait: float
+    ) -> EndpointsUpdate:
+        """Wait up to `wait` seconds for changes of the endpoints' entries.
+
+        Raises:
+            HistoryLost: If the store no longer has the single changes.
+            PlatformError: If the store returns no usable answer in time.
+        """
+
 
 class StreamArchive:
     """Writes records of streams to the platform's store, and reads them.
@@ -115,7 +127,7 @@
         self._read_lock = anyio.Lock()
         self._read_at = float("-inf")
         self._written_count = 0
-        self._written_versions: bytes | None = None
+        self._written_versions: VersionsRow | None = None
         self._versions_written_at = float("-inf")
         self._has_recalled = False
         self._failing = False
@@ -158,7 +170,7 @@
                 self._log_failure(error=error)
                 return False
             self._failing = False
-            self._apply(rows=rows)
+            await self._apply(rows=rows)
             return True
 
     def _begin_term(self) -> None:
@@ -171,7 +183,12 @@
         if not self._history.is_complete and not self._has_recalled:
             # An earlier writer may have known more.
             self._has_recalled = await self.read()
-        rows = self._versions_row()
+        versions = self._versions_due()
+        rows = (
+            {}
+            if versions is None
+            else {VERSIONS_KEY: encode_versions_row(row=versions)}
+        )
         time = self._store_clock.earliest_time()
         records: list[StreamRecord] = []
         count = self._written_count
@@ -182,25 +199,40 @@
             return
         await store.put_stream_rows(rows=rows)
         self._written_count = count
-        if VERSIONS_KEY in rows:
-            self._written_versions = rows[VERSIONS_KEY]
+        if versions is not None:
+            self._written_versions = versions
             self._versions_written_at = self._clock()
             log.info("stream_versions_archived", records=len(records))
 
-    def _versions_row(self) -> dict[str, bytes]:
+    def _versions_due(self) -> VersionsRow | None:
         """Return the row with the versions if it is due.
 
         A router that has not seen all versions yet writes none.
         """
         assert self._store is not None
-        era = self._store.era
-        if not self._history.is_complete or era is None:
-            return {}
-        row = encode_versions_row(versions=self._versions(), era=era)
-        elapsed = self._clock() - self._versions_written_at
-        if row == self._written_versions and elapsed < REWRITE_SECONDS:
-            return {}
-        return {VERSIONS_KEY: row}
+        revision = self._view.endpoints_revision
+        if not self._history.is_complete or revision is None:
+            return None
+        if revision.era != self._store.era:
+            return None
+        row = VersionsRow(
+            versions=self._versions(),
+            revision=revision,
+            endpoints=frozenset(entry.name for entry in self._view.entries),
+        )
+        return row if self._is_news(row=row) else None
+
+    def _is_news(self, *, row: VersionsRow) -> bool:
+        """Tell whether a row has more than the one written last, or that one is old."""
+        written = self._written_versions
+        if written is None or written.revision is None or row.revision is None:
+            return True
+        return (
+            row.versions != written.versions
+            or row.revision.era != written.revision.era
+            or not row.endpoints <= written.endpoints
+            or self._clock() - self._versions_written_at >= REWRITE_SECONDS
+        )
 
     def _versions(self) -> dict[ServiceName, frozenset[SoftwareVersion]]:
         """Return the recent versions of the services with streams to resume."""
@@ -218,12 +250,12 @@
             return [], 0
         return self._origins.added_after(count=self._written_count)
 
-    def _apply(self, *, rows: Mapping[str, bytes]) -> None:
+    async def _apply(self, *, rows: Mapping[str, bytes]) -> None:
         known = self._origins.count
         for key, row in rows.items():
             try:
                 if key == VERSIONS_KEY:
-                    self._apply_versions(row=decode_versions_row(row=row))
+                    await self._apply_versions(row=decode_versions_row(row=row))
                 else:
                     self._origins.receive(
                         records=decode_records_row(row=row), forward=False
@@ -237,17 +269,31 @@
             versions=VERSIONS_KEY in rows,
         )
 
-    def _apply_versions(self, *, row: VersionsRow) -> None:
-        """Add archived versions.
+    async def _apply_versions(self, *, row: VersionsRow) -> None:
+        """Add archived versions."""
+        is_complete = self._history.is_complete or await self._is_up_to_date(row=row)
+        self._history.restore(versions=row.versions, is_complete=is_complete)
+
+    async def _is_up_to_date(self, *, row: VersionsRow) -> bool:
+        """Tell whether no version has come and gone since a row was written.
 
-        A store that has come back from a copy has lost what was written last, also of
-        versions that came since.
+        The writer may have been behind, or unable to write. A store that has come back
+        from a copy has lost what was written last, also of versions that came since.
         """
         assert self._store is not None
-        self._history.restore(
-            versions=row.versions,
-            is_complete=row.era is not None and row.era == self._store.era,
-        )
+        if row.revision is None or row.revision.era != self._store.era:
+            return False
+        try:
+            changes = await self._store.endpoints_after(after=row.revision, wait=0.0)
+        except PlatformError as error:
+            log.warning(
+                "endpoints_since_row_unknown", cause=error.message, peer=error.peer
+            )
+            return False
+        unseen = changes.removed.keys() - row.endpoints
+        if unseen:
+            log.warning("endpoints_came_and_went", endpoints=sorted(unseen))
+        return not unseen
 
     def _log_failure(self, *, error: PlatformError) -> None:
         if not self._failing:
--- a/dotterelpaddle/streams/rows.py
+++ b/dotterelpaddle/streams/rows.py
@@ -11,7 +11,14 @@
 import orjson
 
 from dotterelpaddle.exceptions import ControlError
-from dotterelpaddle.ids import ServiceName, SoftwareVersion, StoreEra
+from dotterelpaddle.forwarding.revisions import StoreRevision
+from dotterelpaddle.ids import (
+    EndpointName,
+    Revision,
+    ServiceName,
+    SoftwareVersion,
+    StoreEra,
+)
 from dotterelpaddle.streams.messages import decode_records, encode_records
 from dotterelpaddle.streams.origins import MAX_STREAM_SECONDS
 
@@ -27,10 +34,10 @@
 Versions = dict[ServiceName, frozenset[SoftwareVersion]]
 
 NO_SERVICE = ServiceName("")
-"""Key of the era of the store beside the services of a row. Earlier releases take it
-for a service."""
+"""Key of what the writer knew of the store, beside the services of a row. Earlier
+releases take it for a service."""
 
-ERA_FIELD = "era"
+ERA_FIELD, REVISION_FIELD, ENDPOINTS_FIELD = "era", "revision", "endpoints"
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -39,11 +46,14 @@
 
     Attributes:
         versions: Versions of each service.
-        era: Era of the store in which the row was written, None if it does not say.
+        revision: Revision of the store up to which the router knew all endpoints, None
+            if the row does not say.
+        endpoints: Endpoints that were registered at this revision.
     """
 
     versions: Versions
-    era: StoreEra | None
+    revision: StoreRevision | None = None
+    endpoints: frozenset[EndpointName] = frozenset()
 
 
 def records_key(*, time: StoreTime, interval: float, part: int) -> str:
@@ -75,26 +85,29 @@
         raise ControlError(f"row has no records of streams: {error!r}") from error
 
 
-def encode_versions_row(
-    *, versions: Mapping[ServiceName, frozenset[SoftwareVersion]], era: StoreEra
-) -> bytes:
-    """Encode the versions of each service, and the era of the store."""
+def encode_versions_row(*, row: VersionsRow) -> bytes:
+    """Encode the versions of each service, and up to when they are complete."""
     fields: dict[str, Any] = {
-        service: sorted(each) for service, each in versions.items()
+        service: sorted(each) for service, each in row.versions.items()
     }
-    fields[NO_SERVICE] = {ERA_FIELD: era}
+    if row.revision is not None:
+        fields[NO_SERVICE] = {
+            ERA_FIELD: row.revision.era,
+            REVISION_FIELD: row.revision.number,
+            ENDPOINTS_FIELD: sorted(row.endpoints),
+        }
     return orjson.dumps(fields, option=orjson.OPT_SORT_KEYS)
 
 
 def decode_versions_row(*, row: bytes) -> VersionsRow:
-    """Decode the versions of each service.
+    """Decode the versions of each service, and up to when they are complete.
 
     Raises:
         ControlError: If the row is malformed.
     """
     try:
         fields: Any = orjson.loads(row)
-        era = fields.pop(NO_SERVICE, {}).get(ERA_FIELD)
+        known = fields.pop(NO_SERVICE, {})
         versions = {
             ServiceName(service): frozenset(
                 SoftwareVersion(str(version)) for version in versions
@@ -102,12 +115,27 @@
             for service, versions in fields.items()
         }
         return VersionsRow(
-            versions=versions, era=None if era is None else StoreEra(int(era))
+            versions=versions,
+            revision=_decode_revision(known),
+            endpoints=frozenset(
+                EndpointName(str(name)) for name in known.get(ENDPOINTS_FIELD, ())
+            ),
         )
     except (
         orjson.JSONDecodeError,
         AttributeError,
+        KeyError,
         TypeError,
         ValueError,
     ) as error:
         raise ControlError(f"row has no versions: {error!r}") from error
+
+
+def _decode_revision(fields: Mapping[str, Any]) -> StoreRevision | None:
+    """Decode a revision, None if a router of an earlier release wrote the row."""
+    if REVISION_FIELD not in fields:
+        return None
+    return StoreRevision(
+        era=StoreEra(int(fields[ERA_FIELD])),
+        number=Revision(int(fields[REVISION_FIELD])),
+    )
--- a/dotterelpaddle/tests/forwarding/versions_world.py
+++ b/dotterelpaddle/tests/forwarding/versions_world.py
@@ -35,7 +35,7 @@
 from dotterelpaddle.tests.forwarding.versions_counts import Counts
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator
+    from collections.abc import AsyncIterator, Awaitable, Callable
     from pathlib import Path
 
     from anyio.abc import TaskGroup
@@ -165,6 +165,28 @@
         for router in routers:
             await self.until_ready(router)
 
+    async def lose_all(
+        self,
+        *,
+        meanwhile: Callable[[VersionsWorld], Awaitable[None]] | None = None,
+        first_start: bool = False,
+    ) -> None:
+        """Kill all routers at once and start them again.
+
+        Args:
+            meanwhile: What changes while no router runs.
+            first_start: Whether the routers are told that the whole fleet starts for
+                the first time.
+        """
+        for router in self.routers:
+            router.send(signal.SIGKILL)
+        for router in self.routers:
+            await router.wait()
+        if meanwhile is not None:
+            await meanwhile(self)
+        await anyio.sleep(RESTART_SECONDS)
+        await self.start_all(first_start=first_start)
+
     async def stop(self, router: RouterProcess) -> None:
         """Stop a router gracefully and start it again."""
         router.send(signal.SIGTERM)
--- a/dotterelpaddle/tests/streams/test_archive.py
+++ b/dotterelpaddle/tests/streams/test_archive.py
@@ -8,8 +8,15 @@
 import pytest
 
 from dotterelpaddle.exceptions import ControlError, PlatformUnavailable
+from dotterelpaddle.forwarding.interface import EndpointsUpdate
 from dotterelpaddle.forwarding.store_clock import StoreClock, StoreTime
-from dotterelpaddle.ids import RequestId, ServiceName, SoftwareVersion, StoreEra
+from dotterelpaddle.ids import (
+    EndpointName,
+    RequestId,
+    ServiceName,
+    SoftwareVersion,
+    StoreEra,
+)
 from dotterelpaddle.platform.documents import PlatformDocumentDecoder
 from dotterelpaddle.streams.archive import StreamArchive
 from dotterelpaddle.streams.origins import MAX_STREAM_SECONDS, StreamOrigins
@@ -20,12 +27,15 @@
     records_key,
 )
 from dotterelpaddle.tests.forwarding.harness import SERVICE, configuration
+from dotterelpaddle.tests.revisions import revision_at
 from dotterelpaddle.tests.streams.test_origins import make_record
 from dotterelpaddle.tests.streams.test_version_history import History
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
+    from dotterelpaddle.forwarding.revisions import StoreRevision
+
 pytestmark = pytest.mark.anyio
 
 V1, V2 = SoftwareVersion("v1"), SoftwareVersion("v2")
@@ -39,6 +49,14 @@
         self.away = False
         self.reads = 0
         self.era = StoreEra(0)
+        self.removed: dict[EndpointName, StoreRevision] = {}
+
+    async def endpoints_after(
+        self, *, after: StoreRevision, wait: float
+    ) -> EndpointsUpdate:
+        self._check()
+        removed = {name: at for name, at in self.removed.items() if at > after}
+        return EndpointsUpdate(revision=after, entries=(), removed=removed)
 
     async def stream_rows(self) -> dict[str, bytes]:
         self.reads += 1
@@ -132,6 +150,7 @@
     await after.archive.read()
     assert not after.history.history.is_complete
 
+    before.history.register("a", "v1", era=1)
     await before.write()
     after.history.now += 1.0
     await after.archive.read()
@@ -139,6 +158,33 @@
     assert after.history.history.is_complete
 
 
+# Guards against a row of before a version came and went, which its writer never saw.
+@pytest.mark.parametrize(("name", "complete"), [("a", True), ("unseen", False)])
+async def test_row_is_complete_unless_an_endpoint_that_it_lacks_has_left(
+    name: str, complete: bool
+) -> None:
+    store = MemoryStore()
+    before = Archivist(store=store, first_start=True)
+    before.history.register("a", "v1")
+    await before.write()
+    store.removed[EndpointName(name)] = revision_at(9)
+    after = Archivist(store=store, first_start=False)
+    await after.archive.read()
+
+    assert after.history.history.is_complete is complete
+
+
+# Guards against the same in the row of a release that does not say up to when it holds.
+async def test_row_without_a_revision_is_not_complete() -> None:
+    store = MemoryStore()
+    store.rows = {VERSIONS_KEY: b'{"":{"era":0},"records":["v1"]}'}
+    router = Archivist(store=store, first_start=False)
+    await router.archive.read()
+
+    assert router.history.versions == {"v1"}
+    assert not router.history.history.is_complete
+
+
 async def test_nothing_but_the_versions_is_written_while_there_is_one() -> None:
     router = Archivist(store=MemoryStore(), first_start=True)
     router.history.register("a", "v1")
--- a/dotterelpaddle/tests/streams/test_version_history.py
+++ b/dotterelpaddle/tests/streams/test_version_history.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dotterelpaddle.forwarding.interface import EndpointsUpdate
+from dotterelpaddle.forwarding.revisions import FIRST_ERA, StoreRevision
 from dotterelpaddle.forwarding.view import FleetView
 from dotterelpaddle.ids import EndpointName, ServiceName, SoftwareVersion
 from dotterelpaddle.streams.origins import MAX_STREAM_SECONDS
@@ -24,23 +25,25 @@
             view=self.view, first_start=first_start, clock=lambda: self.now
         )
 
-    def register(self, name: str, version: str) -> None:
+    def register(self, name: str, version: str, *, era: int = 0) -> None:
         self._number += 1
-        revision = revision_at(self._number)
+        revision = revision_at(self._number, era=era)
         entry = make_entry(
             name,
             service=SERVICE,
             software_version=SoftwareVersion(version),
             revision=revision,
         )
-        self._apply(entries=(entry,))
+        self._apply(
+            revision=revision, entries=(entry,), is_snapshot=revision.era != FIRST_ERA
+        )
 
     def remove(self, name: str) -> None:
         self._number += 1
-        self._apply(removed={EndpointName(name): revision_at(self._number)})
-
-    def _apply(self, **fields) -> None:
         revision = revision_at(self._number)
+        self._apply(revision=revision, removed={EndpointName(name): revision})
+
+    def _apply(self, *, revision: StoreRevision, **fields) -> None:
         fields = {"entries": (), **fields}
         self.view.apply_endpoints_update(
             update=EndpointsUpdate(revision=revision, **fields)
