--- a/dotterelpaddle/streams/exceptions.py
+++ b/dotterelpaddle/streams/exceptions.py
@@ -10,3 +10,10 @@
 
     status = 503
     default_step = Step.PLACEMENT
+
+
+class StreamNotResumable(RequestError):
+    """The streams of a route can't be resumed, so this one must start anew."""
+
+    status = 503
+    default_step = Step.ROUTING
--- a/dotterelpaddle/tests/forwarding/test_versions_after_loss.py
+++ b/dotterelpaddle/tests/forwarding/test_versions_after_loss.py
@@ -15,6 +15,7 @@
 import pytest
 
 from dotterelpaddle.platform.names import Table
+from dotterelpaddle.tests.forwarding.harness import SERVICE, configuration, route
 from dotterelpaddle.tests.forwarding.versions_world import run_versions_world
 
 if TYPE_CHECKING:
@@ -34,10 +35,26 @@
 SEEDS = range(FIRST_SEED, FIRST_SEED + SEED_COUNT)
 SOURCES = tuple(filter(None, os.environ.get("LOSS_SOURCES", "").split(":")))
 CALLERS = 40
+OTHER_SERVICE = "letters"
+HANG_UP_SHARE = 0.4
 BEFORE_LOSS_SECONDS = 1.6
 AFTER_LOSS_SECONDS = 1.0
 
 
+def _services() -> list[dict[str, str]]:
+    return [{"name": name, "healthPath": "/"} for name in (SERVICE, OTHER_SERVICE)]
+
+
+def _configure(world: VersionsWorld, *, version: int, **fields: object) -> None:
+    """Write a configuration with one route of streams."""
+    stream_route = route("stream/again", "stream", **{"streamResume": True, **fields})
+    world.store.configure(
+        configuration=configuration(
+            version, routes=[stream_route], services=_services()
+        )
+    )
+
+
 async def _replace(
     world: VersionsWorld, *, runners: list[RunnerStandin], version: str
 ) -> None:
@@ -122,3 +139,24 @@
 
     assert counts.mixed == 0, counts
     assert counts.taken_up
+
+
+# Guards against streams that go on at any version because their route may no longer be
+# resumed, and callers resume them all the same.
+@pytest.mark.parametrize("seed", SEEDS)
+async def test_streams_of_a_route_that_is_no_longer_resumable_hold_one_version(
+    seed: int, tmp_path: Path
+) -> None:
+    async with run_versions_world(
+        directory=tmp_path, seed=seed, routers=ROUTERS, sources=SOURCES
+    ) as world:
+        world.start_callers(count=CALLERS, hang_up_share=HANG_UP_SHARE)
+        await anyio.sleep(BEFORE_LOSS_SECONDS)
+        _configure(world, version=2, streamResume=False)
+        await anyio.sleep(BEFORE_LOSS_SECONDS)
+        await world.finish()
+        counts = world.counts
+
+    print(counts)
+    assert counts.mixed == 0, counts
+    assert counts.taken_up
