Remember where routes of streams led, also over the loss of all routers

What callers saw: streams joined from two services. Their route was moved to another service while all routers were away; routers that came back knew none of the streams, found one version at today's service, and let all of them go on there.

Cause: a history of versions by service says nothing of the services of a route.

The row of versions holds a digest of where these routes lead, and what changed shortly before; a router whose configuration leads elsewhere than the row says takes no service for the only one. What is not covered: a route that is moved and moved back while no router can write.

--- a/dotterelpaddle/forwarding/components.py
+++ b/dotterelpaddle/forwarding/components.py
@@ -267,6 +267,7 @@
         store=dependencies.stream_store,
         origins=state.stream_origins,
         history=state.version_history,
+        routes=state.route_history,
         view=state.view,
         is_writer=lambda: peer_summary.is_platform_reader,
         store_clock=state.store_clock,
@@ -277,6 +278,7 @@
         lookup=stream_lookup,
         archive=stream_archive,
         history=state.version_history,
+        routes=state.route_history,
         confirmation=EndpointsConfirmation(
             source=dependencies.source, view=state.view, clock=clock
         ),
--- a/dotterelpaddle/forwarding/shared_state.py
+++ b/dotterelpaddle/forwarding/shared_state.py
@@ -32,6 +32,7 @@
 from dotterelpaddle.peers.directory import PeerDirectory
 from dotterelpaddle.peers.messages import PeerInfo
 from dotterelpaddle.streams.origins import StreamOrigins
+from dotterelpaddle.streams.route_history import RouteHistory
 from dotterelpaddle.streams.version_history import VersionHistory
 
 if TYPE_CHECKING:
@@ -67,6 +68,7 @@
         directory: The other routers.
         stream_origins: Where the streams that callers may resume began.
         version_history: Software versions that services had recently.
+        route_history: Routes of streams that led to other services recently.
     """
 
     view: FleetView
@@ -90,6 +92,7 @@
     directory: PeerDirectory
     stream_origins: StreamOrigins
     version_history: VersionHistory
+    route_history: RouteHistory
     held: HeldBytes
 
 
@@ -196,5 +199,8 @@
         version_history=VersionHistory(
             view=view, first_start=settings.first_start, clock=clock
         ),
+        route_history=RouteHistory(
+            view=view, first_start=settings.first_start, clock=clock
+        ),
         held=HeldBytes(bound=held_bytes_bound(memory_limit=settings.memory_limit)),
     )
--- a/dotterelpaddle/forwarding/view.py
+++ b/dotterelpaddle/forwarding/view.py
@@ -65,6 +65,7 @@
         self._copied = CopiedEntries(leaving=self._leaving, clock=clock)
         self._evacuations = EvacuationTracker(clock=clock)
         self._entry_observers: list[Callable[[EndpointEntry], None]] = []
+        self._configuration_observers: list[Callable[[FleetConfiguration], None]] = []
         self._configuration: FleetConfiguration | None = None
         self._routes: dict[str, tuple[ForwardRoute, ...]] = {}
         self._routed_services: frozenset[ServiceName] = frozenset()
@@ -171,6 +172,10 @@
         """Add an observer that the view calls with each entry that it accepts."""
         self._entry_observers.append(observer)
 
+    def on_configuration(self, observer: Callable[[FleetConfiguration], None]) -> None:
+        """Add an observer that the view calls with each configuration in force."""
+        self._configuration_observers.append(observer)
+
     def current_endpoint_id(self, name: EndpointName) -> EndpointId:
         """Return the id of an endpoint's current incarnation."""
         entry = self._entries.get(name)
@@ -278,6 +283,8 @@
         self._configuration = configuration
         self._routes = routes_by_host(routes=configuration.routes)
         self._routed_services = routed_services(routes=configuration.routes)
+        for observer in self._configuration_observers:
+            observer(configuration)
         self._signal_complete()
         return True
 
--- a/dotterelpaddle/streams/archive.py
+++ b/dotterelpaddle/streams/archive.py
@@ -35,6 +35,7 @@
     from dotterelpaddle.forwarding.view import FleetView
     from dotterelpaddle.ids import ServiceName, SoftwareVersion, StoreEra
     from dotterelpaddle.streams.origins import StreamOrigins, StreamRecord
+    from dotterelpaddle.streams.route_history import RouteHistory
     from dotterelpaddle.streams.version_history import VersionHistory
 
 log = get_logger(name=__name__)
@@ -98,6 +99,7 @@
         store: Keeps the rows; None to keep none.
         origins: Known origins of streams.
         history: Versions that this router has seen.
+        routes: Routes of streams that led elsewhere recently.
         view: Provides the services whose streams may be resumed.
         is_writer: Returns whether this router writes for all.
         store_clock: Estimates the clock of the store.
@@ -110,6 +112,7 @@
         store: StreamStore | None,
         origins: StreamOrigins,
         history: VersionHistory,
+        routes: RouteHistory,
         view: FleetView,
         is_writer: Callable[[], bool],
         store_clock: StoreClock,
@@ -118,6 +121,7 @@
         self._store = store
         self._origins = origins
         self._history = history
+        self._routes = routes
         self._view = view
         self._is_writer = is_writer
         self._store_clock = store_clock
@@ -180,7 +184,7 @@
         self._has_recalled = False
 
     async def _write_due(self, *, store: StreamStore) -> None:
-        if not self._history.is_complete and not self._has_recalled:
+        if not self._is_complete and not self._has_recalled:
             # An earlier writer may have known more.
             self._has_recalled = await self.read()
         versions = self._versions_due()
@@ -204,6 +208,11 @@
             self._versions_written_at = self._clock()
             log.info("stream_versions_archived", records=len(records))
 
+    @property
+    def _is_complete(self) -> bool:
+        """Whether this router knows all versions and routes of today's streams."""
+        return self._history.is_complete and self._routes.is_complete
+
     def _versions_due(self) -> VersionsRow | None:
         """Return the row with the versions if it is due.
 
@@ -211,7 +220,7 @@
         """
         assert self._store is not None
         revision = self._view.endpoints_revision
-        if not self._history.is_complete or revision is None:
+        if not self._is_complete or revision is None:
             return None
         if revision.era != self._store.era:
             return None
@@ -219,6 +228,8 @@
             versions=self._versions(),
             revision=revision,
             endpoints=frozenset(entry.name for entry in self._view.entries),
+            routes=self._routes.digest,
+            changed_routes=self._routes.changed,
         )
         return row if self._is_news(row=row) else None
 
@@ -229,6 +240,8 @@
             return True
         return (
             row.versions != written.versions
+            or row.routes != written.routes
+            or row.changed_routes != written.changed_routes
             or row.revision.era != written.revision.era
             or not row.endpoints <= written.endpoints
             or self._clock() - self._versions_written_at >= REWRITE_SECONDS
@@ -271,8 +284,11 @@
 
     async def _apply_versions(self, *, row: VersionsRow) -> None:
         """Add archived versions."""
-        is_complete = self._history.is_complete or await self._is_up_to_date(row=row)
+        is_complete = not self._is_complete and await self._is_up_to_date(row=row)
         self._history.restore(versions=row.versions, is_complete=is_complete)
+        self._routes.restore(
+            digest=row.routes if is_complete else None, changed=row.changed_routes
+        )
 
     async def _is_up_to_date(self, *, row: VersionsRow) -> bool:
         """Tell whether no version has come and gone since a row was written.
--- a/dotterelpaddle/streams/finder.py
+++ b/dotterelpaddle/streams/finder.py
@@ -21,6 +21,7 @@
     from dotterelpaddle.streams.confirmation import EndpointsConfirmation
     from dotterelpaddle.streams.lookup import OpenQuestion, StreamLookup
     from dotterelpaddle.streams.origins import StreamOrigins
+    from dotterelpaddle.streams.route_history import RouteHistory
     from dotterelpaddle.streams.version_history import VersionHistory
 
 log = get_logger(name=__name__)
@@ -51,6 +52,7 @@
         lookup: Asks other routers.
         archive: Reads what the platform's store keeps.
         history: Versions that this router has seen.
+        routes: Routes of streams that led elsewhere recently.
         confirmation: Confirms the endpoints with the platform's store.
         metrics: Counts resumed streams.
         clock: Monotonic clock.
@@ -63,6 +65,7 @@
         lookup: StreamLookup,
         archive: StreamArchive,
         history: VersionHistory,
+        routes: RouteHistory,
         confirmation: EndpointsConfirmation,
         metrics: ForwardMetrics,
         clock: Clock,
@@ -71,6 +74,7 @@
         self._lookup = lookup
         self._archive = archive
         self._history = history
+        self._routes = routes
         self._confirmation = confirmation
         self._metrics = metrics
         self._clock = clock
@@ -127,11 +131,13 @@
         known = None if stream is None else self._origins.find(stream=stream)
         if known is not None:
             return known, OriginSource.ARCHIVE
-        sole = self._sole_version(route=route, histories=histories)
+        sole = self._sole_version(request=request, route=route, histories=histories)
         # A router with older endpoints may not know a version that has begun streams.
         if sole is None or not reaches_store or not await self._confirmation.confirm():
             raise self._unknown(request=request, route=route)
-        if sole != self._sole_version(route=route, histories=histories):
+        if sole != self._sole_version(
+            request=request, route=route, histories=histories
+        ):
             raise self._unknown(request=request, route=route)
         return sole, OriginSource.SOLE_VERSION
 
@@ -141,16 +147,23 @@
         return self._origins.find(stream=question.question.stream)
 
     def _sole_version(
-        self, *, route: ForwardRoute, histories: list[frozenset[SoftwareVersion]]
+        self,
+        *,
+        request: ForwardRequest,
+        route: ForwardRoute,
+        histories: list[frozenset[SoftwareVersion]],
     ) -> StreamOrigin | None:
         """Return the only origin that a stream of the route can have, if there is one.
 
         Args:
+            request: The request that resumes it.
             route: The route.
             histories: Versions that other routers with a complete history have seen.
         """
         if len(route.services) > 1:
             return None
+        if not self._routes.is_steady(route=route, path=request.path):
+            return None
         service = route.services[0].service
         versions = self._history.recent(service=service).union(*histories)
         if len(versions) != 1 or not (self._history.is_complete or histories):
@@ -169,6 +182,7 @@
             service=service,
             versions=sorted(self._history.recent(service=service)),
             history_complete=self._history.is_complete,
+            route_steady=self._routes.is_steady(route=route, path=request.path),
         )
         return StreamOriginUnknown(
             "no router knows which software version began this stream; start it anew",
--- a/dotterelpaddle/streams/rows.py
+++ b/dotterelpaddle/streams/rows.py
@@ -21,6 +21,7 @@
 )
 from dotterelpaddle.streams.messages import decode_records, encode_records
 from dotterelpaddle.streams.origins import MAX_STREAM_SECONDS
+from dotterelpaddle.streams.route_history import RouteKey
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Mapping
@@ -38,6 +39,7 @@
 releases take it for a service."""
 
 ERA_FIELD, REVISION_FIELD, ENDPOINTS_FIELD = "era", "revision", "endpoints"
+ROUTES_FIELD, CHANGED_ROUTES_FIELD = "routes", "changed_routes"
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -49,11 +51,15 @@
         revision: Revision of the store up to which the router knew all endpoints, None
             if the row does not say.
         endpoints: Endpoints that were registered at this revision.
+        routes: Digest of where routes of streams led, None if unknown.
+        changed_routes: Routes of streams that had led elsewhere shortly before.
     """
 
     versions: Versions
     revision: StoreRevision | None = None
     endpoints: frozenset[EndpointName] = frozenset()
+    routes: int | None = None
+    changed_routes: frozenset[RouteKey] = frozenset()
 
 
 def records_key(*, time: StoreTime, interval: float, part: int) -> str:
@@ -95,6 +101,10 @@
             ERA_FIELD: row.revision.era,
             REVISION_FIELD: row.revision.number,
             ENDPOINTS_FIELD: sorted(row.endpoints),
+            ROUTES_FIELD: row.routes,
+            CHANGED_ROUTES_FIELD: [
+                [key.host, key.prefix] for key in sorted(row.changed_routes)
+            ],
         }
     return orjson.dumps(fields, option=orjson.OPT_SORT_KEYS)
 
@@ -120,6 +130,11 @@
             endpoints=frozenset(
                 EndpointName(str(name)) for name in known.get(ENDPOINTS_FIELD, ())
             ),
+            routes=known.get(ROUTES_FIELD),
+            changed_routes=frozenset(
+                RouteKey(host=str(host), prefix=str(prefix))
+                for host, prefix in known.get(CHANGED_ROUTES_FIELD, ())
+            ),
         )
     except (
         orjson.JSONDecodeError,
--- a/dotterelpaddle/tests/forwarding/test_versions_after_loss.py
+++ b/dotterelpaddle/tests/forwarding/test_versions_after_loss.py
@@ -160,3 +160,28 @@
     print(counts)
     assert counts.mixed == 0, counts
     assert counts.taken_up
+
+
+# Guards against streams that go on at the service to which their route was moved while
+# all routers were away.
+@pytest.mark.parametrize("seed", SEEDS)
+async def test_streams_do_not_go_on_at_the_service_to_which_their_route_moved(
+    seed: int, tmp_path: Path
+) -> None:
+    async def move(world: VersionsWorld) -> None:
+        _configure(world, version=3, service=OTHER_SERVICE)
+
+    async with run_versions_world(
+        directory=tmp_path,
+        seed=seed,
+        routers=ROUTERS,
+        sources=SOURCES,
+        versions=("v1",),
+    ) as world:
+        _configure(world, version=2)
+        for _ in range(3):
+            await world.add_runner("w1", service=OTHER_SERVICE)
+        counts = await _run_through_loss(world, meanwhile=move)
+
+    assert counts.mixed == 0, counts
+    assert counts.taken_up
--- a/dotterelpaddle/tests/streams/test_archive.py
+++ b/dotterelpaddle/tests/streams/test_archive.py
@@ -26,7 +26,7 @@
     decode_versions_row,
     records_key,
 )
-from dotterelpaddle.tests.forwarding.harness import SERVICE, configuration
+from dotterelpaddle.tests.forwarding.harness import SERVICE, configuration, route
 from dotterelpaddle.tests.revisions import revision_at
 from dotterelpaddle.tests.streams.test_origins import make_record
 from dotterelpaddle.tests.streams.test_version_history import History
@@ -38,6 +38,7 @@
 
 pytestmark = pytest.mark.anyio
 
+OTHER = "letters"
 V1, V2 = SoftwareVersion("v1"), SoftwareVersion("v2")
 
 
@@ -81,11 +82,7 @@
         self.store = store
         self.history = History(first_start=first_start)
         view = self.history.view
-        view.apply_configuration(
-            configuration=PlatformDocumentDecoder().configuration(
-                document=orjson.dumps(configuration())
-            )
-        )
+        self.configure(service=SERVICE)
         self.origins = StreamOrigins(clock=lambda: self.history.now)
         self._store_clock = StoreClock(clock=lambda: self.history.now)
         if knows_time:
@@ -94,12 +91,28 @@
             store=store,
             origins=self.origins,
             history=self.history.history,
+            routes=self.history.routes,
             view=view,
             is_writer=lambda: True,
             store_clock=self._store_clock,
             clock=lambda: self.history.now,
         )
 
+    def configure(self, *, service: str) -> None:
+        """Put a configuration in force whose route of streams leads to a service."""
+        view = self.history.view
+        stream_route = route("again", "stream", streamResume=True, service=service)
+        services = [{"name": each, "healthPath": "/"} for each in (SERVICE, OTHER)]
+        view.apply_configuration(
+            configuration=PlatformDocumentDecoder().configuration(
+                document=orjson.dumps(
+                    configuration(
+                        view.version + 1, routes=[stream_route], services=services
+                    )
+                )
+            )
+        )
+
     def record_time(self) -> None:
         now = self.history.now
         self._store_clock.record_answer(
@@ -174,6 +187,38 @@
     assert after.history.history.is_complete is complete
 
 
+# Guards against a row of before the route was moved, which tells of one service only.
+@pytest.mark.parametrize(("service", "complete"), [(SERVICE, True), (OTHER, False)])
+async def test_routes_are_known_unless_they_lead_elsewhere_than_the_row_says(
+    service: str, complete: bool
+) -> None:
+    store = MemoryStore()
+    before = Archivist(store=store, first_start=True)
+    before.history.register("a", "v1")
+    await before.write()
+    after = Archivist(store=store, first_start=False)
+    after.configure(service=service)
+    await after.archive.read()
+
+    assert after.history.routes.is_complete is complete
+
+
+# Guards against forgetting with all routers that the route was moved shortly before.
+async def test_routes_that_were_moved_shortly_before_are_told() -> None:
+    store = MemoryStore()
+    before = Archivist(store=store, first_start=True)
+    before.history.register("a", "v1")
+    before.configure(service=OTHER)
+    await before.write()
+    after = Archivist(store=store, first_start=False)
+    after.configure(service=OTHER)
+    await after.archive.read()
+
+    assert after.history.routes.is_complete
+    assert after.history.routes.changed == before.history.routes.changed
+    assert after.history.routes.changed
+
+
 # Guards against the same in the row of a release that does not say up to when it holds.
 async def test_row_without_a_revision_is_not_complete() -> None:
     store = MemoryStore()
--- a/dotterelpaddle/tests/streams/test_version_history.py
+++ b/dotterelpaddle/tests/streams/test_version_history.py
@@ -7,6 +7,7 @@
 from dotterelpaddle.forwarding.view import FleetView
 from dotterelpaddle.ids import EndpointName, ServiceName, SoftwareVersion
 from dotterelpaddle.streams.origins import MAX_STREAM_SECONDS
+from dotterelpaddle.streams.route_history import RouteHistory
 from dotterelpaddle.streams.version_history import VersionHistory
 from dotterelpaddle.tests.forwarding.entries import make_entry
 from dotterelpaddle.tests.revisions import revision_at
@@ -24,6 +25,9 @@
         self.history = VersionHistory(
             view=self.view, first_start=first_start, clock=lambda: self.now
         )
+        self.routes = RouteHistory(
+            view=self.view, first_start=first_start, clock=lambda: self.now
+        )
 
     def register(self, name: str, version: str, *, era: int = 0) -> None:
         self._number += 1
