Read the row of versions before writing it, also at a first start

What callers could see: streams joined from two versions, if routers are told once more that the whole fleet starts for the first time (`first_start`, a promise of the platform) after all of them were lost and the endpoints were replaced.

Cause: such a router counts its own short view as the whole history, and its writer wrote it over the row of versions without reading it.

Evidence: test_writer_of_a_first_start_keeps_the_versions_that_are_in_the_store fails before ({v2} instead of {v1, v2}).

The writer reads the rows at the start of each term. A router that finds the row although it is told of a first start counts its history as complete only by what the row says. Records of streams don't wait for that.

--- a/dotterelpaddle/forwarding/components.py
+++ b/dotterelpaddle/forwarding/components.py
@@ -269,6 +269,7 @@
         history=state.version_history,
         routes=state.route_history,
         view=state.view,
+        first_start=settings.first_start,
         is_writer=lambda: peer_summary.is_platform_reader,
         store_clock=state.store_clock,
         clock=clock,
--- a/dotterelpaddle/streams/archive.py
+++ b/dotterelpaddle/streams/archive.py
@@ -101,6 +101,8 @@
         history: Versions that this router has seen.
         routes: Routes of streams that led elsewhere recently.
         view: Provides the services whose streams may be resumed.
+        first_start: Whether this router was told that the whole fleet starts for the
+            first time.
         is_writer: Returns whether this router writes for all.
         store_clock: Estimates the clock of the store.
         clock: Monotonic clock.
@@ -114,6 +116,7 @@
         history: VersionHistory,
         routes: RouteHistory,
         view: FleetView,
+        first_start: bool,
         is_writer: Callable[[], bool],
         store_clock: StoreClock,
         clock: Clock,
@@ -123,6 +126,7 @@
         self._history = history
         self._routes = routes
         self._view = view
+        self._trusts_first_start = first_start
         self._is_writer = is_writer
         self._store_clock = store_clock
         self._clock = clock
@@ -184,10 +188,10 @@
         self._has_recalled = False
 
     async def _write_due(self, *, store: StreamStore) -> None:
-        if not self._is_complete and not self._has_recalled:
+        if not self._has_recalled:
             # An earlier writer may have known more.
             self._has_recalled = await self.read()
-        versions = self._versions_due()
+        versions = self._versions_due() if self._has_recalled else None
         rows = (
             {}
             if versions is None
@@ -284,6 +288,11 @@
 
     async def _apply_versions(self, *, row: VersionsRow) -> None:
         """Add archived versions."""
+        if self._trusts_first_start:
+            self._trusts_first_start = False
+            self._history.count_from_now()
+            self._routes.count_from_now()
+            log.warning("first_start_doubted", services=sorted(row.versions))
         is_complete = not self._is_complete and await self._is_up_to_date(row=row)
         self._history.restore(versions=row.versions, is_complete=is_complete)
         self._routes.restore(
--- a/dotterelpaddle/streams/route_history.py
+++ b/dotterelpaddle/streams/route_history.py
@@ -90,6 +90,10 @@
             for key in self.changed
         )
 
+    def count_from_now(self) -> None:
+        """Count as complete only later: streams may be older than this router."""
+        self._since = self._clock()
+
     def restore(self, *, digest: int | None, changed: Iterable[RouteKey]) -> None:
         """Add what another router knew.
 
--- a/dotterelpaddle/streams/version_history.py
+++ b/dotterelpaddle/streams/version_history.py
@@ -50,6 +50,10 @@
             origin.version for origin in origins if origin.service == service
         )
 
+    def count_from_now(self) -> None:
+        """Count as complete only later: streams may be older than this router."""
+        self._since = self._clock()
+
     def restore(
         self,
         *,
--- a/dotterelpaddle/tests/forwarding/test_versions_after_loss.py
+++ b/dotterelpaddle/tests/forwarding/test_versions_after_loss.py
@@ -185,3 +185,21 @@
 
     assert counts.mixed == 0, counts
     assert counts.taken_up
+
+
+# Guards against streams that go on at a later version because routers were told once
+# more that the whole fleet starts for the first time, and forgot the earlier version.
+@pytest.mark.parametrize("seed", SEEDS)
+async def test_streams_hold_one_version_though_a_first_start_is_announced_again(
+    seed: int, tmp_path: Path
+) -> None:
+    async def replace(world: VersionsWorld) -> None:
+        await _replace(world, runners=world.runners[:3], version="v1.1")
+
+    async with run_versions_world(
+        directory=tmp_path, seed=seed, routers=ROUTERS, versions=("v1",)
+    ) as world:
+        counts = await _run_through_loss(world, meanwhile=replace, first_start=True)
+
+    assert counts.mixed == 0, counts
+    assert counts.taken_up
--- a/dotterelpaddle/tests/streams/test_archive.py
+++ b/dotterelpaddle/tests/streams/test_archive.py
@@ -93,6 +93,7 @@
             history=self.history.history,
             routes=self.history.routes,
             view=view,
+            first_start=first_start,
             is_writer=lambda: True,
             store_clock=self._store_clock,
             clock=lambda: self.history.now,
@@ -322,6 +323,23 @@
     assert versions == {SERVICE: {V1, V2}}
 
 
+# Guards against routers that are told once more that the whole fleet starts for the
+# first time, and write their short view over what earlier ones knew.
+async def test_writer_of_a_first_start_keeps_the_versions_that_are_in_the_store() -> (
+    None
+):
+    store = MemoryStore()
+    before = Archivist(store=store, first_start=True)
+    before.history.register("a", "v1")
+    await before.write()
+    after = Archivist(store=store, first_start=True)
+    after.history.register("b", "v2")
+    await after.write()
+
+    versions = decode_versions_row(row=store.rows[VERSIONS_KEY]).versions
+    assert versions == {SERVICE: {V1, V2}}
+
+
 async def test_store_that_is_away_tells_nothing() -> None:
     store = MemoryStore()
     store.away = True
