Count the history of a service as complete only if the row names it

What callers could see: streams joined from two versions at a service that the row of versions lacks, as its streams could not be resumed yet, or it had no endpoints, when the row was written. VersionHistory.restore completed the history of all services.

Cause: one flag for what holds for some services.

Evidence: test_history_is_complete_for_the_services_that_were_restored_alone can't be met by the earlier code, which has one answer for all services; is_complete is now covers(service=...), and the tests that asked it ask for their service.

--- a/dotterelpaddle/streams/archive.py
+++ b/dotterelpaddle/streams/archive.py
@@ -215,7 +215,10 @@
     @property
     def _is_complete(self) -> bool:
         """Whether this router knows all versions and routes of today's streams."""
-        return self._history.is_complete and self._routes.is_complete
+        covers = self._history.covers
+        return self._routes.is_complete and all(
+            covers(service=service) for service in self._resumable_services
+        )
 
     def _versions_due(self) -> VersionsRow | None:
         """Return the row with the versions if it is due.
@@ -253,13 +256,19 @@
 
     def _versions(self) -> dict[ServiceName, frozenset[SoftwareVersion]]:
         """Return the recent versions of the services with streams to resume."""
+        recent = self._history.recent
+        return {
+            service: recent(service=service) for service in self._resumable_services
+        }
+
+    @property
+    def _resumable_services(self) -> tuple[ServiceName, ...]:
+        """Services to which routes with resumable streams lead."""
         configuration = self._view.configuration
         if configuration is not self._configuration:
             self._configuration = configuration
             self._services = _resumable_services(configuration=configuration)
-        return {
-            service: self._history.recent(service=service) for service in self._services
-        }
+        return self._services
 
     def _records_due(self) -> tuple[list[StreamRecord], int]:
         """Return the records to write, and the count of all records until then."""
--- a/dotterelpaddle/streams/finder.py
+++ b/dotterelpaddle/streams/finder.py
@@ -166,7 +166,9 @@
             return None
         service = route.services[0].service
         versions = self._history.recent(service=service).union(*histories)
-        if len(versions) != 1 or not (self._history.is_complete or histories):
+        if not (self._history.covers(service=service) or histories):
+            return None
+        if len(versions) != 1:
             return None
         return StreamOrigin(service=service, version=next(iter(versions)))
 
@@ -181,7 +183,7 @@
             resumes=request.resumes or "",
             service=service,
             versions=sorted(self._history.recent(service=service)),
-            history_complete=self._history.is_complete,
+            history_complete=self._history.covers(service=service),
             route_steady=self._routes.is_steady(route=route, path=request.path),
         )
         return StreamOriginUnknown(
--- a/dotterelpaddle/streams/lookup.py
+++ b/dotterelpaddle/streams/lookup.py
@@ -171,7 +171,7 @@
             stream=question.stream,
             record=record,
             versions=history.recent(service=question.service)
-            if history.is_complete
+            if history.covers(service=question.service)
             else None,
         )
         await self._send(encode_message(message=answer), address)
--- a/dotterelpaddle/streams/version_history.py
+++ b/dotterelpaddle/streams/version_history.py
@@ -33,14 +33,15 @@
         self._view = view
         self._clock = clock
         self._since = float("-inf") if first_start else float("inf")
+        self._restored: frozenset[ServiceName] = frozenset()
         self._current: dict[EndpointName, StreamOrigin] = {}
         self._gone_at: dict[StreamOrigin, float] = {}
         view.on_entry(self._record_entry)
 
-    @property
-    def is_complete(self) -> bool:
-        """Whether the history goes back as far as any stream."""
-        return self._clock() - self._since >= MAX_STREAM_SECONDS
+    def covers(self, *, service: ServiceName) -> bool:
+        """Tell whether the history of a service goes back as far as any stream."""
+        own_seconds = self._clock() - self._since
+        return own_seconds >= MAX_STREAM_SECONDS or service in self._restored
 
     def recent(self, *, service: ServiceName) -> frozenset[SoftwareVersion]:
         """Return the versions of a service that may have begun a stream of today."""
@@ -53,6 +54,7 @@
     def count_from_now(self) -> None:
         """Count as complete only later: streams may be older than this router."""
         self._since = self._clock()
+        self._restored = frozenset()
 
     def restore(
         self,
@@ -64,15 +66,15 @@
 
         Args:
             versions: The versions.
-            is_complete: Whether no other version was there, so that the history goes
-                back as far as that of the router which recorded them.
+            is_complete: Whether these services had no other version, so that their
+                history goes back as far as that of the router which recorded them.
         """
         now = self._clock()
         for service, restored in versions.items():
             for version in restored:
                 self._gone_at[StreamOrigin(service=service, version=version)] = now
         if is_complete:
-            self._since = float("-inf")
+            self._restored |= versions.keys()
 
     def refresh(self) -> None:
         """Record removed endpoints, and forget versions that are gone for long."""
--- a/dotterelpaddle/tests/streams/test_archive.py
+++ b/dotterelpaddle/tests/streams/test_archive.py
@@ -99,6 +99,11 @@
             clock=lambda: self.history.now,
         )
 
+    @property
+    def knows_versions(self) -> bool:
+        """Whether it knows all versions that today's streams may have."""
+        return self.history.history.covers(service=ServiceName(SERVICE))
+
     def configure(self, *, service: str) -> None:
         """Put a configuration in force whose route of streams leads to a service."""
         view = self.history.view
@@ -146,7 +151,7 @@
     await after.archive.read()
 
     assert after.origins.find(stream=RequestId("s")) == make_record().origin
-    assert after.history.history.is_complete
+    assert after.knows_versions
     assert after.history.versions == {"v1", "v2"}
 
 
@@ -162,14 +167,14 @@
     after = Archivist(store=store, first_start=False)
     after.history.register("a", "v1")
     await after.archive.read()
-    assert not after.history.history.is_complete
+    assert not after.knows_versions
 
     before.history.register("a", "v1", era=1)
     await before.write()
     after.history.now += 1.0
     await after.archive.read()
 
-    assert after.history.history.is_complete
+    assert after.knows_versions
 
 
 # Guards against a row of before a version came and went, which its writer never saw.
@@ -185,7 +190,7 @@
     after = Archivist(store=store, first_start=False)
     await after.archive.read()
 
-    assert after.history.history.is_complete is complete
+    assert after.knows_versions is complete
 
 
 # Guards against a row of before the route was moved, which tells of one service only.
@@ -228,7 +233,7 @@
     await router.archive.read()
 
     assert router.history.versions == {"v1"}
-    assert not router.history.history.is_complete
+    assert not router.knows_versions
 
 
 async def test_nothing_but_the_versions_is_written_while_there_is_one() -> None:
@@ -347,7 +352,7 @@
     await router.archive.read()
 
     assert store.reads == 1
-    assert not router.history.history.is_complete
+    assert not router.knows_versions
 
 
 async def test_rows_of_another_format_are_left_out() -> None:
@@ -357,7 +362,7 @@
     await router.archive.read()
 
     assert router.origins.count == 0
-    assert not router.history.history.is_complete
+    assert not router.knows_versions
 
 
 def test_keys_repeat_after_the_longest_stream() -> None:
--- a/dotterelpaddle/tests/streams/test_version_history.py
+++ b/dotterelpaddle/tests/streams/test_version_history.py
@@ -73,6 +73,17 @@
     assert history.versions == {"v1", "v2"}
 
 
+# Guards against taking a service that the row of versions lacks for one whose versions
+# are all known: its streams could not be resumed yet when the row was written.
+def test_history_is_complete_for_the_services_that_were_restored_alone() -> None:
+    history = History()
+    restored = {SERVICE: frozenset({SoftwareVersion("v1")})}
+    history.history.restore(versions=restored, is_complete=True)
+
+    assert history.history.covers(service=SERVICE)
+    assert not history.history.covers(service=ServiceName("other"))
+
+
 # Guards against a version that never expires, because reads of the store restore it.
 def test_version_restored_again_and_again_expires() -> None:
     history = History()
@@ -119,17 +130,17 @@
 # Guards against a router that has just started and takes its short view for all.
 def test_history_is_complete_once_it_goes_back_as_far_as_any_stream() -> None:
     history = History()
-    empty = history.history.is_complete
+    empty = history.history.covers(service=SERVICE)
     history.now = 5.0
     history.register("a", "v1")
     history.now = 5.0 + MAX_STREAM_SECONDS - 0.1
-    short = history.history.is_complete
+    short = history.history.covers(service=SERVICE)
     history.now += 0.1
 
     assert not empty
     assert not short
-    assert history.history.is_complete
+    assert history.history.covers(service=SERVICE)
 
 
 def test_history_of_the_first_start_is_complete() -> None:
-    assert History(first_start=True).history.is_complete
+    assert History(first_start=True).history.covers(service=SERVICE)
