Don't count an answer without versions as a history of them

What callers could see: streams joined from two versions. A router that has not seen any endpoint of a service answers a question with an empty list of versions, and the router that asks counts that as a whole history of the service.

Cause: an empty answer and one that names all versions were told apart from none by the same test.

Evidence: test_answer_without_versions_tells_no_history fails before (two histories instead of one).

--- a/dotterelpaddle/streams/lookup.py
+++ b/dotterelpaddle/streams/lookup.py
@@ -181,7 +181,7 @@
             self._origins.receive(records=(answer.record,), forward=False)
         for question in self._open.get(answer.stream, ()):
             question.unanswered.discard(address)
-            if answer.versions is not None:
+            if answer.versions:
                 question.histories.append(answer.versions)
             self._settle_if_answered(question)
 
--- a/dotterelpaddle/tests/streams/test_lookup.py
+++ b/dotterelpaddle/tests/streams/test_lookup.py
@@ -2,15 +2,21 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from types import SimpleNamespace
+from typing import TYPE_CHECKING, Any, cast
 
 import anyio
 import pytest
 
+from dotterelpaddle.address import Address
 from dotterelpaddle.forwarding.interface import ForwardRequest
+from dotterelpaddle.forwarding.view import FleetView
 from dotterelpaddle.ids import ModelId, RequestId, ServiceName, SoftwareVersion
 from dotterelpaddle.streams.exceptions import StreamOriginUnknown
-from dotterelpaddle.streams.origins import StreamOrigin, StreamRecord
+from dotterelpaddle.streams.lookup import StreamLookup
+from dotterelpaddle.streams.messages import StreamAnswer, encode_message
+from dotterelpaddle.streams.origins import StreamOrigin, StreamOrigins, StreamRecord
+from dotterelpaddle.streams.version_history import VersionHistory
 from dotterelpaddle.tests.forwarding.harness import HOST, SERVICE
 from dotterelpaddle.tests.peers.updates import FollowingFleet
 from dotterelpaddle.tests.virtual_time import run_in_virtual_time
@@ -20,6 +26,8 @@
 
     from dotterelpaddle.tests.owners.hosts import Router
 
+pytestmark = pytest.mark.anyio
+
 ROUTERS = 36
 STREAMS = 20
 STREAM_SECONDS = 15.0
@@ -140,6 +148,29 @@
     assert found == [None] * 9
 
 
+# Guards against counting a router that has never seen an endpoint of a service as one
+# that knows all versions of it.
+async def test_answer_without_versions_tells_no_history() -> None:
+    peer = Address(host="10.0.0.2", port=1)
+    view = FleetView(clock=lambda: 0.0)
+    lookup = StreamLookup(
+        origins=StreamOrigins(clock=lambda: 0.0),
+        history=VersionHistory(view=view, first_start=False, clock=lambda: 0.0),
+        directory=cast("Any", SimpleNamespace(alive=())),
+        plan=cast("Any", SimpleNamespace(is_mesh=True)),
+        clock=lambda: 0.0,
+    )
+    stream = RequestId("unknown")
+    none, some = frozenset[SoftwareVersion](), frozenset({SoftwareVersion("v1")})
+    with lookup.open_question(stream=stream, service=ServiceName(SERVICE)) as question:
+        for versions in (none, some):
+            answer = StreamAnswer(stream=stream, versions=versions)
+            datagram = encode_message(message=answer)
+            await lookup.receive(datagram=datagram, address=peer)
+
+        assert question.histories == [some]
+
+
 # Guards against records and questions that are lost on the way.
 def test_streams_are_found_though_datagrams_get_lost() -> None:
     found: list[bool] = []
