Keep streams off endpoints whose software version is unclear

What callers saw: streams joined from two versions. An endpoint started again under its name with another version and a start that looks earlier, as after a clock step; routers kept its entry of before, and sent it the streams of the earlier version.

Cause: of two entries the one of the later start is in force, since a row that comes later may be a delayed write of a process that has ended. Which of them is true can't be told from the rows.

Evidence: test_streams_avoid_an_endpoint_that_seems_to_have_started_earlier, three routers, fails before (joined streams), passes after with half of the streams or more gone on at the other endpoint.

The entry stays in force. While the store's later row names another version, the endpoint neither begins nor continues a stream that may be resumed; routers pass the row on to each other with the entries. The next row of the known start settles it.

--- a/dotterelpaddle/forwarding/attempts.py
+++ b/dotterelpaddle/forwarding/attempts.py
@@ -48,11 +48,13 @@
     from dotterelpaddle.forwarding.health import HealthTracker
     from dotterelpaddle.forwarding.loads import LoadTracker
     from dotterelpaddle.forwarding.metrics import ForwardMetrics
+    from dotterelpaddle.forwarding.model import ForwardRoute
     from dotterelpaddle.forwarding.reachability import Reachability
     from dotterelpaddle.forwarding.relays import Relay
     from dotterelpaddle.forwarding.residency import ResidencyPolicy
     from dotterelpaddle.forwarding.retry_budget import RetryBudget
     from dotterelpaddle.forwarding.timeouts import TimeoutEstimator
+    from dotterelpaddle.forwarding.view import FleetView
     from dotterelpaddle.ids import EndpointId
     from dotterelpaddle.owners.placer import OwnerPlacer
 
@@ -66,6 +68,7 @@
 
     Args:
         placer: Chooses endpoints.
+        view: The endpoints in force.
         residency: Determines the endpoints that must not receive a request.
         loads: Requests in flight.
         abandoned: Holds the counts of requests that endpoints may still run.
@@ -83,6 +86,7 @@
         self,
         *,
         placer: OwnerPlacer,
+        view: FleetView,
         residency: ResidencyPolicy,
         loads: LoadTracker,
         abandoned: AbandonedRequests,
@@ -96,6 +100,7 @@
         clock: Clock,
     ) -> None:
         self._placer = placer
+        self._view = view
         self._residency = residency
         self._caches = caches
         self._guard = guard
@@ -276,11 +281,17 @@
             service=exchange.service,
             request=exchange.request,
             retryable=exchange.route.retryable,
-            excluded=excluded | self._residency.forbidden_endpoints(exchange=exchange),
+            excluded=excluded
+            | self._residency.forbidden_endpoints(exchange=exchange)
+            | self._unclear_versions(route=exchange.route),
             version=exchange.stream_version,
             admission=admission_of(exchange=exchange, now=self._clock()),
         )
 
+    def _unclear_versions(self, *, route: ForwardRoute) -> frozenset[EndpointId]:
+        """Endpoints that may neither begin nor continue a stream of a route."""
+        return self._view.unclear_versions if route.resumable else frozenset()
+
 
 def _failure_of(cause: RetryCause | None) -> EndpointError | None:
     """Return the failure after which an attempt follows, None after a silence."""
--- a/dotterelpaddle/forwarding/components.py
+++ b/dotterelpaddle/forwarding/components.py
@@ -238,6 +238,7 @@
     )
     attempts = AttemptRunner(
         placer=owners.placer,
+        view=state.view,
         residency=ResidencyPolicy(view=state.view, regions=settings.regions),
         loads=state.loads,
         abandoned=state.abandoned,
--- a/dotterelpaddle/forwarding/view.py
+++ b/dotterelpaddle/forwarding/view.py
@@ -15,6 +15,7 @@
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
+from dotterelpaddle.forwarding.contradictions import ContradictedEntries
 from dotterelpaddle.forwarding.copied_entries import CopiedEntries
 from dotterelpaddle.forwarding.entry_tags import entries_tag, same_content
 from dotterelpaddle.forwarding.evacuations import EvacuationSnapshot, EvacuationTracker
@@ -72,6 +73,7 @@
         self._entries: dict[EndpointName, EndpointEntry] = {}
         self._changed_at: dict[EndpointName, StoreRevision] = {}
         self._removed = RemovedEntries(clock=clock)
+        self._contradicted = ContradictedEntries()
         self._ready: dict[ServiceName, tuple[EndpointEntry, ...]] = {}
         self._endpoints_revision: StoreRevision | None = None
         self._endpoints_tag = entries_tag(entries=())
@@ -138,6 +140,15 @@
             each.endpoint for each in (*self._entries.values(), *self._removed.held)
         )
 
+    @property
+    def unclear_versions(self) -> frozenset[EndpointId]:
+        """Endpoints of which nobody can tell which software version they run."""
+        return frozenset(
+            self._entries[name].endpoint
+            for name in self._contradicted.names
+            if name in self._entries
+        )
+
     @property
     def leaving(self) -> LeavingEndpoints:
         """Endpoints that have reported in an answer that they are leaving."""
@@ -200,14 +211,19 @@
             return None
         if revision is None or revision < self._deltas_from:
             return EndpointsUpdate(
-                revision=known, entries=self.entries, is_snapshot=True
+                revision=known,
+                entries=(*self.entries, *self._contradicted.rows),
+                is_snapshot=True,
             )
         return EndpointsUpdate(
             revision=known,
-            entries=tuple(
-                entry
-                for name, entry in self._entries.items()
-                if self._changed_at[name] > revision
+            entries=(
+                *(
+                    entry
+                    for name, entry in self._entries.items()
+                    if self._changed_at[name] > revision
+                ),
+                *self._contradicted.rows_since(revision=revision),
             ),
             removed=self._removed.removed_since(revision=revision),
         )
@@ -349,18 +365,21 @@
         known = self._entries.get(name)
         if known is not None and known.precedence >= entry.precedence:
             self._move_to_era(known=known, revision=entry.revision)
-            return False
+            return self._contradicted.compare(in_force=known, ignored=entry)
         if self._removed.supersedes(entry=entry):
             return False
         if known is not None:
             self._copied.compare_states(earlier=known, later=entry)
         self._copied.check_removed(tombstone=self._removed.take(name=name), entry=entry)
         self._entries[name] = entry
+        was_unclear = self._contradicted.settle(name=name, revision=entry.revision)
+        if known is not None:
+            self._contradicted.compare(in_force=entry, ignored=known)
         for observer in self._entry_observers:
             observer(entry)
         was_withheld = self._copied.release_rewritten(entry=entry)
         if known is not None and same_content(known, entry):
-            return was_withheld
+            return was_withheld or was_unclear
         self._changed_at[name] = entry.revision
         log.info(
             "endpoint_known",
@@ -388,12 +407,15 @@
             return False
         del self._entries[name]
         del self._changed_at[name]
+        self._contradicted.settle(name=name, revision=revision)
         may_be_back = not self._copied.release(entry=entry)
         self._removed.add(entry=entry, revision=revision, may_be_back=may_be_back)
         return True
 
     def _rebuild_index(self) -> None:
-        self._endpoints_tag = entries_tag(entries=self._entries.values())
+        self._endpoints_tag = entries_tag(
+            entries=(*self._entries.values(), *self._contradicted.rows)
+        )
         ready = [
             entry
             for entry in self._entries.values()
--- a/dotterelpaddle/tests/forwarding/test_versions_incident.py
+++ b/dotterelpaddle/tests/forwarding/test_versions_incident.py
@@ -238,6 +238,28 @@
     assert stream.whole
 
 
+# Guards against streams that go on at an endpoint which has started again with another
+# version, and whose start looks earlier than the one before, as after a clock step.
+async def test_streams_avoid_an_endpoint_that_seems_to_have_started_earlier() -> None:
+    streams: list[Stream] = []
+    async with run_fleet(runners=0, routers=3) as fleet:
+        await _add_runners(fleet, v1=2)
+        for name in ("runner-1", "runner-2"):
+            fleet.register(name, version="v1", born=2000)
+        for number in range(STREAMS):
+            stream = Stream(request_id=b"")
+            await _read(fleet, stream, router=number % 3, events=READ_EVENTS)
+            streams.append(stream)
+        fleet.runners["runner-1"].version = "v1.1"
+        fleet.register("runner-1", version="v1.1", born=1000)
+        await anyio.sleep(2 * LAST_RESORT_SECONDS)
+        for number, stream in enumerate(streams):
+            await _read(fleet, stream, router=(number + 1) % 3)
+
+    assert all(len(stream.versions) == 1 for stream in streams)
+    assert sum(stream.whole for stream in streams) >= MIN_RESUMED
+
+
 # Guards against a router that is cut off, knows the only version of before, and takes
 # it for the only one of now.
 async def test_router_with_an_old_view_continues_no_stream_of_unknown_origin() -> None:
