Write learned rows again once the store is back from a copy

What callers could see: brittle endpoints that end at once after the loss of all routers. The row of brittle services, like that of what crashes endpoints, was written once; a store that came back from an older copy lacked it from then on.

Cause: the writer compares with what it has written, not with what the store has in its present era.

Evidence: test_rows_are_written_again_once_the_store_is_back_from_a_copy fails before (no row), passes after. The writer reads the rows anew in each era of the store.

--- a/dotterelpaddle/peers/crash_archive.py
+++ b/dotterelpaddle/peers/crash_archive.py
@@ -25,7 +25,7 @@
     from dotterelpaddle.forwarding.crashes import CrashTracker
     from dotterelpaddle.forwarding.startup import Startup
     from dotterelpaddle.forwarding.store_clock import StoreClock
-    from dotterelpaddle.ids import ServiceName
+    from dotterelpaddle.ids import ServiceName, StoreEra
     from dotterelpaddle.peers.learned_rows import LearnedStore
 
 log = get_logger(name=__name__)
@@ -73,6 +73,7 @@
         self._store_clock = store_clock
         self._recall_startup = recall
         self._has_recalled = False
+        self._era: StoreEra | None = None
         self._failing = False
         self._written: frozenset[object] = frozenset()
         self._written_limits: dict[ServiceName, int] = {}
@@ -109,11 +110,14 @@
         self._failing = True
 
     async def _synchronize(self, *, store: LearnedStore) -> None:
+        time = self._store_clock.earliest_time()
         if not self._is_writer():
             self._has_recalled = False
-        elif self._store_clock.earliest_time() is not None:
-            if not self._has_recalled:
+        elif time is not None:
+            # A store that has come back from a copy may lack what was written last.
+            if not self._has_recalled or time.era != self._era:
                 await self._recall(store=store)
+                self._era = time.era
             await self._write_limits(store=store)
             await self._write_changes(store=store)
 
@@ -121,6 +125,7 @@
         """Add what an earlier writer knew."""
         rows = await store.learned_rows()
         self._has_recalled = True
+        self._written, self._written_limits = frozenset(), {}
         if rows.brittle is not None:
             self._recall_limits(row=rows.brittle)
         if rows.crashes is not None:
--- a/dotterelpaddle/tests/peers/test_crash_archive.py
+++ b/dotterelpaddle/tests/peers/test_crash_archive.py
@@ -18,7 +18,7 @@
 from dotterelpaddle.forwarding.revisions import FIRST_ERA
 from dotterelpaddle.forwarding.startup import Startup
 from dotterelpaddle.forwarding.store_clock import StoreClock, StoreTime
-from dotterelpaddle.ids import EndpointId, PartKey, ServiceName
+from dotterelpaddle.ids import EndpointId, PartKey, ServiceName, StoreEra
 from dotterelpaddle.peers import brittle_rows
 from dotterelpaddle.peers.crash_archive import CrashArchive
 from dotterelpaddle.peers.crash_rows import decode_row
@@ -42,20 +42,26 @@
         default_factory=lambda: CrashTracker(clock=anyio.current_time)
     )
     brittle: BrittleEndpoints = field(default_factory=make_brittle)
+    store_clock: StoreClock = field(
+        default_factory=lambda: StoreClock(clock=anyio.current_time)
+    )
 
-    async def run(self) -> None:
-        """Run until cancelled."""
-        store_clock = StoreClock(clock=anyio.current_time)
+    def record_time(self, *, era: StoreEra = FIRST_ERA) -> None:
+        """Record an answer of the store, which names its era."""
         now = anyio.current_time()
-        store_clock.record_answer(
-            time=StoreTime(era=FIRST_ERA, seconds=now + 1000.0), requested_at=now
+        self.store_clock.record_answer(
+            time=StoreTime(era=era, seconds=now + 1000.0), requested_at=now
         )
+
+    async def run(self) -> None:
+        """Run until cancelled."""
+        self.record_time()
         await CrashArchive(
             store=self.store,
             crashes=self.crashes,
             brittle=self.brittle,
             is_writer=lambda: True,
-            store_clock=store_clock,
+            store_clock=self.store_clock,
             recall=Startup(clock=anyio.current_time),
         ).run()
 
@@ -180,6 +186,29 @@
     run_in_virtual_time(main)
 
 
+# Guards against rows that a store which is back from an older copy lacks until
+# something changes: after the loss of all routers nobody would know of them.
+def test_rows_are_written_again_once_the_store_is_back_from_a_copy() -> None:
+    entry = make_entry(EndpointId("brittle"))
+
+    async def main() -> None:
+        store = MemoryCrashStore()
+        writer = Writer(store=store)
+        writer.brittle.record_answer(entry=entry, limit=4, rejected=False)
+        writer.crash()
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(writer.run)
+            await anyio.sleep(SYNCHRONIZED_SECONDS)
+            store.row = store.brittle_row = None
+            writer.record_time(era=StoreEra(1))
+            await anyio.sleep(SYNCHRONIZED_SECONDS)
+            tasks.cancel_scope.cancel()
+        assert store.row is not None
+        assert store.brittle_row is not None
+
+    run_in_virtual_time(main)
+
+
 # Guards against a row that is written each time one of several endpoints answers.
 def test_service_stays_brittle_while_one_of_its_endpoints_is() -> None:
     brittle = make_brittle()
