Let a router write streams' rows only once it may have heard of others

Each router takes itself for the one that writes until it hears of others, so that after a start of 24 routers all of them read the rows and wrote one (24 `stream_versions_archived` in the log of one start).

--- a/dotterelpaddle/streams/archive.py
+++ b/dotterelpaddle/streams/archive.py
@@ -145,6 +145,8 @@
         """Write what is due until cancelled."""
         if self._store is None:
             return
+        # Each router takes itself for the one that writes until it hears of others.
+        await anyio.sleep(ROLE_CHECK_SECONDS)
         while True:
             if not self._is_writer():
                 self._begin_term()
