Read what the store keeps of brittle endpoints at a first start, too

What callers saw: brittle endpoints ended once all routers were lost and told, wrongly, that the whole fleet starts for the first time (`first_start`, a promise of the platform): routers didn't wait for the row of brittle services.

Cause: knowledge that outlives all routers was given up on the word of one setting.

At a true first start each router reads the rows once.

New scenes: the store back from an older copy before the loss of all (0 ends) and while all start (0 ends).

--- a/dotterelpaddle/forwarding/shared_state.py
+++ b/dotterelpaddle/forwarding/shared_state.py
@@ -112,9 +112,6 @@
         # No other router can know of earlier crashes.
         introduction.end()
     recall = Startup(clock=clock, max_wait=RECALL_WAIT_SECONDS)
-    if settings.first_start:
-        # The store keeps nothing yet.
-        recall.end()
     directory = PeerDirectory(
         own=PeerInfo(
             router=settings.router,
--- a/dotterelpaddle/tests/forwarding/brittle_processes.py
+++ b/dotterelpaddle/tests/forwarding/brittle_processes.py
@@ -111,6 +111,8 @@
             none wait.
         work_seconds: Time that a request takes at an endpoint.
         objective_seconds: Latency objective of the route.
+        copied_revision: Revision of the store from whose copy it may come back, before
+            any router knew of brittle endpoints.
         results: By client account, for each counted request the seconds after which it
             was served, infinite if it was not.
     """
@@ -123,6 +125,7 @@
     brittle: bool = True
     work_seconds: float = WORK_SECONDS
     objective_seconds: float = OBJECTIVE_SECONDS
+    copied_revision: int = 0
     results: dict[AccountId, list[float]] = field(
         default_factory=lambda: defaultdict(list)
     )
@@ -182,6 +185,10 @@
             zone=DOMAINS[number % len(DOMAINS)],
         )
 
+    def return_store_from_copy(self) -> None:
+        """Let the store forget what routers have written of brittle endpoints."""
+        self.store.return_from_copy(revision=self.copied_revision)
+
     async def become_strict(self) -> None:
         """Let endpoints let few requests wait, some time after the first notice."""
         await anyio.sleep(NOTICE_SECONDS)
@@ -312,6 +319,7 @@
                 router.options = dict(options or {})
             try:
                 await world.start_all(first_start=True)
+                world.copied_revision = world.store.revision
                 yield world
             finally:
                 for router in world.routers:
--- a/dotterelpaddle/tests/forwarding/test_brittle_processes.py
+++ b/dotterelpaddle/tests/forwarding/test_brittle_processes.py
@@ -120,6 +120,43 @@
         await world.kill(*world.routers)
 
 
+async def _loss_of_all_as_a_first_start(world: BrittleProcesses) -> None:
+    """Tell all routers after their loss that this is the first start of the fleet."""
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(
+            partial(world.send, share=HIGH_SHARE, seconds=1.5 * LOAD_SECONDS)
+        )
+        await anyio.sleep(CALM_SECONDS)
+        for router in world.routers:
+            router.end()
+        await world.start_all(first_start=True)
+
+
+async def _store_back_before_the_loss_of_all(world: BrittleProcesses) -> None:
+    """Let the store come back from a copy of before it knew of brittle endpoints."""
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(
+            partial(world.send, share=HIGH_SHARE, seconds=2 * LOAD_SECONDS)
+        )
+        await anyio.sleep(CALM_SECONDS)
+        world.return_store_from_copy()
+        await anyio.sleep(2 * CALM_SECONDS)
+        await world.kill(*world.routers)
+
+
+async def _store_back_while_all_start(world: BrittleProcesses) -> None:
+    """Let the store come back from that copy while all routers start."""
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(
+            partial(world.send, share=HIGH_SHARE, seconds=1.5 * LOAD_SECONDS)
+        )
+        await anyio.sleep(CALM_SECONDS)
+        for router in world.routers:
+            router.end()
+        world.return_store_from_copy()
+        await world.start_all()
+
+
 def _third(world: BrittleProcesses) -> list[RouterProcess]:
     return world.generator.sample(world.routers, ROUTERS // 3)
 
@@ -150,6 +187,9 @@
     _killed_third,
     _killed_domain,
     _planned_stops,
+    _loss_of_all_as_a_first_start,
+    _store_back_before_the_loss_of_all,
+    _store_back_while_all_start,
 ]
 
 
