Remove the wait for room that routers had without owners

Owners grant all slots of brittle endpoints, and who waits for an owner does so in the placer (_wait_in_queue). RoomFilter, BrittleEndpoints.has_room and the parts of slots that routers had alone decided nothing any more: with brittle endpoints known and no owner, a request waited there for another one of its router to end, and was then refused as late. Their tests go with them; what test_sensitive_endpoints.py checked of the rest stays.

--- a/dotterelpaddle/forwarding/admission_terms.py
+++ b/dotterelpaddle/forwarding/admission_terms.py
@@ -4,13 +4,16 @@
 
 from typing import TYPE_CHECKING
 
-from dotterelpaddle.forwarding.room import MAX_WAIT_SHARE
 from dotterelpaddle.ids import AccountId, Fingerprint
 from dotterelpaddle.owners.request_options import Admission
 
 if TYPE_CHECKING:
     from dotterelpaddle.forwarding.exchange import ForwardExchange
 
+MAX_WAIT_SHARE = 0.5
+"""Longest wait, as a share of the route's latency objective; the rest of it is left for
+the answer."""
+
 
 def admission_of(*, exchange: ForwardExchange, now: float) -> Admission:
     """Return what decides when a request gets a slot.
--- a/dotterelpaddle/forwarding/brittle.py
+++ b/dotterelpaddle/forwarding/brittle.py
@@ -5,10 +5,8 @@
 an endpoint gets no more requests than it has places.
 
 The owner of a shard, which counts what all routers have in flight, grants the places
-one by one, and a router that no owner grants a place sends nothing. Routers also have
-parts of the places, by which they only decide who waits while no owner is known. After
-a rejection, which shows that somebody holds too much, a router sends nothing for a
-while.
+one by one, and a router that no owner grants a place sends nothing. After a rejection,
+which shows that somebody holds too much, a router sends nothing for a while.
 
 What one endpoint of a service says holds for others of it that have not answered yet,
 such as one that has just started again.
@@ -20,54 +18,38 @@
 
 from dotterelpaddle.forwarding.fleet_size import SETTLING_SECONDS
 from dotterelpaddle.logs import get_logger
-from dotterelpaddle.placement.rendezvous import digest
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Collection, Mapping
+    from collections.abc import Callable, Mapping
 
     from dotterelpaddle.forwarding.backoffs import EndpointBackoffs
     from dotterelpaddle.forwarding.model import EndpointEntry
-    from dotterelpaddle.ids import EndpointId, RouterId, ServiceName
+    from dotterelpaddle.ids import EndpointId, ServiceName
 
 log = get_logger(name=__name__)
 
 MIN_BACKOFF_SECONDS = 1.0
 """Seconds without requests after a rejection, the time to which the bound applies."""
 
-PLACES_USED_SHARE = 0.5
-"""Share of an endpoint's places that routers have which decide alone and don't know all
-others. Hashing seldom gives an endpoint more than twice the mean, but it may."""
-
-_DIGEST_SCALE = 2.0**-64
-
 
 class BrittleEndpoints:
     """Limits what this router sends to brittle endpoints.
 
     Args:
-        router: This router.
-        in_flight: Returns the requests of this router in flight, by endpoint.
         backoffs: Tracks the endpoints to which this router sends nothing for a while.
         router_count: Returns the number of routers, None if unknown.
-        known_routers: Returns the routers that this one knows, itself included.
         has_owners: Returns whether shard owners grant the places.
     """
 
     def __init__(
         self,
         *,
-        router: RouterId,
-        in_flight: Callable[[], Mapping[EndpointId, int]],
         backoffs: EndpointBackoffs,
         router_count: Callable[[], int | None],
-        known_routers: Callable[[], Collection[RouterId]],
         has_owners: Callable[[], bool],
     ) -> None:
-        self._router = router
-        self._in_flight = in_flight
         self._backoffs = backoffs
         self._router_count = router_count
-        self._known_routers = known_routers
         self._has_owners = has_owners
         self._limits: dict[EndpointId, int | None] = {}
         self._service_limits: dict[ServiceName, int] = {}
@@ -137,27 +119,6 @@
         default = self._service_limits.get(entry.service)
         return self._limits.get(entry.endpoint, default) is not None
 
-    def has_room(self, *, entry: EndpointEntry) -> bool:
-        """Return whether this router may send one more request to an endpoint alone."""
-        if not self.is_brittle(entry=entry):
-            return True
-        in_flight = self._in_flight().get(entry.endpoint, 0)
-        return in_flight < self._places(entry=entry)
-
-    def _places(self, *, entry: EndpointEntry) -> int:
-        """Return the part of an endpoint's places that is this router's."""
-        count = self._router_count()
-        if count is None:
-            return 1
-        if count <= entry.slots:
-            return entry.slots // count
-        known = self._known_routers()
-        if len(known) < count:
-            share = PLACES_USED_SHARE * entry.slots / count
-            return int(_score(entry, self._router) * _DIGEST_SCALE < share)
-        ranked = sorted(known, key=lambda router: _score(entry, router))
-        return int(self._router in ranked[: entry.slots])
-
     def _backoff_seconds(self, limit: int) -> float:
         if self.owners_grant:
             return MIN_BACKOFF_SECONDS
@@ -170,7 +131,3 @@
         """Delete what is known of all endpoints except these."""
         for endpoint in self._limits.keys() - endpoints:
             del self._limits[endpoint], self._services[endpoint]
-
-
-def _score(entry: EndpointEntry, router: RouterId) -> int:
-    return digest(text=f"{entry.endpoint}/{router}")
--- a/dotterelpaddle/forwarding/components.py
+++ b/dotterelpaddle/forwarding/components.py
@@ -23,7 +23,6 @@
 from dotterelpaddle.forwarding.prompt_sizes import PromptSizeFilter
 from dotterelpaddle.forwarding.reachability import Reachability
 from dotterelpaddle.forwarding.residency import ResidencyPolicy
-from dotterelpaddle.forwarding.room import RoomFilter
 from dotterelpaddle.forwarding.shared_state import SharedState, build_shared_state
 from dotterelpaddle.forwarding.termination_probes import TerminationProber
 from dotterelpaddle.forwarding.timeouts import TimeoutEstimator
@@ -297,7 +296,6 @@
         PromptSizeFilter(view=state.view, enabled=settings.admission is not None),
         DeadlineFilter(clock=clock),
         ResumptionFilter(finder=stream_finder),
-        RoomFilter(view=state.view, brittle=state.brittle, loads=state.loads),
         ForwardFilter(
             attempts=attempts,
             client=client,
--- a/dotterelpaddle/forwarding/shared_state.py
+++ b/dotterelpaddle/forwarding/shared_state.py
@@ -146,11 +146,8 @@
     loads = LoadTracker(totals=totals)
     backoffs = EndpointBackoffs(clock=clock)
     brittle = BrittleEndpoints(
-        router=settings.router,
-        in_flight=lambda: loads.own,
         backoffs=backoffs,
         router_count=lambda: fleet_size.count,
-        known_routers=lambda: directory.known_routers,
         has_owners=lambda: bool(directory.owners()),
     )
     return SharedState(
