--- a/dotterelpaddle/tests/forwarding/brittle_processes.py
+++ b/dotterelpaddle/tests/forwarding/brittle_processes.py
@@ -280,6 +280,7 @@
     routers: int,
     engines: int,
     source: str = "",
+    source_share: float = 1.0,
     options: Mapping[str, Any] | None = None,
     **fields: Any,
 ) -> AsyncIterator[BrittleProcesses]:
@@ -291,6 +292,7 @@
         routers: Number of routers.
         engines: Number of endpoints.
         source: Directory with the release that the routers run, empty for this one.
+        source_share: Share of the routers that run it.
         options: Further settings of the routers.
         fields: Attributes of the fleet.
     """
@@ -314,7 +316,8 @@
             for _ in range(engines):
                 await world.add_engine()
             for number in range(routers):
-                router = world.add_router(source=source)
+                runs_source = number < source_share * routers
+                router = world.add_router(source=source if runs_source else "")
                 router.failure_domain = DOMAINS[number % len(DOMAINS)]
                 router.options = dict(options or {})
             try:
--- a/dotterelpaddle/tests/forwarding/test_brittle_processes.py
+++ b/dotterelpaddle/tests/forwarding/test_brittle_processes.py
@@ -3,8 +3,9 @@
 Guards against an incident in a fleet of 58 routers: endpoints that end if they reject
 too many requests within a second ended again and again. The environment variable
 BRITTLE_SEEDS sets the first seed and the number of seeds, such as "1 10", and plays all
-scenes instead of four; BRITTLE_ROUTERS sets the number of routers, and BRITTLE_SOURCE
-names a directory with the release that they run.
+scenes instead of four; BRITTLE_ROUTERS sets the number of routers, BRITTLE_SOURCE
+names a directory with the release that they run, and BRITTLE_SOURCE_SHARE sets the share
+of routers that do so.
 """
 
 from __future__ import annotations
@@ -37,6 +38,7 @@
 SOURCE = os.environ.get("BRITTLE_SOURCE", "")
 SEEDS = os.environ.get("BRITTLE_SEEDS", "")
 ROUTERS = int(os.environ.get("BRITTLE_ROUTERS", "24"))
+SOURCE_SHARE = float(os.environ.get("BRITTLE_SOURCE_SHARE", "1"))
 ENGINES = 6
 MAX_ENDS = 2
 """Ends that users allow in one time: two, and one for each ten endpoints."""
@@ -164,7 +166,12 @@
 async def _run(scene: Scene, *, seed: int, directory: Path) -> BrittleProcesses:
     """Play a scene once the endpoints let few requests wait."""
     async with run_brittle_processes(
-        directory=directory, seed=seed, routers=ROUTERS, engines=ENGINES, source=SOURCE
+        directory=directory,
+        seed=seed,
+        routers=ROUTERS,
+        engines=ENGINES,
+        source=SOURCE,
+        source_share=SOURCE_SHARE,
     ) as world:
         await anyio.sleep(START_WINDOW_SECONDS)
         async with anyio.create_task_group() as tasks:
