--- a/dotterelpaddle/tests/forwarding/test_brittle_processes.py
+++ b/dotterelpaddle/tests/forwarding/test_brittle_processes.py
@@ -4,8 +4,8 @@
 too many requests within a second ended again and again. The environment variable
 BRITTLE_SEEDS sets the first seed and the number of seeds, such as "1 10", and plays all
 scenes instead of four; BRITTLE_ROUTERS sets the number of routers, BRITTLE_SOURCE
-names a directory with the release that they run, and BRITTLE_SOURCE_SHARE sets the share
-of routers that do so.
+names a directory with the release that they run, and BRITTLE_SOURCE_SHARE the share of
+routers that do so.
 """
 
 from __future__ import annotations
