Bound the row of versions

The store refuses rows of more than 64 KB. With 4,300 endpoints or a configuration that moves a thousand routes the row of versions would have been refused for good, and with it the records of streams that are written at the same time. Above 2,000 endpoints it names none, and above 300 changed routes it says nothing of routes: such a row is complete for fewer readers, which is safe.

--- a/dotterelpaddle/streams/archive.py
+++ b/dotterelpaddle/streams/archive.py
@@ -59,6 +59,14 @@
 MAX_RECORDS_PER_ROW = 500
 """Records in one row, about 20 KB."""
 
+MAX_ENDPOINTS_PER_ROW = 2_000
+"""Endpoints that the row of versions names, about 30 KB. A row without them is complete
+only while no endpoint leaves."""
+
+MAX_CHANGED_ROUTES_PER_ROW = 300
+"""Routes in the row of versions, about 15 KB. A row of more changes says nothing of
+routes."""
+
 
 class StreamStore(Protocol):
     """The rows of the platform's store that belong to the streams of this fleet."""
@@ -233,12 +241,15 @@
             return None
         if revision.era != self._store.era:
             return None
+        names = frozenset(entry.name for entry in self._view.entries)
+        changed = self._routes.changed
+        tells_routes = len(changed) <= MAX_CHANGED_ROUTES_PER_ROW
         row = VersionsRow(
             versions=self._versions(),
             revision=revision,
-            endpoints=frozenset(entry.name for entry in self._view.entries),
-            routes=self._routes.digest,
-            changed_routes=self._routes.changed,
+            endpoints=names if len(names) <= MAX_ENDPOINTS_PER_ROW else frozenset(),
+            routes=self._routes.digest if tells_routes else None,
+            changed_routes=changed if tells_routes else frozenset(),
         )
         return row if self._is_news(row=row) else None
 
--- a/dotterelpaddle/tests/streams/test_archive.py
+++ b/dotterelpaddle/tests/streams/test_archive.py
@@ -18,7 +18,7 @@
     StoreEra,
 )
 from dotterelpaddle.platform.documents import PlatformDocumentDecoder
-from dotterelpaddle.streams.archive import StreamArchive
+from dotterelpaddle.streams.archive import MAX_ENDPOINTS_PER_ROW, StreamArchive
 from dotterelpaddle.streams.origins import MAX_STREAM_SECONDS, StreamOrigins
 from dotterelpaddle.streams.rows import (
     VERSIONS_KEY,
@@ -225,6 +225,18 @@
     assert after.history.routes.changed
 
 
+# Guards against a row that the store refuses for its size, in a very large fleet.
+async def test_row_of_versions_is_bounded() -> None:
+    router = Archivist(store=MemoryStore(), first_start=True)
+    for number in range(MAX_ENDPOINTS_PER_ROW + 1):
+        router.history.register(f"endpoint-{number}", "v1")
+    await router.write()
+    row = decode_versions_row(row=router.store.rows[VERSIONS_KEY])
+
+    assert row.versions == {SERVICE: {V1}}
+    assert not row.endpoints
+
+
 # Guards against the same in the row of a release that does not say up to when it holds.
 async def test_row_without_a_revision_is_not_complete() -> None:
     store = MemoryStore()
