--- a/dotterelpaddle/peers/crash_archive.py
+++ b/dotterelpaddle/peers/crash_archive.py
@@ -96,10 +96,10 @@
         """Read the row before the first request; all other routers may be new too."""
         if self._recall_startup.has_ended:
             return
-        while self._store_clock.earliest_time() is None:
+        while (time := self._store_clock.earliest_time()) is None:
             await anyio.sleep(CLOCK_INTERVAL_SECONDS)
         try:
-            await self._recall(store=store)
+            await self._recall(store=store, era=time.era)
         except PlatformError as error:
             self._log_failure(error=error)
         self._recall_startup.end()
@@ -116,15 +116,14 @@
         elif time is not None:
             # A store that has come back from a copy may lack what was written last.
             if not self._has_recalled or time.era != self._era:
-                await self._recall(store=store)
-                self._era = time.era
+                await self._recall(store=store, era=time.era)
             await self._write_limits(store=store)
             await self._write_changes(store=store)
 
-    async def _recall(self, *, store: LearnedStore) -> None:
-        """Add what an earlier writer knew."""
+    async def _recall(self, *, store: LearnedStore, era: StoreEra) -> None:
+        """Add what an earlier writer knew in an era of the store."""
         rows = await store.learned_rows()
-        self._has_recalled = True
+        self._has_recalled, self._era = True, era
         self._written, self._written_limits = frozenset(), {}
         if rows.brittle is not None:
             self._recall_limits(row=rows.brittle)
--- a/dotterelpaddle/tests/peers/test_crash_archive.py
+++ b/dotterelpaddle/tests/peers/test_crash_archive.py
@@ -209,6 +209,16 @@
     run_in_virtual_time(main)
 
 
+# Guards against a second call of the store by each of many routers that start at once.
+def test_rows_are_read_once_at_a_start() -> None:
+    async def main() -> None:
+        store = MemoryCrashStore()
+        await Writer(store=store).run_for(seconds=SYNCHRONIZED_SECONDS)
+        assert store.calls == 1
+
+    run_in_virtual_time(main)
+
+
 # Guards against a row that is written each time one of several endpoints answers.
 def test_service_stays_brittle_while_one_of_its_endpoints_is() -> None:
     brittle = make_brittle()
