Check a row of versions once

A router that meets many unknown streams reads the rows up to three times a second, and asked each time what has left since the same row: as many calls of the store again. Now it asks once for each row (test: one check in three reads, three before).

--- a/dotterelpaddle/streams/archive.py
+++ b/dotterelpaddle/streams/archive.py
@@ -33,7 +33,12 @@
     from dotterelpaddle.forwarding.revisions import StoreRevision
     from dotterelpaddle.forwarding.store_clock import StoreClock, StoreTime
     from dotterelpaddle.forwarding.view import FleetView
-    from dotterelpaddle.ids import ServiceName, SoftwareVersion, StoreEra
+    from dotterelpaddle.ids import (
+        EndpointName,
+        ServiceName,
+        SoftwareVersion,
+        StoreEra,
+    )
     from dotterelpaddle.streams.origins import StreamOrigins, StreamRecord
     from dotterelpaddle.streams.route_history import RouteHistory
     from dotterelpaddle.streams.version_history import VersionHistory
@@ -146,6 +151,7 @@
         self._written_versions: VersionsRow | None = None
         self._versions_written_at = float("-inf")
         self._has_recalled = False
+        self._checked: dict[StoreRevision, bool] = {}
         self._failing = False
         self._failed_at = float("-inf")
 
@@ -330,17 +336,32 @@
         assert self._store is not None
         if row.revision is None or row.revision.era != self._store.era:
             return False
+        if row.revision not in self._checked:
+            unseen = await self._unseen_since(row=row, revision=row.revision)
+            if unseen is None:
+                return False
+            self._checked = {row.revision: not unseen}
+        return self._checked[row.revision]
+
+    async def _unseen_since(
+        self, *, row: VersionsRow, revision: StoreRevision
+    ) -> frozenset[EndpointName] | None:
+        """Return the endpoints that have left since a row without being in it.
+
+        None if the store can't tell.
+        """
+        assert self._store is not None
         try:
-            changes = await self._store.endpoints_after(after=row.revision, wait=0.0)
+            changes = await self._store.endpoints_after(after=revision, wait=0.0)
         except PlatformError as error:
             log.warning(
                 "endpoints_since_row_unknown", cause=error.message, peer=error.peer
             )
-            return False
+            return None
         unseen = changes.removed.keys() - row.endpoints
         if unseen:
             log.warning("endpoints_came_and_went", endpoints=sorted(unseen))
-        return not unseen
+        return frozenset(unseen)
 
     def _log_failure(self, *, error: PlatformError) -> None:
         if not self._failing:
--- a/dotterelpaddle/tests/streams/test_archive.py
+++ b/dotterelpaddle/tests/streams/test_archive.py
@@ -50,11 +50,13 @@
         self.away = False
         self.reads = 0
         self.era = StoreEra(0)
+        self.checks = 0
         self.removed: dict[EndpointName, StoreRevision] = {}
 
     async def endpoints_after(
         self, *, after: StoreRevision, wait: float
     ) -> EndpointsUpdate:
+        self.checks += 1
         self._check()
         removed = {name: at for name, at in self.removed.items() if at > after}
         return EndpointsUpdate(revision=after, entries=(), removed=removed)
@@ -188,9 +190,12 @@
     await before.write()
     store.removed[EndpointName(name)] = revision_at(9)
     after = Archivist(store=store, first_start=False)
-    await after.archive.read()
+    for _ in range(3):
+        await after.archive.read()
+        after.history.now += 1.0
 
     assert after.knows_versions is complete
+    assert store.checks == 1
 
 
 # Guards against a row of before the route was moved, which tells of one service only.
