--- a/dotterelpaddle/forwarding/contradictions.py
+++ b/dotterelpaddle/forwarding/contradictions.py
@@ -13,9 +13,11 @@
 from dotterelpaddle.logs import get_logger
 
 if TYPE_CHECKING:
+    from collections.abc import Mapping
+
     from dotterelpaddle.forwarding.model import EndpointEntry
     from dotterelpaddle.forwarding.revisions import StoreRevision
-    from dotterelpaddle.ids import EndpointName
+    from dotterelpaddle.ids import EndpointId, EndpointName
 
 log = get_logger(name=__name__)
 
@@ -31,10 +33,17 @@
         """The rows, at most one for each endpoint."""
         return tuple(self._rows.values())
 
-    @property
-    def names(self) -> frozenset[EndpointName]:
-        """Endpoints whose software version is unclear."""
-        return frozenset(self._rows)
+    def endpoints(
+        self, *, entries: Mapping[EndpointName, EndpointEntry]
+    ) -> frozenset[EndpointId]:
+        """Return the endpoints whose software version is unclear.
+
+        Args:
+            entries: The entries in force.
+        """
+        return frozenset(
+            entries[name].endpoint for name in self._rows if name in entries
+        )
 
     def rows_since(self, *, revision: StoreRevision) -> tuple[EndpointEntry, ...]:
         """Return the rows that the store got after a revision."""
--- a/dotterelpaddle/forwarding/view.py
+++ b/dotterelpaddle/forwarding/view.py
@@ -15,6 +15,7 @@
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
+from dotterelpaddle.forwarding.configuration import ConfigurationInForce
 from dotterelpaddle.forwarding.contradictions import ContradictedEntries
 from dotterelpaddle.forwarding.copied_entries import CopiedEntries
 from dotterelpaddle.forwarding.entry_tags import entries_tag, same_content
@@ -28,7 +29,6 @@
 )
 from dotterelpaddle.forwarding.removals import RemovedEntries
 from dotterelpaddle.forwarding.revisions import StoreRevision
-from dotterelpaddle.forwarding.routes import routed_services, routes_by_host
 from dotterelpaddle.forwarding.service_groups import group_by_service
 from dotterelpaddle.forwarding.startup import Startup
 from dotterelpaddle.ids import Revision
@@ -66,10 +66,7 @@
         self._copied = CopiedEntries(leaving=self._leaving, clock=clock)
         self._evacuations = EvacuationTracker(clock=clock)
         self._entry_observers: list[Callable[[EndpointEntry], None]] = []
-        self._configuration_observers: list[Callable[[FleetConfiguration], None]] = []
-        self._configuration: FleetConfiguration | None = None
-        self._routes: dict[str, tuple[ForwardRoute, ...]] = {}
-        self._routed_services: frozenset[ServiceName] = frozenset()
+        self._in_force = ConfigurationInForce()
         self._entries: dict[EndpointName, EndpointEntry] = {}
         self._changed_at: dict[EndpointName, StoreRevision] = {}
         self._removed = RemovedEntries(clock=clock)
@@ -83,17 +80,17 @@
     @property
     def configuration(self) -> FleetConfiguration | None:
         """The configuration in force, None before the first one."""
-        return self._configuration
+        return self._in_force.configuration
 
     @property
     def limits(self) -> CallerLimits | None:
         """Limits on callers, None before the first configuration."""
-        return self._configuration.limits if self._configuration else None
+        return self.configuration.limits if self.configuration else None
 
     @property
     def version(self) -> int:
         """Version of the configuration in force, 0 before the first one."""
-        return self._configuration.version if self._configuration else 0
+        return self._in_force.version
 
     @property
     def endpoints_revision(self) -> StoreRevision | None:
@@ -117,7 +114,7 @@
     @property
     def complete(self) -> bool:
         """Whether the view holds a configuration and endpoints."""
-        return self._configuration is not None and self._endpoints_revision is not None
+        return self.configuration is not None and self._endpoints_revision is not None
 
     async def wait_until_complete(self) -> None:
         """Wait until the view is complete, at most until shortly after the start."""
@@ -143,11 +140,7 @@
     @property
     def unclear_versions(self) -> frozenset[EndpointId]:
         """Endpoints of which nobody can tell which software version they run."""
-        return frozenset(
-            self._entries[name].endpoint
-            for name in self._contradicted.names
-            if name in self._entries
-        )
+        return self._contradicted.endpoints(entries=self._entries)
 
     @property
     def leaving(self) -> LeavingEndpoints:
@@ -162,7 +155,7 @@
     @property
     def slow_starts(self) -> Mapping[ServiceName, SlowStart]:
         """Slow-start options by service."""
-        return self._configuration.slow_starts if self._configuration else {}
+        return self.configuration.slow_starts if self.configuration else {}
 
     @property
     def routed_entries(self) -> tuple[EndpointEntry, ...]:
@@ -171,13 +164,10 @@
         Another writer may have added the others, so they are no evidence about the
         fleet's endpoints.
         """
-        if self._configuration is None:
+        if self.configuration is None:
             return self.entries
-        return tuple(
-            entry
-            for entry in self._entries.values()
-            if entry.service in self._routed_services
-        )
+        routed = self._in_force.routed_services
+        return tuple(each for each in self._entries.values() if each.service in routed)
 
     def on_entry(self, observer: Callable[[EndpointEntry], None]) -> None:
         """Add an observer that the view calls with each entry that it accepts."""
@@ -185,7 +175,7 @@
 
     def on_configuration(self, observer: Callable[[FleetConfiguration], None]) -> None:
         """Add an observer that the view calls with each configuration in force."""
-        self._configuration_observers.append(observer)
+        self._in_force.on_change(observer)
 
     def current_endpoint_id(self, name: EndpointName) -> EndpointId:
         """Return the id of an endpoint's current incarnation."""
@@ -215,25 +205,20 @@
                 entries=(*self.entries, *self._contradicted.rows),
                 is_snapshot=True,
             )
+        changed = tuple(
+            entry
+            for name, entry in self._entries.items()
+            if self._changed_at[name] > revision
+        )
         return EndpointsUpdate(
             revision=known,
-            entries=(
-                *(
-                    entry
-                    for name, entry in self._entries.items()
-                    if self._changed_at[name] > revision
-                ),
-                *self._contradicted.rows_since(revision=revision),
-            ),
+            entries=changed + self._contradicted.rows_since(revision=revision),
             removed=self._removed.removed_since(revision=revision),
         )
 
     def route(self, *, host: str, path: str) -> ForwardRoute | None:
         """Find the route with the longest prefix that begins a path."""
-        for route in self._routes.get(host, ()):
-            if path.startswith(route.prefix):
-                return route
-        return None
+        return self._in_force.route(host=host, path=path)
 
     def registered(self, *, service: ServiceName) -> tuple[EndpointEntry, ...]:
         """Endpoints of a service that accept new requests, by their entries alone."""
@@ -288,21 +273,10 @@
         Returns:
             Whether the configuration is in force now.
         """
-        if configuration.version <= self.version:
-            return False
-        log.info(
-            "configuration_in_force",
-            version=configuration.version,
-            earlier=self.version,
-            routes=len(configuration.routes),
-        )
-        self._configuration = configuration
-        self._routes = routes_by_host(routes=configuration.routes)
-        self._routed_services = routed_services(routes=configuration.routes)
-        for observer in self._configuration_observers:
-            observer(configuration)
-        self._signal_complete()
-        return True
+        applied = self._in_force.apply(configuration=configuration)
+        if applied:
+            self._signal_complete()
+        return applied
 
     def apply_endpoints_update(self, *, update: EndpointsUpdate) -> bool:
         """Apply a snapshot or a delta of entries.
