Give the owners' test harness the arguments that brittle endpoints still take

It passed in_flight, which went with the wait for room, so that eight tests of the owners failed with a TypeError of the harness; no check changes.

--- a/dotterelpaddle/tests/owners/harness.py
+++ b/dotterelpaddle/tests/owners/harness.py
@@ -78,7 +78,7 @@
         loads = LoadTracker(totals=self.shares)
         self.caches = CacheMap(clock=self.clock)
         self.counts = ShardCounts(clock=self.clock)
-        self.brittle = make_brittle(in_flight=lambda: loads.own)
+        self.brittle = make_brittle()
         self.owner = Owner(
             router=RouterId("owner"),
             view=self.view,
