--- a/dotterelpaddle/tests/streams/test_archive.py
+++ b/dotterelpaddle/tests/streams/test_archive.py
@@ -7,7 +7,7 @@
 import orjson
 import pytest
 
-from dotterelpaddle.exceptions import ControlError, PlatformUnavailable
+from dotterelpaddle.exceptions import ControlError, HistoryLost, PlatformUnavailable
 from dotterelpaddle.forwarding.interface import EndpointsUpdate
 from dotterelpaddle.forwarding.store_clock import StoreClock, StoreTime
 from dotterelpaddle.ids import (
@@ -27,6 +27,7 @@
     records_key,
 )
 from dotterelpaddle.tests.forwarding.harness import SERVICE, configuration, route
+from dotterelpaddle.tests.revisions import revision_at
 from dotterelpaddle.tests.streams.test_origins import make_record
 from dotterelpaddle.tests.streams.test_version_history import History
 
@@ -50,6 +51,7 @@
         self.reads = 0
         self.era = StoreEra(0)
         self.checks = 0
+        self.oldest = revision_at(0)
         self.removed: dict[EndpointName, StoreRevision] = {}
 
     async def endpoints_after(
@@ -57,6 +59,8 @@
     ) -> EndpointsUpdate:
         self.checks += 1
         self._check()
+        if after < self.oldest:
+            raise HistoryLost("the store has discarded the requested changes")
         removed = {name: at for name, at in self.removed.items() if at > after}
         return EndpointsUpdate(revision=after, entries=(), removed=removed)
 
--- a/dotterelpaddle/tests/streams/test_versions_row.py
+++ b/dotterelpaddle/tests/streams/test_versions_row.py
@@ -18,6 +18,9 @@
 
 pytestmark = pytest.mark.anyio
 
+HISTORY_SECONDS = 20
+"""Seconds for which the platform's store keeps single changes."""
+
 
 # Guards against a row of before a version came and went, which its writer never saw.
 @pytest.mark.parametrize(("name", "complete"), [("a", True), ("unseen", False)])
@@ -91,3 +94,18 @@
 
     assert router.history.versions == {"v1"}
     assert not router.knows_versions
+
+
+# Guards against refusing streams of the only version after the loss of all routers, as
+# the row is older than the changes that the store keeps.
+async def test_row_is_complete_though_the_store_keeps_few_changes() -> None:
+    store = MemoryStore()
+    writer = Archivist(store=store, first_start=True)
+    for second in range(HISTORY_SECONDS + 5):
+        writer.history.register("a", "v1")
+        await writer.write()
+        store.oldest = revision_at(max(0, second - HISTORY_SECONDS))
+    router = Archivist(store=store, first_start=False)
+    await router.archive.read()
+
+    assert router.knows_versions
