review: a runner that started again with an earlier clock leaves unnoticed

Seen: a runner that starts again under its id, with a clock that was set back meanwhile, gets requests until it exits although it has reported draining.

At fault: forwarding/view.py ranks entries by born before the store's version of the row, so that all rows of the second lifetime are dropped.

--- a/review/lib/runner.py
+++ b/review/lib/runner.py
@@ -42,7 +42,11 @@
         store: The store where it registers itself.
         runs: Receives each run.
         work: Makes the body of an answer; the time that it takes is the work.
+        events: Number of events of its streams, 0 if it answers at once.
+        event_seconds: Seconds before each event.
         slots: Requests that it processes at a time.
+        engine: Whether it names a model.
+        born: Start by its own clock, Unix milliseconds; None if it tells none.
     """
 
     def __init__(
@@ -58,6 +62,7 @@
         event_seconds: float = 0.05,
         slots: int = 64,
         engine: bool = False,
+        born: int | None = None,
     ) -> None:
         self.name = name
         self.service = service
@@ -69,6 +74,7 @@
         self._event_seconds = event_seconds
         self._slots = slots
         self._engine = engine
+        self._born = born
         self._seq = 1
         self.running = 0
         self.state = "ready"
@@ -128,6 +134,8 @@
             "coldLeftMs": 0,
             "seq": self._seq,
         }
+        if self._born is not None:
+            entry["born"] = self._born
         if self._engine:
             entry["stage"] = "unified"
             entry["models"] = [{"name": "m", "version": 1, "adapters": []}]
