--- a/review/lib/callers.py
+++ b/review/lib/callers.py
@@ -41,8 +41,19 @@
         deadline_ms: int = 1500,
         headers: dict[str, str] | None = None,
         on_part: Callable[[bytes], None] | None = None,
+        give_up: float | None = None,
     ) -> tuple[str, Answer]:
-        """Send one request; return its attempt id and its answer."""
+        """Send one request; return its attempt id and its answer.
+
+        Args:
+            router: Router that gets it.
+            target: Path and query.
+            method: Method.
+            deadline_ms: Milliseconds that the caller says it waits.
+            headers: Further headers.
+            on_part: Is called with each part of the answer's body.
+            give_up: Seconds after which the caller leaves, None for its deadline.
+        """
         attempt = f"{next(self._numbers):016x}"
         self.sent[attempt] = time.monotonic(), router.name
         self._record.line(f"{attempt} {method} {target} sent to {router.name}")
@@ -59,7 +70,7 @@
                 **(headers or {}),
             },
             body=b"{}" if method == "POST" else b"",
-            timeout=deadline_ms / 1000 + 0.5,
+            timeout=deadline_ms / 1000 + 0.5 if give_up is None else give_up,
             on_part=on_part,
         )
         self.answers[attempt] = answer
--- a/review/lib/fleet.py
+++ b/review/lib/fleet.py
@@ -221,6 +221,7 @@
     def __init__(self, *, zones: list[str], directory: Path) -> None:
         hosts, first = free_hosts(len(zones))
         self.zones = list(dict.fromkeys(zones))
+        self._options: dict[str, Any] | None = None
         self.routers = [
             Router(
                 name=f"front-{zone}-{number}",
@@ -237,15 +238,23 @@
         """Addresses of at most three hosts."""
         return [router.host for router in self.routers[:3]]
 
-    def start(self, *, stores: list[int]) -> None:
+    def start(
+        self, *, stores: list[int], options: dict[str, Any] | None = None
+    ) -> None:
         """Start all routers for the first time.
 
         Args:
             stores: Port at which each router finds the store.
+            options: Settings that differ, also at later starts.
         """
+        self._options = options
         for router, store in zip(self.routers, stores, strict=True):
             router.start(
-                store=store, seeds=self.seeds, zones=self.zones, first_start=True
+                store=store,
+                seeds=self.seeds,
+                zones=self.zones,
+                first_start=True,
+                options=options,
             )
 
     def restart(self, router: Router, *, store: int) -> None:
--- a/review/lib/runner.py
+++ b/review/lib/runner.py
@@ -47,6 +47,7 @@
         slots: Requests that it processes at a time.
         engine: Whether it names a model.
         born: Start by its own clock, Unix milliseconds; None if it tells none.
+        version: Version of its software.
     """
 
     def __init__(
@@ -63,6 +64,7 @@
         slots: int = 64,
         engine: bool = False,
         born: int | None = None,
+        version: str = "v1",
     ) -> None:
         self.name = name
         self.service = service
@@ -75,6 +77,7 @@
         self._slots = slots
         self._engine = engine
         self._born = born
+        self._version = version
         self._seq = 1
         self.running = 0
         self.state = "ready"
@@ -128,7 +131,7 @@
             "service": self.service,
             "address": f"127.0.0.1:{self.address_port}",
             "zone": self.zone,
-            "version": "v1",
+            "version": self._version,
             "slots": self._slots,
             "state": self.state,
             "coldLeftMs": 0,
@@ -222,7 +225,7 @@
             await asyncio.sleep(self._event_seconds)
             if writer.is_closing():
                 raise ConnectionResetError
-            event = f"id: {number}\ndata: token-{number}\n\n".encode()
+            event = f"id: {number}\ndata: {self._version} {number}\n\n".encode()
             writer.write(b"%x\r\n%s\r\n" % (len(event), event))
             await writer.drain()
         writer.write(b"0\r\n\r\n")
--- a/review/lib/store.py
+++ b/review/lib/store.py
@@ -15,9 +15,16 @@
 
 
 class Store:
-    """Keeps rows and their history; the operator and runners write to it directly."""
+    """Keeps rows and their history; the operator and runners write to it directly.
 
-    def __init__(self) -> None:
+    Args:
+        history_seconds: Seconds for which it keeps the history of changes.
+    """
+
+    def __init__(self, *, history_seconds: float = 20.0) -> None:
+        self._history_seconds = history_seconds
+        self._times: list[tuple[float, int]] = []
+        self._forgotten = 0
         self._rows: dict[tuple[str, str, str], tuple[str, int]] = {}
         self._history: list[tuple[int, str, dict[str, Any]]] = []
         self._changed = asyncio.Event()
@@ -51,6 +58,10 @@
         self._history.append((self.version, table, {**row, "ver": self.version}))
 
     def _wake(self) -> None:
+        now = time.monotonic()
+        self._times.append((now, self.version))
+        while self._times[0][0] < now - self._history_seconds:
+            self._forgotten = self._times.pop(0)[1]
         self._changed.set()
         self._changed = asyncio.Event()
 
@@ -72,6 +83,8 @@
         match request.path:
             case "/-/rows-get":
                 return 200, self._page(query)
+            case "/-/rows-feed" if int(query["afterRev"]) < self._forgotten:
+                return 410, {}
             case "/-/rows-feed":
                 return 200, await self._feed(query)
             case "/-/rows-tx":
