--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,9 +1,8 @@
-"""Runners that have left unannounced get requests for longer than `drainMs`."""
+"""A runner that has left gets requests again after connections have gone silent."""
 
 from __future__ import annotations
 
 import asyncio
-import signal
 import sys
 import time
 from pathlib import Path
@@ -31,32 +30,29 @@
     "winnipeg-hall",
     "winnipeg-hall",
 ]
-RUNNER_ZONES = ["regina-hall", "saskatoon-hall", "winnipeg-hall"]
 
 ROUNDS = 5
-SETTLE_SECONDS = 5.0
-"""Calm seconds before each round, more than `stableWindowMs`."""
+SETTLE_SECONDS = 6.0
+"""Calm seconds before each round, twice `stableWindowMs`."""
 
-OBSERVE_SECONDS = 1.5
-"""Seconds for which the script watches which router reads the store."""
+STABLE_WINDOW_SECONDS = 3.0
+"""`stableWindowMs`: so long after connections have gone silent machines are out of
+touch."""
 
 DRAIN_SECONDS = 2.0
-"""`drainMs`: so long after the store has confirmed that a runner leaves it may still
+"""`drainMs`: so long after the store has confirmed that a runner is gone it may still
 get requests."""
 
-MARGIN_SECONDS = 0.05
-"""Allowance beyond the bound, for the clocks of this script."""
+MARGIN_SECONDS = 0.1
+"""Allowance beyond the bounds, for the clocks of this script."""
 
-KILL_LEAD_SECONDS = 0.1
-"""Seconds from the kill of the router to the removal of the entries."""
+LEAVE_SECONDS = 0.5
+"""Seconds from the silence until the runner's entry is removed."""
 
-DOWN_SECONDS = 3.5
-"""Seconds for which the killed router is away."""
+LINGER_SECONDS = 4.0
+"""Seconds for which the runner goes on serving then: `drainMs` and a little longer."""
 
-LINGER_SECONDS = 2.2
-"""Seconds for which runners go on serving: `drainMs` and a little longer."""
-
-WATCH_SECONDS = 3.5
+WATCH_SECONDS = 6.5
 WORK_SECONDS = 0.09
 
 
@@ -66,81 +62,53 @@
     return request.headers["x-dotterelpaddle-attempt-id"].encode()
 
 
-async def find_reader(proxies: list[Proxy]) -> int:
-    """Return the number of the router that reads the store most."""
-    before = [proxy.passed for proxy in proxies]
-    await asyncio.sleep(OBSERVE_SECONDS)
-    passed = [proxy.passed - each for proxy, each in zip(proxies, before, strict=True)]
-    return max(range(len(proxies)), key=lambda number: passed[number])
-
-
 async def play_round(
-    case: Case,
-    fleet: Fleet,
-    callers: Callers,
-    proxies: list[Proxy],
-    runners: list[Runner],
+    case: Case, fleet: Fleet, callers: Callers, proxies: list[Proxy], runner: Runner
 ) -> int:
-    """Take all runners of a service away; return what reached them too late."""
+    """Let connections go silent and a runner leave; return what reached it too late."""
     record = case.record
-    reader = await find_reader(proxies)
-    killed = fleet.routers[reader]
+    silent_at = time.monotonic()
     if case.trouble:
-        killed.send(signal.SIGKILL)
-        record.say(f"{killed.name} is killed, the router that reads the store")
-        await asyncio.sleep(KILL_LEAD_SECONDS)
+        counts = [proxy.silence() for proxy in proxies]
+        record.say(f"open connections to the store go silent: {counts}")
+    await asyncio.sleep(LEAVE_SECONDS)
+    runner.unregister()
     gone_at = time.monotonic()
-    for runner in runners:
-        if case.trouble:
-            runner.unregister()
-        else:
-            runner.drain()
-    how = "their entries are removed" if case.trouble else "they report draining"
-    record.say(f"{[each.name for each in runners]} leave: {how}, they go on serving")
+    record.say(f"{runner.name} leaves: its entry is removed, it goes on serving")
 
     async def _call(number: int) -> None:
-        while time.monotonic() < gone_at + WATCH_SECONDS:
+        while time.monotonic() < silent_at + WATCH_SECONDS:
             await callers.send(router=fleet.routers[number], target="/puxa403/2f")
             await asyncio.sleep(0.02)
 
     async def _exit() -> None:
         await asyncio.sleep(LINGER_SECONDS)
-        at_work = sum(each.running for each in runners)
-        record.say(f"the runners exit with {at_work} requests at work")
-        for runner in runners:
-            runner.close()
-            if not case.trouble:
-                runner.unregister()
-
-    others = [
-        number
-        for number in range(len(ZONES))
-        if not (case.trouble and number == reader)
-    ]
-    await asyncio.gather(_exit(), *map(_call, others))
-    bound = gone_at + DRAIN_SECONDS + MARGIN_SECONDS
+        record.say(f"{runner.name} exits with {runner.running} requests at work")
+        runner.close()
+
+    await asyncio.gather(_exit(), *(_call(each) for each in range(len(ZONES))))
+    in_touch_at = silent_at + STABLE_WINDOW_SECONDS if case.trouble else silent_at
+    bound = max(gone_at + DRAIN_SECONDS, in_touch_at) + MARGIN_SECONDS
     late = [
-        (at, attempt, runner.name)
-        for runner in runners
+        (at, attempt)
         for at, attempt in runner.arrivals
-        if at > bound
+        if at > bound and callers.sent[attempt][0] > in_touch_at
     ]
-    for at, attempt, name in late:
-        record.line(f"{attempt} reached {name} {at - gone_at:.3f} s after it had left")
-    lost = sum(
-        callers.answers[attempt].status not in (200, 503) for _, attempt, _ in late
-    )
-    last = max((at for each in runners for at, _ in each.arrivals), default=gone_at)
+    for at, attempt in late:
+        record.line(
+            f"{attempt} reached {runner.name} {at - gone_at:.3f} s after its removal "
+            f"and {at - silent_at:.3f} s after the silence"
+        )
+    lost = [
+        attempt
+        for _, attempt in late
+        if callers.answers[attempt].status not in (200, 503)
+    ]
+    last = max((at for at, _ in runner.arrivals), default=gone_at) - gone_at
     record.say(
-        f"the last request reached them {last - gone_at:.2f} s after they had left; "
-        f"{len(late)} too late, {lost} of these lost when they ended"
+        f"last request reached {runner.name} {last:.2f} s after its removal; "
+        f"{len(late)} too late, {len(lost)} of them lost when it ended"
     )
-    if case.trouble:
-        await asyncio.sleep(max(0.0, DOWN_SECONDS - (time.monotonic() - gone_at)))
-        killed.end()
-        fleet.restart(killed, store=proxies[reader].port)
-        if not await wait_ready(fleet.routers):
-            raise CannotRun("the killed router did not come back")
     return len(late)
 
 
@@ -149,6 +117,20 @@
     store = Store()
     await store.server.start()
     runs: list[Run] = []
+
+    def _runner(name: str, zone: str) -> Runner:
+        return Runner(
+            name=name,
+            service="booth-records",
+            zone=zone,
+            store=store,
+            runs=runs,
+            work=work,
+        )
+
+    runners = [_runner(f"i-{number}", zone) for number, zone in enumerate(ZONES[2:5])]
+    for runner in runners:
+        await runner.start()
     store.put(
         "op",
         "config",
@@ -173,21 +155,10 @@
     callers = Callers(record=case.record)
     late = 0
     for number in range(ROUNDS):
-        runners = [
-            Runner(
-                name=f"i-{number}-{zone}",
-                service="booth-records",
-                zone=zone,
-                store=store,
-                runs=runs,
-                work=work,
-            )
-            for zone in RUNNER_ZONES
-        ]
-        for runner in runners:
-            await runner.start()
         await asyncio.sleep(SETTLE_SECONDS)
-        late += await play_round(case, fleet, callers, proxies, runners)
+        late += await play_round(case, fleet, callers, proxies, runners[0])
+        runners = [*runners[1:], _runner(f"i-{number + 10}", runners[0].zone)]
+        await runners[-1].start()
     case.record.say(f"requests that reached a runner too late: {late}")
     return late > 0
 
