--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,4 +1,4 @@
-"""A runner that has started again, with its clock set back, leaves unnoticed."""
+"""A runner that has left gets requests again after connections have gone silent."""
 
 from __future__ import annotations
 
@@ -14,67 +14,121 @@
 from callers import TENANTS, Callers  # noqa: E402
 from case import CannotRun, Case, run_case  # noqa: E402
 from fleet import wait_ready  # noqa: E402
+from proxy import Proxy  # noqa: E402
 from runner import Run, Runner, configuration, route  # noqa: E402
 from store import Store  # noqa: E402
 
 if TYPE_CHECKING:
+    from fleet import Fleet
     from http1 import Request
 
-ZONES = ["sitio-antigua", "sitio-antigua", "sitio-chimal", "sitio-escuintla"]
+ZONES = [
+    "regina-hall",
+    "regina-hall",
+    "regina-hall",
+    "saskatoon-hall",
+    "winnipeg-hall",
+    "winnipeg-hall",
+]
 
-STEP_MS = 2000
-"""By how much the clock of one runner's machine jumps back."""
+ROUNDS = 5
+SETTLE_SECONDS = 6.0
+"""Calm seconds before each round, twice `stableWindowMs`."""
 
-DOWN_SECONDS = 0.5
-"""Seconds from the end of the runner to its next start."""
-
-SETTLE_SECONDS = 5.0
-"""Calm seconds before each step, more than `stableWindowMs`."""
+STABLE_WINDOW_SECONDS = 3.0
+"""`stableWindowMs`: so long after connections have gone silent machines are out of
+touch."""
 
 DRAIN_SECONDS = 2.0
-"""`drainMs`: so long after the store has confirmed that a runner drains it may still
+"""`drainMs`: so long after the store has confirmed that a runner is gone it may still
 get requests."""
 
 MARGIN_SECONDS = 0.1
-"""Allowance beyond the bound, for the clocks of this script."""
+"""Allowance beyond the bounds, for the clocks of this script."""
+
+LEAVE_SECONDS = 0.5
+"""Seconds from the silence until the runner's entry is removed."""
 
 LINGER_SECONDS = 4.0
-"""Seconds for which the runner serves after its report: a little over `drainMs`."""
+"""Seconds for which the runner goes on serving then: `drainMs` and a little longer."""
 
-WATCH_SECONDS = 6.0
+WATCH_SECONDS = 6.5
 WORK_SECONDS = 0.09
 
 
 async def work(request: Request) -> bytes:
-    """Work on a request for a while."""
+    """Work on a request as long as the deployment's sheet says."""
     await asyncio.sleep(WORK_SECONDS)
     return request.headers["x-dotterelpaddle-attempt-id"].encode()
 
 
+async def play_round(
+    case: Case, fleet: Fleet, callers: Callers, proxies: list[Proxy], runner: Runner
+) -> int:
+    """Let connections go silent and a runner leave; return what reached it too late."""
+    record = case.record
+    silent_at = time.monotonic()
+    if case.trouble:
+        counts = [proxy.silence() for proxy in proxies]
+        record.say(f"open connections to the store go silent: {counts}")
+    await asyncio.sleep(LEAVE_SECONDS)
+    runner.unregister()
+    gone_at = time.monotonic()
+    record.say(f"{runner.name} leaves: its entry is removed, it goes on serving")
+
+    async def _call(number: int) -> None:
+        while time.monotonic() < silent_at + WATCH_SECONDS:
+            await callers.send(router=fleet.routers[number], target="/puxa403/2f")
+            await asyncio.sleep(0.02)
+
+    async def _exit() -> None:
+        await asyncio.sleep(LINGER_SECONDS)
+        record.say(f"{runner.name} exits with {runner.running} requests at work")
+        runner.close()
+
+    await asyncio.gather(_exit(), *(_call(each) for each in range(len(ZONES))))
+    in_touch_at = silent_at + STABLE_WINDOW_SECONDS if case.trouble else silent_at
+    bound = max(gone_at + DRAIN_SECONDS, in_touch_at) + MARGIN_SECONDS
+    late = [
+        (at, attempt)
+        for at, attempt in runner.arrivals
+        if at > bound and callers.sent[attempt][0] > in_touch_at
+    ]
+    for at, attempt in late:
+        record.line(
+            f"{attempt} reached {runner.name} {at - gone_at:.3f} s after its removal "
+            f"and {at - silent_at:.3f} s after the silence"
+        )
+    lost = [
+        attempt
+        for _, attempt in late
+        if callers.answers[attempt].status not in (200, 503)
+    ]
+    last = max((at for at, _ in runner.arrivals), default=gone_at) - gone_at
+    record.say(
+        f"last request reached {runner.name} {last:.2f} s after its removal; "
+        f"{len(late)} too late, {len(lost)} of them lost when it ended"
+    )
+    return len(late)
+
+
 async def play(case: Case) -> bool:
     """Play the case; return whether the rule was broken."""
-    record = case.record
     store = Store()
     await store.server.start()
     runs: list[Run] = []
 
-    def _runner(name: str, zone: str, born: int) -> Runner:
+    def _runner(name: str, zone: str) -> Runner:
         return Runner(
             name=name,
-            service="app-cuadrillas",
+            service="booth-records",
             zone=zone,
             store=store,
             runs=runs,
             work=work,
-            born=born,
         )
 
-    def _now_ms() -> int:
-        return int(time.time() * 1000)
-
-    runners = [
-        _runner(f"i-{number}", zone, _now_ms()) for number, zone in enumerate(ZONES[1:])
-    ]
+    runners = [_runner(f"i-{number}", zone) for number, zone in enumerate(ZONES[2:5])]
     for runner in runners:
         await runner.start()
     store.put(
@@ -83,66 +137,30 @@
         configuration(
             version=3,
             routes=[
-                route(prefix="/alta/", service="app-cuadrillas", kind="non_idempotent")
+                route(
+                    prefix="/puxa403/", service="booth-records", kind="non_idempotent"
+                )
             ],
-            services=["app-cuadrillas"],
+            services=["booth-records"],
             tenants=TENANTS,
         ),
     )
+    proxies = [Proxy(target=store.server.port) for _ in ZONES]
+    for proxy in proxies:
+        await proxy.start()
     fleet = case.fleet(zones=ZONES)
-    fleet.start(stores=[store.server.port] * len(ZONES))
+    fleet.start(stores=[proxy.port for proxy in proxies])
     if not await wait_ready(fleet.routers):
         raise CannotRun("the routers did not get ready")
-
-    first_born = _now_ms()
-    first = runners[0]
-    first.close()
-    first = _runner(first.name, first.zone, first_born)
-    await first.start()
-    await asyncio.sleep(SETTLE_SECONDS)
-    record.say(f"{first.name} runs, born {first_born}")
-
-    port = first.address_port
-    first.close()
-    await asyncio.sleep(DOWN_SECONDS)
-    born = first_born + int(DOWN_SECONDS * 1000)
-    if case.trouble:
-        born -= STEP_MS
-        record.say(f"the clock of its machine jumps back by {STEP_MS} ms")
-    else:
-        born = _now_ms()
-    second = _runner(first.name, first.zone, born)
-    await second.start(port=port)
-    record.say(f"{second.name} has ended and started again under its id, born {born}")
-    await asyncio.sleep(SETTLE_SECONDS)
-
-    second.drain()
-    drained_at = time.monotonic()
-    record.say(f"{second.name} reports draining")
-    callers = Callers(record=record)
-
-    async def _call(number: int) -> None:
-        while time.monotonic() < drained_at + WATCH_SECONDS:
-            await callers.send(router=fleet.routers[number], target="/alta/2f")
-            await asyncio.sleep(0.02)
-
-    async def _exit() -> None:
-        await asyncio.sleep(LINGER_SECONDS)
-        record.say(f"{second.name} exits with {second.running} requests at work")
-        second.unregister()
-        second.close()
-
-    await asyncio.gather(_exit(), *map(_call, range(len(ZONES))))
-    bound = drained_at + DRAIN_SECONDS + MARGIN_SECONDS
-    late = [(at, attempt) for at, attempt in second.arrivals if at > bound]
-    for at, attempt in late:
-        record.line(f"{attempt} reached {second.name} {at - drained_at:.3f} s after it")
-    lost = sum(callers.answers[each].status not in (200, 503) for _, each in late)
-    record.say(
-        f"{len(late)} of {len(callers.sent)} requests reached {second.name} later than "
-        f"{DRAIN_SECONDS} s after its report; {lost} of them lost when it ended"
-    )
-    return bool(late)
+    callers = Callers(record=case.record)
+    late = 0
+    for number in range(ROUNDS):
+        await asyncio.sleep(SETTLE_SECONDS)
+        late += await play_round(case, fleet, callers, proxies, runners[0])
+        runners = [*runners[1:], _runner(f"i-{number + 10}", runners[0].zone)]
+        await runners[-1].start()
+    case.record.say(f"requests that reached a runner too late: {late}")
+    return late > 0
 
 
 run_case(play, folder=FOLDER)
