Divide the retry budget by token buckets that callers' moves and false first starts can't double

Cause, of the class 'a bound of the whole fleet kept by counts that two processes can both spend': (1) a router might repeat a share of its own requests of the last ten seconds. Callers that move (their router killed, stopped, cut off) bring the same share to the next router, while what the first one spent still counts. (2) A process told that the whole fleet starts for the first time counted as settled and had all of its part of the allowance at once, at each start.

Why tests missed it: the state machine added up the requests of two windows, of which the rule counts the larger one, and no play moved callers. It counts the larger one now.

Why this works: a bucket is empty at the start and adds a share for each request. What it may hold is part of the allowance plus part of what its own last window added, so that all repeats of a window come from the allowance, this window's requests and a quarter of the share of the one before: within the larger of the two. No part depends on a process having run for long.

The test of the first start asked for what the fault was; a start without an allowance is asked for instead. The test that requests raise the budget counts them as they come, with the same bounds. The harness takes limits by which its routers, which have just started, may repeat at once.

--- a/dotterelpaddle/forwarding/retry_budget.py
+++ b/dotterelpaddle/forwarding/retry_budget.py
@@ -5,11 +5,11 @@
 the requests plus an allowance.
 
 No router relies on what others report, nor on what an earlier process of its own has
-counted: reports may be lost or late, and a process may end at any moment. A router may
-retry a share of its own requests, a small one until its process has run for a window,
-since an earlier process may have spent the rest of it in that window. It has an even
-part of the allowance besides. That part accrues over time and is empty at the start of
-a process, so that a sequence of processes gets no more of it than one that lives on.
+counted: reports may be lost or late, and a process may end at any moment. Each router
+has a token bucket that is empty at the start of its process. Each request of its own
+adds a share of a token, and its even part of the allowance accrues over time. What a
+bucket holds bounds what is spent of requests of before a window, so that callers who
+move to another router bring no second share of the same requests.
 """
 
 from __future__ import annotations
@@ -30,13 +30,12 @@
 """Share of the budget that routers spend. Retries reach endpoints up to half a second
 after they are counted, so that a window may hold those of a slightly longer time."""
 
-SETTLED_FACTOR = 0.85
-"""Part of the share of requests for a process that has counted for a whole window; the
-other part is for processes that have not."""
-
 BURST_SHARE = 0.6
 """Share of the allowance that may be spent at once; the rest accrues in one window."""
 
+SAVED_SHARE = 0.25
+"""Part of what the requests of the last window have added that may be spent at once."""
+
 WINDOW_STEP_SECONDS = 0.25
 """Length of one step of the sliding window, seconds."""
 
@@ -72,30 +71,59 @@
         self._sum += 1
 
     def total(self, *, now: float) -> int:
-        while (
-            self._steps and now - self._steps[0][0] > self._length + WINDOW_STEP_SECONDS
-        ):
+        """Return the events of the last steps that the window holds whole."""
+        while self._steps and now - self._steps[0][0] > self._length:
             self._sum -= int(self._steps.popleft()[1])
         return self._sum
 
 
-class _Allowance:
-    """A token bucket that fills over time from the start of the process."""
+class _Bucket:
+    """The retries that a router may make for one service.
+
+    Args:
+        limits: Limits on the retries of all routers.
+        started_at: When the process started, seconds on the monotonic clock.
+    """
 
-    def __init__(self, *, started_at: float) -> None:
+    def __init__(self, *, limits: RetryLimits, started_at: float) -> None:
+        self._window = limits.window
+        # What may be saved and what is added in a window are together the share.
+        self._per_request = BUDGET_SAFETY_FACTOR * limits.share / (1.0 + SAVED_SHARE)
+        self._requests = _Window(length=limits.window)
+        self._retries = _Window(length=limits.window)
         self._tokens = 0.0
         self._updated_at = started_at
 
-    def tokens(self, *, now: float, per_window: float, window: float) -> float:
-        """Return the tokens, given those that one window may use at most."""
-        rate = (1.0 - BURST_SHARE) * per_window / window
+    def count_request(self, *, now: float) -> None:
+        """Add the share of one request."""
+        self._requests.add(now=now)
+        self._tokens += self._per_request
+
+    def left(self, *, allowance: float, now: float) -> float:
+        """Return the retries that may be made now.
+
+        Args:
+            allowance: This router's part of the allowance of one window.
+            now: Seconds on the monotonic clock.
+        """
+        rate = (1.0 - BURST_SHARE) * allowance / self._window
         accrued = self._tokens + rate * (now - self._updated_at)
-        self._tokens = min(accrued, BURST_SHARE * per_window)
+        saved = SAVED_SHARE * self._per_request * self._requests.total(now=now)
+        self._tokens = min(accrued, BURST_SHARE * allowance + saved)
         self._updated_at = now
         return self._tokens
 
-    def take(self) -> None:
+    def take(self, *, now: float) -> None:
+        """Count one retry."""
         self._tokens -= 1.0
+        self._retries.add(now=now)
+
+    def counts(self, *, now: float) -> RetryCounts:
+        """Return the counts of the last window."""
+        return RetryCounts(
+            requests=self._requests.total(now=now),
+            retries=self._retries.total(now=now),
+        )
 
 
 class RetryBudget:
@@ -104,8 +132,6 @@
     Args:
         limits: Limits on the retries of all routers.
         routers: Returns the number of routers, including this one; None if unknown.
-        first_start: Whether the whole fleet starts for the first time, so that no
-            earlier process can have spent anything.
         clock: Monotonic clock.
     """
 
@@ -114,36 +140,29 @@
         *,
         limits: RetryLimits,
         routers: Callable[[], int | None],
-        first_start: bool = False,
         clock: Clock,
     ) -> None:
         self._limits = limits
         self._routers = routers
         self._clock = clock
-        self._started_at = float("-inf") if first_start else clock()
-        self._requests: dict[ServiceName, _Window] = {}
-        self._share_retries: dict[ServiceName, _Window] = {}
-        self._retries: dict[ServiceName, _Window] = {}
-        self._allowances: dict[ServiceName, _Allowance] = {}
+        self._started_at = clock()
+        self._buckets: dict[ServiceName, _Bucket] = {}
 
     def count_request(self, *, service: ServiceName) -> None:
         """Count a request for a service."""
-        self._window(self._requests, service).add(now=self._clock())
+        # Tokens that the bucket can't hold must not make room for those of this one.
+        self._left(service)
+        self._bucket(service).count_request(now=self._clock())
 
     def has_room(self, *, service: ServiceName) -> bool:
         """Return whether one more retry is within the budget."""
-        return self._share_left(service) >= 1.0 or self._allowance_left(service) >= 1.0
+        return self._left(service) >= 1.0
 
     def acquire(self, *, service: ServiceName) -> bool:
         """Count a retry; return False without counting it if the budget is spent."""
-        now = self._clock()
-        if self._share_left(service) >= 1.0:
-            self._window(self._share_retries, service).add(now=now)
-        elif self._allowance_left(service) >= 1.0:
-            self._allowance(service).take()
-        else:
+        if not self.has_room(service=service):
             return False
-        self._window(self._retries, service).add(now=now)
+        self._bucket(service).take(now=self._clock())
         return True
 
     def counts(self) -> dict[ServiceName, RetryCounts]:
@@ -152,56 +171,24 @@
         Routers of earlier releases derive their own retries from them.
         """
         now = self._clock()
-        services = self._requests.keys() | self._retries.keys()
         return {
-            service: RetryCounts(
-                requests=self._window(self._requests, service).total(now=now),
-                retries=self._window(self._retries, service).total(now=now),
-            )
-            for service in services
+            service: bucket.counts(now=now) for service, bucket in self._buckets.items()
         }
 
     def room(self, *, service: ServiceName) -> float:
         """Return the number of retries that this router may still make."""
-        share_left = max(0.0, self._share_left(service))
-        return share_left + self._allowance_left(service)
+        return self._left(service)
 
-    def _share_left(self, service: ServiceName) -> float:
-        """Retries left of the share of this router's own requests."""
-        now = self._clock()
-        requests = self._window(self._requests, service).total(now=now)
-        retries = self._window(self._share_retries, service).total(now=now)
-        return self._retry_share(now=now) * requests - retries
-
-    def _retry_share(self, *, now: float) -> float:
-        """Share of this router's own requests that it may retry."""
-        window = self._limits.window + WINDOW_STEP_SECONDS
-        settled = now - self._started_at >= window
-        factor = SETTLED_FACTOR if settled else 1.0 - SETTLED_FACTOR
-        return factor * BUDGET_SAFETY_FACTOR * self._limits.share
-
-    def _allowance_left(self, service: ServiceName) -> float:
-        """Retries left of this router's part of the allowance."""
+    def _left(self, service: ServiceName) -> float:
         routers = self._routers()
-        if routers is None:
-            return 0.0
-        return self._allowance(service).tokens(
-            now=self._clock(),
-            per_window=BUDGET_SAFETY_FACTOR * self._limits.allowance / routers,
-            window=self._limits.window,
-        )
-
-    def _allowance(self, service: ServiceName) -> _Allowance:
-        allowance = self._allowances.get(service)
-        if allowance is None:
-            allowance = _Allowance(started_at=self._started_at)
-            self._allowances[service] = allowance
-        return allowance
-
-    def _window(
-        self, windows: dict[ServiceName, _Window], service: ServiceName
-    ) -> _Window:
-        window = windows.get(service)
-        if window is None:
-            window = windows[service] = _Window(length=self._limits.window)
-        return window
+        allowance = 0.0
+        if routers is not None:
+            allowance = BUDGET_SAFETY_FACTOR * self._limits.allowance / routers
+        return self._bucket(service).left(allowance=allowance, now=self._clock())
+
+    def _bucket(self, service: ServiceName) -> _Bucket:
+        bucket = self._buckets.get(service)
+        if bucket is None:
+            bucket = _Bucket(limits=self._limits, started_at=self._started_at)
+            self._buckets[service] = bucket
+        return bucket
--- a/dotterelpaddle/forwarding/shared_state.py
+++ b/dotterelpaddle/forwarding/shared_state.py
@@ -185,7 +185,6 @@
         retry_budget=RetryBudget(
             limits=settings.retry_limits,
             routers=lambda: fleet_size.count,
-            first_start=settings.first_start,
             clock=clock,
         ),
         directory=directory,
--- a/dotterelpaddle/tests/forwarding/harness.py
+++ b/dotterelpaddle/tests/forwarding/harness.py
@@ -37,7 +37,9 @@
 WAIT_TIMEOUT_SECONDS = 10.0
 """Seconds after which `wait_until` fails."""
 
-RETRY_LIMITS = RetryLimits(share=0.2, allowance=50.0, window=10.0)
+RETRY_LIMITS = RetryLimits(share=40.0, allowance=50.0, window=10.0)
+"""Limits by which a router may retry from its first request on."""
+
 
 Headers = dict[bytes, bytes]
 
--- a/dotterelpaddle/tests/forwarding/test_retry_budget.py
+++ b/dotterelpaddle/tests/forwarding/test_retry_budget.py
@@ -37,6 +37,15 @@
         for _ in range(count):
             self.budget.count_request(service=SERVICE)
 
+    def spend_on_requests(self, count: int) -> int:
+        """Retry as often as possible while requests come; return how often."""
+        acquired = self.acquire_all()
+        for _ in range(count):
+            self.now += 0.99 * LIMITS.window / count
+            self.budget.count_request(service=SERVICE)
+            acquired += self.acquire_all()
+        return acquired
+
     def acquire_all(self) -> int:
         """Make as many retries as possible and return how many."""
         return sum(self.budget.acquire(service=SERVICE) for _ in range(100))
@@ -49,10 +58,9 @@
 
 
 def test_requests_raise_the_budget() -> None:
-    router = Router().settle()
-    router.count_requests(200)
+    acquired = Router().settle().spend_on_requests(200)
 
-    assert LIMITS.allowance < router.acquire_all() <= LIMITS.allowance + 0.2 * 200
+    assert LIMITS.allowance < acquired <= LIMITS.allowance + 0.2 * 200
 
 
 def test_requests_raise_the_budget_of_a_process_that_has_just_started() -> None:
@@ -62,14 +70,8 @@
     assert 0 < router.acquire_all() <= 0.2 * 200
 
 
-def test_whole_budget_is_available_at_the_first_start_of_the_fleet() -> None:
-    budget = RetryBudget(
-        limits=LIMITS, routers=lambda: 1, first_start=True, clock=lambda: 0.0
-    )
-
-    acquired = sum(budget.acquire(service=SERVICE) for _ in range(100))
-
-    assert acquired == Router().settle().acquire_all()
+def test_process_that_has_just_started_has_no_part_of_the_allowance() -> None:
+    assert Router().acquire_all() == 0
 
 
 def test_spent_retries_are_available_again_after_the_window() -> None:
@@ -159,9 +161,16 @@
 
     @invariant()
     def retries_stay_within_the_budget(self) -> None:
-        """No window that ends now holds more retries than it or the last one allows."""
+        """No window that ends now holds more retries than it or the last one allows.
+
+        The requests of the two windows don't add up: a caller that moves from one
+        router to another counts in both.
+        """
         oldest = self.now - LIMITS.window
-        requests = sum(at >= oldest - LIMITS.window for at in self.requests)
+        requests = max(
+            sum(first <= at <= first + LIMITS.window for at in self.requests)
+            for first in (oldest, oldest - LIMITS.window / 2, oldest - LIMITS.window)
+        )
         retries = sum(at >= oldest for at in self.retries)
         assert retries <= LIMITS.share * requests + LIMITS.allowance
 
--- a/dotterelpaddle/tests/forwarding/test_retry_budget_incident.py
+++ b/dotterelpaddle/tests/forwarding/test_retry_budget_incident.py
@@ -56,6 +56,7 @@
     """Routers that report to all others of their group, and requests that fail."""
 
     size: int
+    failures_from: float = FAILURES_FROM
     now: float = 0.0
     routers: list[Router] = field(default_factory=list)
     requests: list[float] = field(default_factory=list)
@@ -78,7 +79,7 @@
             for _ in range(round(REQUESTS_PER_SECOND * STEP_SECONDS)):
                 generator.choice(running).budget.count_request(service=SERVICE)
                 self.requests.append(self.now)
-        if self.now >= FAILURES_FROM:
+        if self.now >= self.failures_from:
             for router in running:
                 while router.budget.acquire(service=SERVICE):
                     self.retries.append(self.now)
@@ -140,6 +141,23 @@
         router.frozen = not router.frozen
 
 
+def _lose_half(fleet: Fleet) -> None:
+    for router in fleet.routers[::2]:
+        router.frozen = True
+
+
+def _lose_all_but_one(fleet: Fleet) -> None:
+    for router in fleet.routers[1:]:
+        router.frozen = True
+
+
+def _return_all(fleet: Fleet) -> None:
+    for router in fleet.routers:
+        if router.frozen:
+            router.frozen = False
+            router.start()
+
+
 def _double(fleet: Fleet) -> None:
     fleet.add(count=len(fleet.routers))
 
@@ -162,10 +180,20 @@
     "fleet doubles": {17.0: _double},
 }
 
+MOVES: Mapping[str, Events] = {
+    "half are lost": {26.1: _lose_half},
+    "all but one are lost": {26.1: _lose_all_but_one},
+    "half are lost and return": {26.1: _lose_half, 29.0: _return_all},
+    "all but one are lost and return": {26.1: _lose_all_but_one, 29.0: _return_all},
+}
+"""Callers of routers that are lost move to others, ten seconds of requests later."""
+
 
-def _excess(*, size: int, events: Events) -> float:
+def _excess(
+    *, size: int, events: Events, failures_from: float = FAILURES_FROM
+) -> float:
     """Play some events and return the worst excess of any window."""
-    fleet = Fleet(size=size)
+    fleet = Fleet(size=size, failures_from=failures_from)
     generator = random.Random(size)
     due = {round(at / STEP_SECONDS): event for at, event in events.items()}
     for number in range(round(END / STEP_SECONDS)):
@@ -176,13 +204,16 @@
     return fleet.worst_excess()
 
 
-def _over_budget(cases: Mapping[str, Events]) -> list[tuple[str, int, float]]:
-    return [
-        (name, size, excess)
-        for name, events in cases.items()
-        for size in FLEET_SIZES
-        if (excess := _excess(size=size, events=events)) > 0
-    ]
+def _over_budget(
+    cases: Mapping[str, Events], *, failures_from: float = FAILURES_FROM
+) -> list[tuple[str, int, float]]:
+    found = []
+    for name, events in cases.items():
+        for size in FLEET_SIZES:
+            excess = _excess(size=size, events=events, failures_from=failures_from)
+            if excess > 0:
+                found.append((name, size, excess))
+    return found
 
 
 # Guards against retries of an earlier process that are spent again after a restart.
@@ -193,3 +224,9 @@
 # Guards against routers that each spend what all have left until the next report.
 def test_retries_without_fresh_reports_stay_within_the_budget() -> None:
     assert not _over_budget(MISSING_REPORTS)
+
+
+# Guards against a share of repeats that is spent twice, by the router that loses its
+# callers and by those to which they move.
+def test_retries_of_callers_that_move_stay_within_the_budget() -> None:
+    assert not _over_budget(MOVES, failures_from=26.0)
