Tell endpoints the time that is left once their connection stands

Cause: the time left was worked out as an attempt was chosen, and sent after the connect, which may take tenths of a second or go through another router. The same value bounded the wait for a silent endpoint. Class: an age passed on as a duration.

Evidence: the test fails before (998 ms where 900 are left after a connect of 0.1 s).

Why this works: a call holds its deadline, and the header is made from it as it is written.

--- a/dotterelpaddle/forwarding/attempt_sender.py
+++ b/dotterelpaddle/forwarding/attempt_sender.py
@@ -187,9 +187,9 @@
             entry=choice.entry,
             request=exchange.request,
             body=exchange.body,
+            deadline=exchange.deadline,
             metadata=RequestMetadata(
                 endpoint=choice.entry.name,
-                time_left=time_left,
                 account=exchange.account,
                 priority=priority,
                 last_event_id=relay.last_event_id,
--- a/dotterelpaddle/forwarding/call.py
+++ b/dotterelpaddle/forwarding/call.py
@@ -43,6 +43,7 @@
         entry: Registration of the endpoint.
         request: The caller's request.
         body: Its complete body.
+        deadline: When the caller's request ends, seconds on the monotonic clock.
         metadata: Metadata that the router adds as headers.
         timeouts: Timeouts of each stage.
         new_connection: Whether to use a new connection only, on which no late answer
@@ -55,6 +56,7 @@
     entry: EndpointEntry
     request: ForwardRequest
     body: bytes
+    deadline: float
     metadata: RequestMetadata
     timeouts: Patience
     new_connection: bool
--- a/dotterelpaddle/forwarding/client.py
+++ b/dotterelpaddle/forwarding/client.py
@@ -126,7 +126,7 @@
             response = await self._send_request(call=call, connection=connection)
             call.attempt.report_data()
             connection.stream.read_extension = partial(
-                _wait_in_silence, call, sent_at, self._clock
+                _wait_in_silence, call, self._clock
             )
             self._liveness.record_answer_start(
                 endpoint=call.entry.endpoint, sent_at=sent_at
@@ -163,7 +163,7 @@
             seconds_left = call.timeouts.slow_first_byte - (self._clock() - sent_at)
             if seconds_left > 0.0:
                 return min(seconds_left, SLOW_RECHECK_SECONDS)
-        return _wait_in_silence(call, sent_at, self._clock)
+        return _wait_in_silence(call, self._clock)
 
     def has_idle(self, *, entry: EndpointEntry) -> bool:
         """Return whether an idle connection to an endpoint is open."""
@@ -248,8 +248,11 @@
                 call.observe(Evidence.SENT)
 
     def _request(self, *, call: ForwardCall) -> httpcore.Request:
+        # To connect takes time, in which the deadline comes nearer.
         headers = self._codec.encode_headers(
-            request=call.request, metadata=call.metadata
+            request=call.request,
+            metadata=call.metadata,
+            time_left=max(0.0, call.deadline - self._clock()),
         )
         if call.body or call.request.method in ("POST", "PUT", "PATCH"):
             headers.append((b"content-length", str(len(call.body)).encode()))
@@ -265,9 +268,9 @@
         )
 
 
-def _wait_in_silence(call: ForwardCall, sent_at: float, clock: Clock) -> float:
+def _wait_in_silence(call: ForwardCall, clock: Clock) -> float:
     """Report a silent endpoint; return the seconds to wait on, 0 at the deadline."""
-    seconds_left = call.metadata.time_left - (clock() - sent_at)
+    seconds_left = call.deadline - clock()
     if seconds_left <= 0.0:
         return 0.0
     call.attempt.report_silence()
--- a/dotterelpaddle/forwarding/interface.py
+++ b/dotterelpaddle/forwarding/interface.py
@@ -164,7 +164,6 @@
 
     Attributes:
         endpoint: Name of the addressed endpoint; any other one must refuse.
-        time_left: Seconds until the caller's deadline.
         account: The client account, None on public routes.
         priority: Priority, 0 is the highest; None for the endpoint's default.
         last_event_id: Id of the last event that the caller has, empty for none.
@@ -172,7 +171,6 @@
     """
 
     endpoint: EndpointName
-    time_left: float
     account: ClientAccount | None
     priority: int | None
     last_event_id: str
@@ -190,9 +188,15 @@
         """
 
     def encode_headers(
-        self, *, request: ForwardRequest, metadata: RequestMetadata
+        self, *, request: ForwardRequest, metadata: RequestMetadata, time_left: float
     ) -> Headers:
-        """Return the headers of a request to an endpoint."""
+        """Return the headers of a request to an endpoint.
+
+        Args:
+            request: The caller's request.
+            metadata: What the router adds.
+            time_left: Seconds until the deadline as the headers are sent.
+        """
 
     def decode_answer(
         self, *, status: int, headers: Sequence[tuple[bytes, bytes]]
--- a/dotterelpaddle/platform/protocols.py
+++ b/dotterelpaddle/platform/protocols.py
@@ -78,12 +78,12 @@
         )
 
     def encode_headers(
-        self, *, request: ForwardRequest, metadata: RequestMetadata
+        self, *, request: ForwardRequest, metadata: RequestMetadata, time_left: float
     ) -> Headers:
         """Return the headers of a request to an endpoint."""
         headers = list(request.headers)
         headers.append((Header.EXPECTED_ENDPOINT, metadata.endpoint.encode()))
-        headers.append((Header.TIME_LEFT_MS, b"%d" % (metadata.time_left * 1000)))
+        headers.append((Header.TIME_LEFT_MS, b"%d" % (time_left * 1000)))
         if metadata.account is not None:
             headers.append((Header.ACCOUNT, metadata.account.name.encode()))
         if metadata.priority is not None and request.prompt:
--- a/dotterelpaddle/tests/forwarding/test_flow.py
+++ b/dotterelpaddle/tests/forwarding/test_flow.py
@@ -2,8 +2,12 @@
 
 from __future__ import annotations
 
+from typing import Any
+
+import anyio
 import pytest
 
+from dotterelpaddle.network import LinkedBackend
 from dotterelpaddle.platform.names import Header
 from dotterelpaddle.tests.forwarding.harness import (
     ACCOUNT,
@@ -14,6 +18,8 @@
 
 pytestmark = pytest.mark.anyio
 
+CONNECT_SECONDS = 0.1
+
 
 async def test_request_is_forwarded_unchanged() -> None:
     async with run_fleet() as fleet:
@@ -57,6 +63,25 @@
     assert 0 < int(received.headers[Header.TIME_LEFT_MS]) <= 1000
 
 
+# Guards against endpoints that are told more time than is left, since the deadline was
+# worked out before the connection stood.
+async def test_endpoint_is_told_the_time_left_once_connected(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    connect = LinkedBackend.connect_tcp
+
+    async def connect_slowly(*args: Any, **kwargs: Any) -> Any:
+        await anyio.sleep(CONNECT_SECONDS)
+        return await connect(*args, **kwargs)
+
+    async with run_fleet() as fleet:
+        monkeypatch.setattr(LinkedBackend, "connect_tcp", connect_slowly)
+        await fleet.call("/safe/", headers={Header.TIME_LEFT_MS: b"1000"})
+
+    (received,) = fleet.runners["runner-1"].received
+    assert int(received.headers[Header.TIME_LEFT_MS]) <= 1000 * (1 - CONNECT_SECONDS)
+
+
 async def test_time_left_is_bounded_by_the_route() -> None:
     async with run_fleet() as fleet:
         await fleet.call("/safe/", headers={Header.TIME_LEFT_MS: b"60000"})
--- a/dotterelpaddle/tests/platform/test_protocols.py
+++ b/dotterelpaddle/tests/platform/test_protocols.py
@@ -93,13 +93,14 @@
     )
     metadata = RequestMetadata(
         endpoint=EndpointName("runner-1"),
-        time_left=1.2345,
         account=ClientAccount(name=AccountId("acme")),
         priority=12,
         last_event_id="3",
     )
 
-    headers = dict(PROTOCOLS.encode_headers(request=request, metadata=metadata))
+    headers = dict(
+        PROTOCOLS.encode_headers(request=request, metadata=metadata, time_left=1.2345)
+    )
 
     assert headers[Header.EXPECTED_ENDPOINT] == b"runner-1"
     assert headers[Header.TIME_LEFT_MS] == b"1234"
