Answer what the kernel holds for a server that stops

What callers saw: a reset instead of an answer, at a router that was stopped as planned, on a new connection or on one used before (LOST).

Cause: a stopping server closed its listening sockets and its idle connections in the turn of the event loop in which it woke, before reading them. Connections and whole requests that the kernel had taken meanwhile were dropped with their sockets. Class: what was received is dropped with its socket.

Why this works: the server accepts what waits, closes its listeners at once, and reads each connection before it closes those that are idle. What arrives later crosses the close, unread.

--- a/dotterelpaddle/http_server.py
+++ b/dotterelpaddle/http_server.py
@@ -12,14 +12,20 @@
 
 from dotterelpaddle.address import Address
 from dotterelpaddle.listening import address_of, bind
+from dotterelpaddle.logs import get_logger
 
 if TYPE_CHECKING:
     import socket
     from collections.abc import AsyncIterator, Iterator
 
+log = get_logger(name=__name__)
+
 SHUTDOWN_GRACE_SECONDS = 5.0
 """Default time that open connections have to finish when a server stops."""
 
+READ_TURNS = 2
+"""Turns of the event loop after which it has read what had arrived before."""
+
 
 class ReplyCut(Exception):
     """Raised by an application to abort a connection in the middle of an answer.
@@ -56,11 +62,52 @@
     async def main_loop(self) -> None:
         await self._stop_requested.wait()
 
+    async def shutdown(self, sockets: list[socket.socket] | None = None) -> None:
+        """Stop, and answer what the kernel has received for this process until then.
+
+        A process that got no processor for a while has callers' connections and
+        requests waiting there. To close their sockets would reset them unread.
+        """
+        listeners = sockets or []
+        accepted = [
+            each for listener in listeners for each in _accept_waiting(listener)
+        ]
+        for acceptor in self.servers:
+            acceptor.close()
+        for connection in accepted:
+            await asyncio.get_running_loop().connect_accepted_socket(
+                self._new_protocol, connection
+            )
+        for _ in range(READ_TURNS):
+            await asyncio.sleep(0)
+        await super().shutdown(sockets)
+
+    def _new_protocol(self) -> asyncio.Protocol:
+        protocol: type[Any] = self.config.http_protocol_class
+        return protocol(
+            config=self.config,
+            server_state=self.server_state,
+            app_state=self.lifespan.state,
+        )
+
     @contextmanager
     def capture_signals(self) -> Iterator[None]:
         yield
 
 
+def _accept_waiting(listener: socket.socket) -> Iterator[socket.socket]:
+    """Accept the connections that wait at a listening socket."""
+    while True:
+        try:
+            connection, _ = listener.accept()
+        except BlockingIOError:
+            return
+        except OSError as error:
+            log.warning("waiting_connections_lost", cause=str(error))
+            return
+        yield connection
+
+
 @asynccontextmanager
 async def serve(
     *,
