--- a/dotterelpaddle/tests/forwarding/repeats_world.py
+++ b/dotterelpaddle/tests/forwarding/repeats_world.py
@@ -182,9 +182,8 @@
         for arrival in self._all_arrivals():
             end = arrival.at + arrival.seconds_left
             first = ends.setdefault(arrival.request_id, end)
-            if arrival.seconds_left > TIME_LEFT_SECONDS + LATE_SECONDS:
-                late.append(arrival)
-            elif end > first + LATE_SECONDS:
+            last = min(first, arrival.at + TIME_LEFT_SECONDS)
+            if end > last + LATE_SECONDS:
                 late.append(arrival)
         return late
 
--- a/dotterelpaddle/tests/forwarding/silence_callers.py
+++ b/dotterelpaddle/tests/forwarding/silence_callers.py
@@ -127,6 +127,7 @@
         paths: Paths that they call.
         keys: Keys that they use.
         generator: Source of their choices.
+        pause: Seconds before each request.
         calling: Whether they go on.
         calls: All requests that were sent whole.
         active: Number of callers that still run.
@@ -136,6 +137,7 @@
     paths: Sequence[str]
     keys: Sequence[str] = (KEY,)
     generator: random.Random
+    pause: float = 0.0
     calling: bool = True
     calls: list[Call] = field(default_factory=list)
     active: int = 0
@@ -158,6 +160,7 @@
     async def _use(self, stream: SocketStream, router: int) -> None:
         connection = h11.Connection(our_role=h11.CLIENT)
         for number in range(REQUESTS_PER_CONNECTION):
+            await anyio.sleep(self.pause)
             if not self.calling or (number and await _is_closed(stream)):
                 return
             request_id = b"silence-%d" % self.generator.getrandbits(48)
