--- a/dotterelpaddle/platform/configuration.py
+++ b/dotterelpaddle/platform/configuration.py
@@ -20,6 +20,7 @@
 )
 from dotterelpaddle.ids import AccountId, Region, ServiceName
 from dotterelpaddle.platform.decoding import (
+    describe,
     number_field,
     optional_field,
     parse_object,
@@ -94,7 +95,7 @@
     except ValueError:
         kinds = ", ".join(each.value for each in RequestKind)
         raise RecordError(
-            f"field '{path}kind' must be one of {kinds}, not {kind!r}",
+            f"field '{path}kind' must be one of {kinds}, not {describe(kind)}",
             field=f"{path}kind",
         ) from None
     return ForwardRoute(
@@ -121,7 +122,7 @@
     if not all(isinstance(name, str) for name in names):
         raise RecordError(
             f"field '{path}{Field.ALLOWED_REGIONS}' must hold names of regions, "
-            f"not {names!r}",
+            f"not {describe(names)}",
             field=f"{path}{Field.ALLOWED_REGIONS}",
         )
     return frozenset(Region(name) for name in names)
@@ -181,7 +182,7 @@
         if limit < 1:
             raise RecordError(
                 f"field '{path}{Field.MAX_CONNECTIONS}' must be at least 1, "
-                f"not {limit!r}",
+                f"not {describe(limit)}",
                 field=f"{path}{Field.MAX_CONNECTIONS}",
             )
         limits[ServiceName(required_field(service, "name", str, path))] = limit
--- a/dotterelpaddle/platform/decoding.py
+++ b/dotterelpaddle/platform/decoding.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from reprlib import Repr
 from typing import TYPE_CHECKING, Any, TypeVar
 
 import orjson
@@ -15,6 +16,14 @@
 
 NUMBER_TYPES = (int, float)
 
+_SHORT = Repr()
+_SHORT.maxstring = _SHORT.maxother = 60
+
+
+def describe(value: object) -> str:
+    """Return a short text of a value, however large or deep it is."""
+    return _SHORT.repr(value)
+
 
 def parse_object(document: bytes) -> Mapping[str, Any]:
     """Decode a document that must hold a JSON object.
@@ -52,7 +61,7 @@
         return value
     raise RecordError(
         f"field '{path}{name}' must be {_type_description(expected_type)}, "
-        f"not {value!r}",
+        f"not {describe(value)}",
         field=f"{path}{name}",
     )
 
@@ -80,7 +89,8 @@
     if isinstance(value, NUMBER_TYPES) and not isinstance(value, bool) and value >= 0:
         return value / 1000
     raise RecordError(
-        f"field '{path}{name}' must be milliseconds of at least 0, not {value!r}",
+        f"field '{path}{name}' must be milliseconds of at least 0, "
+        f"not {describe(value)}",
         field=f"{path}{name}",
     )
 
@@ -97,7 +107,7 @@
     if isinstance(value, NUMBER_TYPES) and not isinstance(value, bool) and value >= 0:
         return float(value)
     raise RecordError(
-        f"field '{path}{name}' must be a number of at least 0, not {value!r}",
+        f"field '{path}{name}' must be a number of at least 0, not {describe(value)}",
         field=f"{path}{name}",
     )
 
--- a/dotterelpaddle/tests/forwarding/test_foreign_rows.py
+++ b/dotterelpaddle/tests/forwarding/test_foreign_rows.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import random
+from collections.abc import Hashable
 from contextlib import asynccontextmanager
 from typing import TYPE_CHECKING, Any
 
@@ -15,18 +16,22 @@
 import pytest
 
 from dotterelpaddle.clock import monotonic
+from dotterelpaddle.exceptions import RecordError
 from dotterelpaddle.forwarding import follower as follower_module, unusable
 from dotterelpaddle.forwarding.follower import Follower
 from dotterelpaddle.forwarding.metrics import ForwardMetrics
 from dotterelpaddle.forwarding.store_clock import StoreClock
 from dotterelpaddle.forwarding.view import FleetView
+from dotterelpaddle.ids import EndpointName
 from dotterelpaddle.links import Links
 from dotterelpaddle.platform.documents import PlatformDocumentDecoder
+from dotterelpaddle.platform.endpoints import decode_endpoint
 from dotterelpaddle.platform.names import Table
 from dotterelpaddle.platform.store import StoreSource
 from dotterelpaddle.standins.store import StoreStandin, run_store
 from dotterelpaddle.tests.forwarding.harness import SERVICE, run_fleet, wait_until
 from dotterelpaddle.tests.forwarding.test_follower import ScriptedPeers
+from dotterelpaddle.tests.revisions import revision_at
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -51,23 +56,35 @@
 HUGE = 10**40
 """Beyond 64 bits, so JSON decoders return it as a float."""
 
-OTHER_TYPES: list[object] = [True, [], {}, [1], {"a": 1}]
+DEEP = object()
+"""Nested as deeply as JSON decoders read; to write it as text needs a recursion as deep
+as Python allows."""
+
+RAW = {HUGE: str(HUGE).encode(), DEEP: b'{"a":' * 1000 + b"1" + b"}" * 1000}
+"""Values as JSON, which encoders don't write."""
+
+LONG = "x" * 60_000
+
+OTHER_TYPES: list[object] = [True, [], {}, [1], {"a": 1}, DEEP]
 
 TEXTS = [MISSING, None, 7, 1.5, *OTHER_TYPES]
 NUMBERS = ["", "4", "many", -1, HUGE, *OTHER_TYPES]
 
 INVALID: dict[str, list[object]] = {
-    "service": [*TEXTS, ""],
+    "service": [*TEXTS, "", LONG],
     "address": [*TEXTS, "", "nowhere", "10.0.0.1", ":80", "10.0.0.1:"]
-    + ["10.0.0.1:http", "10.0.0.1:-1", "10.0.0.1:65536", "10.0.0.1:²"],
-    "zone": [*TEXTS, ""],
-    "version": [*TEXTS],
-    "slots": [*NUMBERS, MISSING, None, 0, 1.5, 4.0],
+    + ["10.0.0.1:http", "10.0.0.1:-1", "10.0.0.1:65536", "10.0.0.1:²"]
+    + ["10.0.0.1:0", "10.0.0.1:" + "9" * 5000, LONG + ":80", "10.0.0.256:80"]
+    + ["10.0.\ufffd.1:80", "é:80", "a..b:80", "a" * 64 + ":80", "host:80", "[::1]:80"],
+    "zone": [*TEXTS, "", LONG],
+    "version": [*TEXTS, LONG],
+    "slots": [*NUMBERS, MISSING, None, 0, 1.5, 4.0, 2**62],
     "state": [*TEXTS, "", "resting", "READY", "ready "],
-    "coldLeftMs": [each for each in NUMBERS if each != HUGE] + [MISSING, None, -0.5],
-    "models": ["m", 7, True, {}, {"name": "m"}, ["m"], [None], [{}], [{"name": 7}]],
+    "coldLeftMs": [*NUMBERS, MISSING, None, -0.5, 1e300, 2**63],
+    "models": ["m", 7, True, {}, {"name": "m"}, ["m"], [None], [{}], [{"name": 7}]]
+    + [[{"name": LONG}]],
     "seq": [*NUMBERS, MISSING, None, 1.5, 3.0],
-    "born": [*NUMBERS, "today", 1.5, 1733000000123.0, 1733000000123.5],
+    "born": [*NUMBERS, 2**64 - 1, "today", 1.5, 1733000000123.0, 1733000000123.5],
 }
 """Values of each field that no endpoint writes; `models` and `born` may be missing."""
 
@@ -81,17 +98,18 @@
         for number, value in enumerate(values):
             key = f"{field}-{number}"
             row = {name: each for name, each in VALID.items() if name != field}
-            if value is not MISSING:
+            if value not in (MISSING, DEEP):
                 row[field] = value
-            document = orjson.dumps(row) if value != HUGE else _huge(row, field)
+            raw = RAW.get(value) if isinstance(value, Hashable) else None
+            document = _raw(row, field, raw) if raw else orjson.dumps(row)
             rows[key] = (document, f"{key}.{field}")
     for number, document in enumerate(UNREADABLE):
         rows[f"bytes-{number}"] = (document, "value")
     return rows
 
 
-def _huge(row: dict[str, Any], field: str) -> bytes:
-    return orjson.dumps({**row, field: 12345}).replace(b"12345", str(HUGE).encode())
+def _raw(row: dict[str, Any], field: str, raw: bytes) -> bytes:
+    return orjson.dumps({**row, field: 12345}).replace(b"12345", raw)
 
 
 class _Lines:
@@ -167,6 +185,17 @@
     assert told == {key: path for key, (_, path) in rows.items()}
 
 
+# Guards against requests that fail at an entry whose key can't be sent in a header.
+@pytest.mark.parametrize("key", ["a b\n", "é", "", " a", "a\x00"])
+def test_key_that_no_header_can_hold_names_no_endpoint(key: str) -> None:
+    with pytest.raises(RecordError, match="printable ASCII"):
+        decode_endpoint(
+            name=EndpointName(key),
+            document=orjson.dumps(VALID),
+            revision=revision_at(1),
+        )
+
+
 async def test_endpoint_of_an_unknown_service_gets_no_request() -> None:
     """Guards against requests to a row whose service the configuration lacks."""
     async with run_fleet() as fleet:
