Write the row of versions again before the store forgets the changes since

Cause: the row by which routers that have all started anew know that a service has had one version was written each 30 s. It holds only if the store can tell what has left since, and the store keeps 20 s of changes. Class: a record that outlives the history which it needs.

Why this works: the row is written each 7 s, so that what a loss of all and the start take is left of the history. One router writes it, for all.

--- a/dotterelpaddle/streams/archive.py
+++ b/dotterelpaddle/streams/archive.py
@@ -52,9 +52,11 @@
 ROLE_CHECK_SECONDS = 0.6
 """Seconds after which a router that does not write checks whether it has to."""
 
-REWRITE_SECONDS = 30.0
-"""Seconds after which the versions are written again without a change: the store may
-have come back from an older copy."""
+REWRITE_SECONDS = 7.0
+"""Seconds after which the versions are written again without a change. The row tells
+nothing once the store has discarded the changes since then; it keeps them for twenty
+seconds, of which the loss of all routers takes some. The store may also have come back
+from an older copy."""
 
 MIN_READ_INTERVAL_SECONDS = 0.3
 
