Take no silent connection to the store for an outage of the store

Cause: a call that timed out, as its connection had gone silent, counted as an outage of the store. For 2.2 s from the next answer each entry that was missing was held for one that had expired in the outage. The next call after a failure also waited until the reader's next turn, and might use another connection that was silent. Class: a removal that the change log tells is taken for an outage.

Why this works: only failures in a row, of which the second uses a new connection, show an outage; no entry expires within one call. A time-out closes the connections that wait in the pool, and the first retry is made at once.

--- a/dotterelpaddle/forwarding/follower.py
+++ b/dotterelpaddle/forwarding/follower.py
@@ -70,13 +70,15 @@
 GOSSIP_CHECK_INTERVAL_SECONDS = 0.3
 """Seconds between checks of what peers report if they push all updates unasked."""
 
-OUTAGE_AFTER_FAILURE_SECONDS = 1.0
+OUTAGE_AFTER_FAILURES_SECONDS = 1.0
 """Seconds without an answer to any router that count as an outage if calls of this one
-have failed meanwhile: no entry expires in less."""
+have failed in a row meanwhile: no entry expires in less."""
 
 OUTAGE_SECONDS = MAX_CONFIGURATION_AGE_SECONDS
-"""Seconds without an answer to any router that count as an outage if no call of this
-one has failed yet: a call without an answer takes as long to time out."""
+"""Seconds without an answer to any router that count as an outage if no two calls of
+this one in a row have failed: the second one uses a new connection. A single call also
+fails if its connection has gone silent, while the platform removes only the entries of
+endpoints that have left."""
 
 MIN_RETRY_DELAY_SECONDS = 0.1
 """Seconds before the first retry of a failed call; doubles up to the maximum."""
@@ -135,7 +137,7 @@
         self._own_endpoints_as_of: StoreTime | None = None
         self._last_contact_at = float("-inf")
         self._failing = False
-        self._failed_since_contact = False
+        self._failed_repeatedly = False
         self._long_poll: anyio.CancelScope | None = None
         self._last_call_reason: CallReason | None = None
 
@@ -192,16 +194,24 @@
 
     async def _follow(
         self,
-        read: Callable[[StoreRevision | None], Awaitable[StoreRevision | None]],
+        read: Callable[[StoreRevision | None, bool], Awaitable[StoreRevision | None]],
         what: str,
     ) -> None:
-        """Repeat a read, each time from the revision where the last one ended."""
+        """Repeat a read, each time from the revision where the last one ended.
+
+        Args:
+            read: Reads what has changed after a revision, given whether the last read
+                was the first one to fail.
+            what: What it reads, for the log.
+        """
         after: StoreRevision | None = None
         lost: StoreRevision | None = None
         delay = MIN_RETRY_DELAY_SECONDS
+        failures = 0
         while True:
             try:
-                after = await read(after)
+                after = await read(after, failures == 1)
+                failures = 0
                 if lost is not None and after is not None:
                     _log_reread(what=what, lost=lost, revision=after)
                     lost = None
@@ -209,17 +219,19 @@
                 if after is not None:
                     self._metrics.count_platform_call(call=what, result="ok")
             except HistoryLost as error:
+                failures = 0
                 self._metrics.count_platform_call(call=what, result="history lost")
                 _log_lost(what=what, after=after, error=error)
                 lost, after = after or lost, None
             except PlatformError as error:
                 self._metrics.count_platform_call(call=what, result="failed")
-                self._record_failure(what=what, error=error)
+                failures += 1
+                self._record_failure(what=what, error=error, repeated=failures > 1)
                 await anyio.sleep(delay * self._generator.uniform(0.7, 1.3))
                 delay = min(2 * delay, MAX_RETRY_DELAY_SECONDS)
 
     async def _read_configuration(
-        self, after: StoreRevision | None
+        self, after: StoreRevision | None, has_just_failed: bool
     ) -> StoreRevision | None:
         requested_at = self._clock()
         if after is None:
@@ -270,12 +282,16 @@
                 self._long_poll = None
         return None
 
-    async def _read_endpoints(self, after: StoreRevision | None) -> StoreRevision:
+    async def _read_endpoints(
+        self, after: StoreRevision | None, has_just_failed: bool
+    ) -> StoreRevision:
         if after is None:
             requested_at = self._clock()
             read = await self._source.endpoints()
         else:
-            await self._wait_until_due()
+            if not has_just_failed:
+                # Otherwise the connection may have gone silent; a new one may work.
+                await self._wait_until_due()
             # Peers may have passed on changes since the last call.
             after = max(after, self._view.endpoints_revision or after)
             requested_at = self._clock()
@@ -357,18 +373,18 @@
             return
         silent_for = at - self._last_contact_at
         outage_after = (
-            OUTAGE_AFTER_FAILURE_SECONDS
-            if self._failed_since_contact
-            else OUTAGE_SECONDS
+            OUTAGE_AFTER_FAILURES_SECONDS if self._failed_repeatedly else OUTAGE_SECONDS
         )
         if outage_after < silent_for < float("inf"):
             log.info("platform_regained", silent_for=round(silent_for, 3))
             self._view.note_platform_recovery()
         self._last_contact_at = at
-        self._failed_since_contact = False
+        self._failed_repeatedly = False
 
-    def _record_failure(self, *, what: str, error: PlatformError) -> None:
-        self._failed_since_contact = True
+    def _record_failure(
+        self, *, what: str, error: PlatformError, repeated: bool
+    ) -> None:
+        self._failed_repeatedly = self._failed_repeatedly or repeated
         if not self._failing:
             log.warning(
                 "platform_failing", what=what, cause=error.message, peer=error.peer
--- a/dotterelpaddle/platform/store.py
+++ b/dotterelpaddle/platform/store.py
@@ -301,6 +301,7 @@
                     method, url, headers=headers, content=body
                 )
         except TimeoutError as error:
+            await self._close_idle_connections()
             raise failure("the store did not answer in time", peer=peer) from error
         except (
             httpcore.NetworkError,
@@ -311,6 +312,12 @@
                 f"the request to the store failed: {error!r}", peer=peer
             ) from error
 
+    async def _close_idle_connections(self) -> None:
+        """Close the connections that wait for a call; they may be silent as well."""
+        for connection in self._pool.connections:
+            if connection.is_idle():
+                await connection.aclose()
+
     def _current_era(
         self, *, headers: Iterable[tuple[bytes, bytes]], peer: str
     ) -> StoreEra:
--- a/dotterelpaddle/tests/forwarding/test_follower.py
+++ b/dotterelpaddle/tests/forwarding/test_follower.py
@@ -75,6 +75,7 @@
     waits: list[float] = field(default_factory=list)
     endpoint_calls: int = 0
     failing: bool = False
+    fails_next: bool = False
     clock: Clock = monotonic
 
     @property
@@ -105,7 +106,8 @@
         self, *, after: StoreRevision, wait: float
     ) -> EndpointsUpdate:
         self.endpoint_calls += 1
-        if self.failing:
+        if self.failing or self.fails_next:
+            self.fails_next = False
             raise PlatformUnavailable(f"nothing after {after} within {wait}")
         return EndpointsUpdate(revision=after, entries=(), as_of=self.now)
 
@@ -221,8 +223,8 @@
     async with _follow(peers, source, view, clock=lambda: now):
         await wait_until(lambda: source.endpoint_calls > 0)
         # Calls fail for long, but a peer gets an answer between any two checks.
-        while now < 4 * follower_module.OUTAGE_AFTER_FAILURE_SECONDS:
-            now += follower_module.OUTAGE_AFTER_FAILURE_SECONDS / 4
+        while now < 4 * follower_module.OUTAGE_AFTER_FAILURES_SECONDS:
+            now += follower_module.OUTAGE_AFTER_FAILURES_SECONDS / 4
             age_reads = peers.age_reads
             await wait_until(
                 lambda age_reads=age_reads: peers.age_reads > age_reads + 1
@@ -237,7 +239,7 @@
 async def test_no_answer_to_any_router_is_an_outage(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    monkeypatch.setattr(follower_module, "OUTAGE_AFTER_FAILURE_SECONDS", 0.05)
+    monkeypatch.setattr(follower_module, "OUTAGE_AFTER_FAILURES_SECONDS", 0.05)
     peers = ScriptedPeers(outdated=True)
     source, view = ScriptedSource(failing=True), RecordingView(clock=monotonic)
     async with _follow(peers, source, view) as follower:
@@ -248,6 +250,25 @@
         await wait_until(lambda: view.recoveries > 0)
 
 
+# Guards against requests to endpoints that have left: the entries removed while a
+# connection was silent were taken for entries that had expired in an outage.
+async def test_single_failed_call_is_no_outage() -> None:
+    now = 0.0
+    peers = ScriptedPeers(outdated=True, age=float("inf"), clock=lambda: now)
+    peers.configuration_age = float("inf")
+    source = ScriptedSource(clock=lambda: now)
+    view = RecordingView(clock=monotonic)
+    async with _follow(peers, source, view, clock=lambda: now):
+        await wait_until(lambda: source.endpoint_calls > 0)
+        source.fails_next = True
+        await wait_until(lambda: not source.fails_next)
+        now += 2 * follower_module.OUTAGE_AFTER_FAILURES_SECONDS
+        calls = source.endpoint_calls
+        await wait_until(lambda: source.endpoint_calls > calls + 1)
+
+    assert view.recoveries == 0
+
+
 async def test_router_that_receives_all_updates_makes_no_calls() -> None:
     peers = ScriptedPeers(
         receives_configurations=True, receives_endpoints=True, outdated=True
