Let streams go on only at lifetimes of endpoints that the store confirms

Cause: a router placed by the entry that it knew, up to a second old, and named the endpoint by its id, which both lifetimes have. The store was asked only for streams of unknown origin. Class: a stream's origin is one lifetime, not an id.

Why this works: before each attempt at a stream that has begun, by its caller or within the router, the changes since the known endpoints are read; calls at the same time share a read. What comes back is what the store has, so that a later lifetime is known by its version. While the store does not answer, streams that break off go on nowhere.

--- a/dotterelpaddle/forwarding/attempts.py
+++ b/dotterelpaddle/forwarding/attempts.py
@@ -36,6 +36,7 @@
 from dotterelpaddle.forwarding.progress import TriedEndpoints
 from dotterelpaddle.forwarding.retry_policy import RetryPolicy
 from dotterelpaddle.logs import get_logger
+from dotterelpaddle.streams.exceptions import EndpointsUnconfirmed
 
 if TYPE_CHECKING:
     from dotterelpaddle.clock import Clock
@@ -57,11 +58,15 @@
     from dotterelpaddle.forwarding.view import FleetView
     from dotterelpaddle.ids import EndpointId
     from dotterelpaddle.owners.placer import OwnerPlacer
+    from dotterelpaddle.streams.confirmation import EndpointsConfirmation
 
     RetryCause = AttemptFailed | AttemptSilent
 
 log = get_logger(name=__name__)
 
+UNCONFIRMED_RETRY_AFTER_SECONDS = 0.3
+"""Retry-after for a stream while the store is away; another router may reach it."""
+
 
 class AttemptRunner:
     """Selects endpoints for a request and sends attempts to them.
@@ -76,6 +81,7 @@
         reachability: Records endpoints that refuse connections or time out.
         caches: Locations of cached prompt parts.
         guard: Blocks requests that crash endpoints.
+        confirmation: Confirms the endpoints that may go on with a stream.
         retry_budget: Limits retries.
         timeouts: Estimates the timeouts of an attempt from earlier answers.
         metrics: Counts attempts.
@@ -94,6 +100,7 @@
         reachability: Reachability,
         caches: CacheMap,
         guard: CrashGuard,
+        confirmation: EndpointsConfirmation,
         retry_budget: RetryBudget,
         timeouts: TimeoutEstimator,
         metrics: ForwardMetrics,
@@ -104,6 +111,7 @@
         self._residency = residency
         self._caches = caches
         self._guard = guard
+        self._confirmation = confirmation
         self._clock = clock
         self._retries = RetryPolicy(budget=retry_budget, clock=clock)
         self._sender = AttemptSender(
@@ -198,7 +206,12 @@
                 self._retract(choice=choice)
                 return None
             self._claim(exchange=exchange, choice=choice, cause=cause)
-        except (NoEndpoint, RequestBlocked, RetryWithheld) as error:
+        except (
+            EndpointsUnconfirmed,
+            NoEndpoint,
+            RequestBlocked,
+            RetryWithheld,
+        ) as error:
             if cause is not None:
                 _log_withheld(exchange=exchange, cause=cause, error=error)
             raise
@@ -228,8 +241,28 @@
         if cause is not None:
             self._retries.check(exchange=exchange, failure=_failure_of(cause))
         self._guard.check(exchange=exchange)
+        if exchange.stream_version is not None:
+            # The first attempt may rely on what was read to find the stream's origin.
+            since = exchange.received_at if cause is None else self._clock()
+            await self._confirm_endpoints(since=since)
         return await self._choose(exchange=exchange, tried=tried, in_use=race.endpoints)
 
+    async def _confirm_endpoints(self, *, since: float) -> None:
+        """Read which endpoints may go on with a stream that has begun.
+
+        An endpoint that has started again keeps its name and its address, and checks
+        neither which lifetime nor which version of it a request is meant for.
+
+        Raises:
+            EndpointsUnconfirmed: If the platform's store does not answer.
+        """
+        if not await self._confirmation.confirm(since=since):
+            raise EndpointsUnconfirmed(
+                "the platform's store does not tell which endpoints may go on with "
+                "this stream; try again",
+                retry_after=UNCONFIRMED_RETRY_AFTER_SECONDS,
+            )
+
     def _claim(
         self, *, exchange: ForwardExchange, choice: Choice, cause: RetryCause | None
     ) -> None:
@@ -323,6 +356,8 @@
             pass
         case _, RequestBlocked():
             obstacle = RetryObstacle.BLOCKED
+        case _, EndpointsUnconfirmed():
+            obstacle = RetryObstacle.UNCONFIRMED
         case _:
             obstacle = RetryObstacle.NO_ENDPOINT
     log.info(
--- a/dotterelpaddle/forwarding/components.py
+++ b/dotterelpaddle/forwarding/components.py
@@ -235,6 +235,9 @@
         generator=generator,
         clock=clock,
     )
+    confirmation = EndpointsConfirmation(
+        source=dependencies.source, view=state.view, clock=clock
+    )
     attempts = AttemptRunner(
         placer=owners.placer,
         view=state.view,
@@ -250,6 +253,7 @@
             metrics=metrics,
             clock=clock,
         ),
+        confirmation=confirmation,
         retry_budget=state.retry_budget,
         timeouts=TimeoutEstimator(),
         metrics=metrics,
@@ -280,9 +284,7 @@
         archive=stream_archive,
         history=state.version_history,
         routes=state.route_history,
-        confirmation=EndpointsConfirmation(
-            source=dependencies.source, view=state.view, clock=clock
-        ),
+        confirmation=confirmation,
         metrics=metrics,
         clock=clock,
     )
--- a/dotterelpaddle/forwarding/exceptions.py
+++ b/dotterelpaddle/forwarding/exceptions.py
@@ -32,6 +32,7 @@
     BUDGET = "budget"
     NO_ENDPOINT = "no_endpoint"
     BLOCKED = "blocked"
+    UNCONFIRMED = "unconfirmed"
 
 
 class RetryWithheld(RequestError):
--- a/dotterelpaddle/streams/exceptions.py
+++ b/dotterelpaddle/streams/exceptions.py
@@ -12,6 +12,16 @@
     default_step = Step.PLACEMENT
 
 
+class EndpointsUnconfirmed(RequestError):
+    """The platform's store does not tell which endpoints may go on with a stream.
+
+    An endpoint may have started again with another software version meanwhile.
+    """
+
+    status = 503
+    default_step = Step.PLACEMENT
+
+
 class StreamNotResumable(RequestError):
     """The streams of a route can't be resumed, so this one must start anew."""
 
--- a/dotterelpaddle/tests/streams/test_confirmation.py
+++ b/dotterelpaddle/tests/streams/test_confirmation.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
-from typing import Any, cast
+from dataclasses import replace
+from typing import TYPE_CHECKING, Any, cast
 
 import anyio
 
-from dotterelpaddle.exceptions import PlatformUnavailable
+from dotterelpaddle.exceptions import HistoryLost, PlatformUnavailable
 from dotterelpaddle.forwarding.interface import EndpointsUpdate
 from dotterelpaddle.forwarding.view import FleetView
 from dotterelpaddle.streams.confirmation import (
@@ -17,6 +18,9 @@
 from dotterelpaddle.tests.revisions import revision_at
 from dotterelpaddle.tests.virtual_time import run_in_virtual_time
 
+if TYPE_CHECKING:
+    from dotterelpaddle.forwarding.revisions import StoreRevision
+
 READ_SECONDS = 0.1
 
 
@@ -25,7 +29,9 @@
 
     def __init__(self) -> None:
         self.reads = 0
+        self.changes_reads = 0
         self.away = False
+        self.has_forgotten = False
 
     async def endpoints(self) -> EndpointsUpdate:
         self.reads += 1
@@ -38,6 +44,15 @@
             is_snapshot=True,
         )
 
+    async def endpoints_after(
+        self, *, after: StoreRevision, wait: float
+    ) -> EndpointsUpdate:
+        self.changes_reads += 1
+        if self.has_forgotten:
+            raise HistoryLost(f"nothing is known since {after}")
+        update = await self.endpoints()
+        return replace(update, is_snapshot=False)
+
 
 def _confirmation(source: SlowSource, view: FleetView) -> EndpointsConfirmation:
     return EndpointsConfirmation(
@@ -66,6 +81,37 @@
     assert source.reads == 1
 
 
+def test_read_since_a_time_counts() -> None:
+    source, results = SlowSource(), []
+
+    async def main() -> None:
+        confirmation = _confirmation(source, FleetView(clock=anyio.current_time))
+        since = anyio.current_time()
+        await confirmation.confirm()
+        results.append(await confirmation.confirm(since=since))
+
+    run_in_virtual_time(main)
+
+    assert results == [True]
+    assert source.reads == 1
+
+
+def test_changes_are_read_or_all_endpoints_if_these_are_forgotten() -> None:
+    source, results = SlowSource(), []
+
+    async def main() -> None:
+        confirmation = _confirmation(source, FleetView(clock=anyio.current_time))
+        for source.has_forgotten in (False, False, True):
+            results.append(await confirmation.confirm())
+            await anyio.sleep(READ_SECONDS)
+
+    run_in_virtual_time(main)
+
+    assert results == [True] * 3
+    assert source.changes_reads == 2
+    assert source.reads == 3
+
+
 # Guards against an answer that is older than the question.
 def test_call_during_a_read_reads_again() -> None:
     source = SlowSource()
