Count the last use of a removed endpoint from when it may have been removed

Cause: where no other endpoint can serve, one that was just removed serves for 1.2 s from the moment at which a router learns of the removal. How long ago that was isn't in the message. Class: a bound that counts from when something is heard.

Why this works: an entry that the store confirmed at a time had not been removed then. The time that an endpoint still serves counts from there, with the margin for sending.

--- a/dotterelpaddle/forwarding/follower.py
+++ b/dotterelpaddle/forwarding/follower.py
@@ -298,6 +298,7 @@
             read = await self._source.endpoints_after(
                 after=after, wait=ENDPOINTS_WAIT_SECONDS
             )
+        self._note_endpoints_confirmed()
         self._record_answer(as_of=read.as_of, requested_at=requested_at)
         self._own_endpoints_as_of = read.as_of
         self._view.apply_endpoints_update(update=read)
@@ -350,6 +351,7 @@
         while True:
             await anyio.sleep(self._check_interval)
             self._view.expire_holds()
+            self._note_endpoints_confirmed()
             confirmed = latest_time(
                 (
                     self._peer_summary.configuration_as_of,
@@ -360,6 +362,11 @@
             if self._must_poll and self._long_poll is not None:
                 self._long_poll.cancel()
 
+    def _note_endpoints_confirmed(self) -> None:
+        self._view.note_endpoints_confirmed(
+            at=self._clock() - self.confirmed_endpoints_age
+        )
+
     def _record_answer(self, *, as_of: StoreTime | None, requested_at: float) -> None:
         """Record that the source answered."""
         if as_of is not None:
--- a/dotterelpaddle/forwarding/leaving.py
+++ b/dotterelpaddle/forwarding/leaving.py
@@ -84,6 +84,11 @@
         self._serve_time = serve_time
         self._records: dict[EndpointId, _LeavingRecord] = {}
 
+    @property
+    def serve_time(self) -> float:
+        """Seconds for which an endpoint still serves after it begins to leave."""
+        return self._serve_time
+
     def __contains__(self, endpoint: EndpointId) -> bool:
         return endpoint in self._records
 
--- a/dotterelpaddle/forwarding/removals.py
+++ b/dotterelpaddle/forwarding/removals.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING
 
+from dotterelpaddle.forwarding.leaving import SERVE_MARGIN_SECONDS
 from dotterelpaddle.forwarding.model import EndpointState
 from dotterelpaddle.logs import get_logger
 
@@ -22,11 +23,11 @@
 log = get_logger(name=__name__)
 
 LAST_RESORT_SECONDS = 1.2
-"""Seconds that an endpoint without an entry may still serve if no other can.
+"""Maximum seconds that an endpoint without an entry may still serve if no other can.
 
-An endpoint whose entry disappears unannounced still serves for the two seconds or more
-that the platform allows for routers to notice a removal; the rest of that time is left
-for the update to arrive.
+An endpoint whose entry disappears unannounced still serves for the time that the
+platform allows for routers to notice a removal; the rest of that time is left for the
+update to arrive.
 """
 
 RECOVERY_HOLD_SECONDS = 2.2
@@ -63,11 +64,14 @@
     """Keeps the tombstones of removed entries.
 
     Args:
+        serve_time: Seconds for which an endpoint still serves after its removal.
         clock: Monotonic clock.
     """
 
-    def __init__(self, *, clock: Clock) -> None:
+    def __init__(self, *, serve_time: float, clock: Clock) -> None:
+        self._serve_time = serve_time
         self._clock = clock
+        self._confirmed_at = float("-inf")
         self._removed: dict[EndpointName, Tombstone] = {}
         self._platform_recovered_at = float("-inf")
 
@@ -76,6 +80,10 @@
         """Entries that serve like others, as they may have expired in an outage."""
         return tuple(each.entry for each in self._removed.values() if each.held)
 
+    def note_confirmed(self, *, at: float) -> None:
+        """Record that no entry had been removed at a time on the monotonic clock."""
+        self._confirmed_at = max(self._confirmed_at, at)
+
     def note_platform_recovery(self) -> None:
         """Record that the platform is back; entries may be missing for a while."""
         self._platform_recovered_at = self._clock()
@@ -132,7 +140,7 @@
             entry=entry,
             revision=revision,
             at=now,
-            until=held_until if held else now + LAST_RESORT_SECONDS,
+            until=held_until if held else self._last_resort_until(now=now),
             held=held,
         )
         log.info(
@@ -145,6 +153,16 @@
             held=held,
         )
 
+    def _last_resort_until(self, *, now: float) -> float:
+        """Return until when an endpoint serves whose removal becomes known now.
+
+        It may have been removed as soon as its entry was confirmed for the last time.
+        """
+        until = now + LAST_RESORT_SECONDS
+        if self._confirmed_at == float("-inf"):
+            return until
+        return min(until, self._confirmed_at + self._serve_time - SERVE_MARGIN_SECONDS)
+
     def renew(self, *, name: EndpointName, revision: StoreRevision) -> None:
         """Renew a tombstone after a removal of an entry that never arrived here."""
         removed = self._removed.get(name)
--- a/dotterelpaddle/forwarding/view.py
+++ b/dotterelpaddle/forwarding/view.py
@@ -69,7 +69,7 @@
         self._in_force = ConfigurationInForce()
         self._entries: dict[EndpointName, EndpointEntry] = {}
         self._changed_at: dict[EndpointName, StoreRevision] = {}
-        self._removed = RemovedEntries(clock=clock)
+        self._removed = RemovedEntries(serve_time=self._leaving.serve_time, clock=clock)
         self._contradicted = ContradictedEntries()
         self._ready: dict[ServiceName, tuple[EndpointEntry, ...]] = {}
         self._endpoints_revision: StoreRevision | None = None
@@ -242,6 +242,14 @@
             entries=(*self._leaving.exclude_leaving(entries=gone), *leaving)
         )
 
+    def note_endpoints_confirmed(self, *, at: float) -> None:
+        """Record when the platform last confirmed the entries.
+
+        Args:
+            at: Seconds on the monotonic clock, minus infinity if it never did.
+        """
+        self._removed.note_confirmed(at=at)
+
     def note_platform_recovery(self) -> None:
         """Record that the platform is back; entries may be missing for a while."""
         self._removed.note_platform_recovery()
--- a/dotterelpaddle/tests/forwarding/test_view.py
+++ b/dotterelpaddle/tests/forwarding/test_view.py
@@ -205,6 +205,29 @@
     assert view.ready(service=SERVICE) == ()
 
 
+# Guards against requests at an endpoint that had been removed long before its removal
+# was known, because the router that reads for all had been killed.
+@pytest.mark.parametrize(("unconfirmed", "serves"), [(0.5, True), (1.8, False)])
+def test_last_resort_counts_from_the_last_confirmation(
+    unconfirmed: float, serves: bool
+) -> None:
+    now = 0.0
+    view = FleetView(clock=lambda: now)
+    entry = _entry(NAMES[0], 1)
+    view.apply_endpoints_update(
+        update=EndpointsUpdate(
+            revision=revision_at(1), entries=(entry,), is_snapshot=True
+        )
+    )
+    view.note_endpoints_confirmed(at=now)
+    now += unconfirmed
+    view.apply_endpoints_update(
+        update=EndpointsUpdate(revision=revision_at(2), entries=(), is_snapshot=True)
+    )
+
+    assert view.last_resort(service=SERVICE) == ((entry,) if serves else ())
+
+
 def test_leaving_endpoint_is_not_held() -> None:
     now = 0.0
     view = FleetView(clock=lambda: now)
