Check the types of a cache list, and bound its size

What callers saw: nothing yet; found as the same cause elsewhere. A router that starts asks all engines for their caches, and an answer of another writer would have ended it.

Cause, as with entries: digests and models were used without a check of their type, so that a deeply nested one raised RecursionError past what is caught; a list without end was kept until the time-out.

Why this works: rows are decoded into strings and integers or the list is unusable, and a list ends at 4 MiB.

--- a/dotterelpaddle/platform/engines.py
+++ b/dotterelpaddle/platform/engines.py
@@ -20,11 +20,16 @@
 
 if TYPE_CHECKING:
     from dotterelpaddle.forwarding.model import EndpointEntry
+    from dotterelpaddle.forwarding.use_queue import PartTag
+    from dotterelpaddle.ids import EndpointId
     from dotterelpaddle.links import Links
 
 ANSWER_TIMEOUT_SECONDS = 0.5
 """Timeout of an engine's answer; a list that arrives later is out of date."""
 
+MAX_LIST_BYTES = 4 * 1024 * 1024
+"""Maximum size of a cache list; one with 10,000 parts takes less than 1 MB."""
+
 OK = 200
 
 
@@ -53,10 +58,11 @@
         peer = entry.endpoint
         try:
             with anyio.fail_after(ANSWER_TIMEOUT_SECONDS):
-                async with httpcore.AsyncConnectionPool(
-                    network_backend=self._backend
-                ) as pool:
-                    response = await pool.request("GET", url)
+                async with (
+                    httpcore.AsyncConnectionPool(network_backend=self._backend) as pool,
+                    pool.stream("GET", url) as response,
+                ):
+                    content = await _read_bounded(response=response, peer=peer)
         except TimeoutError as error:
             raise EndpointSilent(
                 "the engine returned no cache list in time", peer=peer
@@ -75,12 +81,29 @@
                 peer=peer,
             )
         return decode_cached_parts(
-            content=response.content,
+            content=content,
             entry=entry,
             leaving=announces_leaving(headers=response.headers),
         )
 
 
+async def _read_bounded(*, response: httpcore.Response, peer: EndpointId) -> bytes:
+    """Read the body of an answer.
+
+    Raises:
+        EndpointError: If it is longer than any list.
+    """
+    parts, size = [], 0
+    async for part in response.aiter_stream():
+        size += len(part)
+        if size > MAX_LIST_BYTES:
+            raise EndpointError(
+                f"the cache list exceeds {MAX_LIST_BYTES} bytes", peer=peer
+            )
+        parts.append(part)
+    return b"".join(parts)
+
+
 def decode_cached_parts(
     *, content: bytes, entry: EndpointEntry, leaving: bool = False
 ) -> CachedParts:
@@ -100,9 +123,7 @@
         document = parse_object(content)
         incarnation = decode_incarnation(document, f"{entry.endpoint}.")
         parts = tuple(
-            part_tag(
-                model=ModelId(model), part=PromptPart(digest=part, tokens=int(tokens))
-            )
+            _decode_part(digest=part, tokens=tokens, model=model)
             for _, part, tokens, model in document["held"]
         )
     except (RecordError, KeyError, TypeError, ValueError) as error:
@@ -115,3 +136,16 @@
     return CachedParts(
         endpoint=endpoint, parts=parts, leaving=leaving and bool(incarnation)
     )
+
+
+def _decode_part(*, digest: object, tokens: object, model: object) -> PartTag:
+    """Decode one row of a cache list.
+
+    Raises:
+        ValueError: If a field has another type.
+    """
+    if not isinstance(digest, str) or not isinstance(model, str):
+        raise ValueError("a digest and a model must be strings")
+    if not isinstance(tokens, int):
+        raise ValueError("a number of tokens must be an integer")
+    return part_tag(model=ModelId(model), part=PromptPart(digest=digest, tokens=tokens))
