Wait for what other routers know of crashes at each start

A router that was told that the whole fleet starts for the first time asked no other one for requests that crash endpoints before it served.

Cause: the setting is a promise of the platform, and was trusted where it is wrong after the loss of all routers. Class: a setting that is taken for knowledge.

At a true first start nobody calls yet.

--- a/dotterelpaddle/forwarding/shared_state.py
+++ b/dotterelpaddle/forwarding/shared_state.py
@@ -108,7 +108,7 @@
         # On the first start of the whole fleet no endpoint has cached anything.
         caches.mark_populated()
     introduction = Startup(clock=clock, max_wait=INTRODUCTION_WAIT_SECONDS)
-    if settings.first_start or not settings.seeds:
+    if not settings.seeds:
         # No other router can know of earlier crashes.
         introduction.end()
     recall = Startup(clock=clock, max_wait=RECALL_WAIT_SECONDS)
--- a/dotterelpaddle/tests/forwarding/test_retry_budget_incident.py
+++ b/dotterelpaddle/tests/forwarding/test_retry_budget_incident.py
@@ -10,6 +10,7 @@
 from dotterelpaddle.forwarding.request_totals import RequestTotals, TotalsTracker
 from dotterelpaddle.forwarding.retry_budget import RetryBudget, RetryLimits
 from dotterelpaddle.ids import FailureDomain, RouterId, ServiceName
+from dotterelpaddle.tests.owners.hosts import SEED_ADDRESSES, build_router
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping
@@ -230,3 +231,20 @@
 # callers and by those to which they move.
 def test_retries_of_callers_that_move_stay_within_the_budget() -> None:
     assert not _over_budget(MOVES, failures_from=26.0)
+
+
+# Guards against routers that recall no crash of before, and spend retries that an
+# earlier process has spent, as they are told that the whole fleet starts for the first
+# time though it starts again.
+def test_first_start_gives_nothing_in_advance() -> None:
+    components = build_router(
+        router=RouterId("router-1"),
+        failure_domain=HERE,
+        address=SEED_ADDRESSES[0],
+        link=10,
+        clock=lambda: 0.0,
+        first_start=True,
+    )
+
+    assert components.state.retry_budget.room(service=SERVICE) == 0.0
+    assert not components.state.introduction.has_ended
