Cut heads of answers at every byte

Other operators got a 200 with an empty or short body after an endpoint had stopped within its answer's head. The tests pass on the code as it was, too.

--- a/dotterelpaddle/tests/endpoint/test_http_connection.py
+++ b/dotterelpaddle/tests/endpoint/test_http_connection.py
@@ -124,6 +124,15 @@
         assert stream.closed
 
 
+def test_answer_without_length_that_ends_within_its_head_is_not_whole() -> None:
+    """Guards against a cut head that callers take for an answer without a body."""
+    for length in range(1, UNSIZED.index(b"hello")):
+        stream = Stream(UNSIZED[:length])
+        with pytest.raises(httpcore.RemoteProtocolError):
+            _run(stream)
+        assert stream.closed
+
+
 def test_answer_without_length_that_is_reset_is_not_whole() -> None:
     with pytest.raises(httpcore.ReadError):
         _run(Stream(UNSIZED, error=httpcore.ReadError("reset")))
