Answer requests that come behind a stream of a stopping router

What callers saw: a request sent behind a stream, on its connection, got no answer; the connection ended as the stream was whole (LOST, beside a planned stop).

Cause: while a router drains, each answer announced the end of its connection in its head, if nothing waited behind it at that moment. The head of a stream goes out long before its end. What the router read meanwhile was queued and dropped with the connection.

The test fails before: no second answer.

Why this works: only an answer that is passed on whole at once announces the end. Streams leave their connection open; the server closes it, idle, as its shutdown begins, or once all that was read is answered.

--- a/dotterelpaddle/forwarding/reply.py
+++ b/dotterelpaddle/forwarding/reply.py
@@ -23,7 +23,7 @@
 
     Args:
         send: ASGI send callable of the server.
-        should_close: Returns whether to close the connection after the answer.
+        should_close: Returns whether to close the connection after an answer.
         clock: Monotonic clock.
         max_write: Bytes of a complete answer to send at a time, None for all.
     """
@@ -75,9 +75,12 @@
         self, *, status: int, headers: Headers, body: bytes
     ) -> None:
         """Send a complete answer, as fast as the caller reads it."""
-        length = (b"content-length", str(len(body)).encode())
-        await self.start(status=status, headers=[*headers, length])
+        headers = [*headers, (b"content-length", str(len(body)).encode())]
         limit = self._max_write
+        is_sent_at_once = limit is None or len(body) <= limit
+        if is_sent_at_once and self._should_close():
+            headers.append((b"connection", b"close"))
+        await self.start(status=status, headers=headers)
         if limit is not None and len(body) > limit:
             rest = memoryview(body)
             while len(rest) > limit:
@@ -90,11 +93,13 @@
         await self._send({"type": "http.response.body", "body": body})
 
     async def start(self, *, status: int, headers: Headers) -> None:
-        """Send the status line and headers."""
+        """Send the status line and headers.
+
+        Only an answer that ends at once may announce that its connection closes: what
+        arrives behind it until its end would be read and dropped with the connection.
+        """
         self._status = status
         self._started_at = self._written_at = self._clock()
-        if self._should_close():
-            headers = [*headers, (b"connection", b"close")]
         await self._send(
             {"type": "http.response.start", "status": status, "headers": headers}
         )
--- a/dotterelpaddle/tests/forwarding/test_callers.py
+++ b/dotterelpaddle/tests/forwarding/test_callers.py
@@ -92,6 +92,23 @@
     assert len(fleet.runners["runner-1"].runs) == 3
 
 
+# Guards against dropping a request that comes behind a stream, whose head announced the
+# end of its connection as the router stops.
+async def test_request_behind_a_stream_of_a_stopping_router_is_answered() -> None:
+    async with run_fleet() as fleet, await _connect(fleet) as stream:
+        runner = fleet.runners["runner-1"]
+        runner.pause = 0.05
+        fleet.routers[0].components.app.start_draining()
+        await stream.send(_request(fleet).replace(b"/safe/", b"/stream/again/x"))
+        first = await stream.receive()
+        await stream.send(_request(fleet))
+        responses = await _responses(stream)
+
+    assert first.startswith(b"HTTP/1.1 200")
+    assert len(responses) == 1
+    assert len(runner.runs) == 2
+
+
 # Guards against dropping it as the server closes its connections meanwhile.
 async def test_requests_sent_at_once_are_all_answered_before_a_shutdown_ends() -> None:
     async with run_fleet() as fleet, await _connect(fleet) as stream:
