Count the time that a request waited in the kernel

Cause: a request counted as received when the router began with it. Until then its bytes may have waited at the listening socket or in the receive buffer, or the request behind another one. Class: an age that begins with its reader.

Evidence: the test lets the process stand still for 0.3 s and fails before (on a new connection and on a used one).

Why this works: the kernel tells how long ago a connection received data; a request counts from then, also if it waits behind another one.

--- a/dotterelpaddle/forwarding/app.py
+++ b/dotterelpaddle/forwarding/app.py
@@ -8,7 +8,7 @@
 
 from dotterelpaddle.dispatch.outcome import OutcomeLog
 from dotterelpaddle.exceptions import DotterelpaddleError, RequestError
-from dotterelpaddle.forwarding.caller_protocol import has_next_request
+from dotterelpaddle.forwarding.caller_protocol import has_next_request, received_at
 from dotterelpaddle.forwarding.exchange import ForwardExchange
 from dotterelpaddle.forwarding.relays import NOT_EXECUTED_STATUSES
 from dotterelpaddle.forwarding.reply import MAX_WRITE_BYTES, ForwardReply
@@ -112,7 +112,7 @@
         self, scope: Mapping[str, Any], receive: Receive, send: Send
     ) -> None:
         """Serve one request (ASGI entry point)."""
-        received_at = self._clock()
+        arrived_at = received_at(scope=scope, now=self._clock())
         reply = ForwardReply(
             send=send,
             should_close=lambda: (
@@ -132,8 +132,8 @@
         exchange = ForwardExchange(
             request=request,
             reply=reply,
-            received_at=received_at,
-            deadline=received_at + UNROUTED_DEADLINE_SECONDS,
+            received_at=arrived_at,
+            deadline=arrived_at + UNROUTED_DEADLINE_SECONDS,
             attempts=OutcomeLog(),
         )
         self._in_flight += 1
--- a/dotterelpaddle/forwarding/caller_protocol.py
+++ b/dotterelpaddle/forwarding/caller_protocol.py
@@ -8,6 +8,8 @@
 import httptools
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
+from dotterelpaddle.arrival import seconds_since_last_data
+from dotterelpaddle.clock import monotonic
 from dotterelpaddle.forwarding.caller_memory import CallerMemory
 from dotterelpaddle.logs import get_logger
 
@@ -36,6 +38,10 @@
 connection stays open.
 """
 
+RECEIVED_AT = "dotterelpaddle.received_at"
+"""Entry in the state of an ASGI scope: when the host received the request's head,
+seconds on the monotonic clock. The process may read it later."""
+
 HEADERS_TOO_LARGE_ANSWER = (
     b"HTTP/1.1 431 Request Header Fields Too Large\r\n"
     b"content-length: 0\r\nconnection: close\r\n\r\n"
@@ -48,6 +54,12 @@
     return waits is not None and waits()
 
 
+def received_at(*, scope: Mapping[str, Any], now: float) -> float:
+    """Return when the host received the request of an ASGI scope, `now` if unknown."""
+    at: float = scope.get("state", {}).get(RECEIVED_AT, now)
+    return min(at, now)
+
+
 def caller_protocol(
     *, limits: Callable[[], CallerLimits | None], held: HeldBytes | None = None
 ) -> type[asyncio.Protocol]:
@@ -122,7 +134,9 @@
         def on_message_begin(self) -> None:
             """Let the application ask for requests that wait behind this one."""
             super().on_message_begin()
-            self.scope["state"][HAS_NEXT_REQUEST] = lambda: bool(self.pipeline)
+            state = self.scope["state"]
+            state[HAS_NEXT_REQUEST] = lambda: bool(self.pipeline)
+            state[RECEIVED_AT] = monotonic() - self._waited_seconds()
 
         def on_headers_complete(self) -> None:
             """Stop the timer of the head; the body follows."""
@@ -186,6 +200,12 @@
                 cycle.message_event.set()
             super().connection_lost(exc)
 
+        def _waited_seconds(self) -> float:
+            connection = self.transport.get_extra_info("socket")
+            if connection is None:
+                return 0.0
+            return seconds_since_last_data(connection=connection)
+
         def _wait_if_idle(self) -> None:
             """Start the idle timer again, which the rest of a refused body stops."""
             answered = self.cycle is not None and self.cycle.response_complete
--- a/dotterelpaddle/tests/forwarding/test_callers.py
+++ b/dotterelpaddle/tests/forwarding/test_callers.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import socket
+import time
+
 import anyio
 import pytest
 
@@ -21,6 +24,10 @@
 LIMITS = {**configuration()["limits"], "headerTimeoutMs": 150, "maxHeaderBytes": 2000}
 
 LOW_IDLE_SECONDS = 2
+STANDSTILL_SECONDS = 0.3
+
+TICK_SECONDS = 0.02
+"""Resolution of the time that the kernel tells."""
 
 
 async def _connect(fleet: Fleet) -> anyio.abc.SocketStream:
@@ -109,6 +116,26 @@
     assert len(runner.runs) == 2
 
 
+# Guards against endpoints that are told more time than is left, since a request waited
+# in the kernel while its router stood still.
+@pytest.mark.parametrize("used", [False, True])
+async def test_time_in_the_kernel_counts_against_the_deadline(used: bool) -> None:
+    async with run_fleet() as fleet:
+        address = fleet.routers[0].callers
+        with socket.create_connection((address.host, address.port)) as connection:
+            if used:
+                connection.sendall(_request(fleet))
+                await anyio.to_thread.run_sync(connection.recv, 65536)
+            connection.sendall(_request(fleet, {Header.TIME_LEFT_MS: b"1000"}))
+            # The router runs in this process, and stands still with it.
+            time.sleep(STANDSTILL_SECONDS)  # noqa: ASYNC251
+            runner = fleet.runners["runner-1"]
+            await wait_until(lambda: len(runner.received) == used + 1)
+
+    time_left = int(runner.received[-1].headers[Header.TIME_LEFT_MS]) / 1000
+    assert time_left <= 1.0 - STANDSTILL_SECONDS + TICK_SECONDS
+
+
 # Guards against dropping it as the server closes its connections meanwhile.
 async def test_requests_sent_at_once_are_all_answered_before_a_shutdown_ends() -> None:
     async with run_fleet() as fleet, await _connect(fleet) as stream:
