Count rejected attempts against the attempts that a route allows

Cause: the limit was compared with the attempts that may have run. The platform's protocol puts it as the most endpoints to which a request may be sent.

Evidence: the test fails before, with three endpoints reached where one or two are allowed.

Why this works: an attempt counts once a byte of it was sent. A failed connect costs nothing, as before.

--- a/dotterelpaddle/forwarding/retry_policy.py
+++ b/dotterelpaddle/forwarding/retry_policy.py
@@ -48,7 +48,7 @@
         assert service is not None
         return (
             route.retryable
-            and exchange.attempts.maybe_run + 1 < route.max_attempts
+            and exchange.attempts.sent + 1 < route.max_attempts
             and self._budget.has_room(service=service)
         )
 
@@ -102,7 +102,8 @@
         if isinstance(failure, EndpointUnreachable):
             exhausted = attempts.count > MAX_UNREACHABLE_ATTEMPTS
             return RetryObstacle.MAX_ATTEMPTS if exhausted else None
-        if attempts.maybe_run >= route.max_attempts:
+        # The operator bounds the endpoints that a request is sent to, run or not.
+        if attempts.sent >= route.max_attempts:
             return RetryObstacle.MAX_ATTEMPTS
         if attempts.sent - attempts.maybe_run > MAX_REFUSED_ATTEMPTS:
             return RetryObstacle.MAX_ATTEMPTS
--- a/dotterelpaddle/tests/forwarding/test_faults.py
+++ b/dotterelpaddle/tests/forwarding/test_faults.py
@@ -335,3 +335,20 @@
     headers = {name.lower(): value for name, value in answer.headers}
     assert answer.status == 503
     assert float(headers[b"retry-after"]) > 0
+
+
+# Guards against requests that reach more endpoints than their route allows, since those
+# that rejected them did not count.
+@pytest.mark.parametrize("max_attempts", [1, 2])
+async def test_rejected_attempts_count_against_the_routes_limit(
+    max_attempts: int,
+) -> None:
+    routes = [route("safe", "idempotent", maxAttempts=max_attempts)]
+    async with run_fleet(runners=4, routes=routes) as fleet:
+        for runner in fleet.runners.values():
+            runner.plan.extend([Refuse()] * 4)
+        answer = await fleet.call("/safe/x")
+
+    assert answer.status == 503
+    received = [len(runner.received) for runner in fleet.runners.values()]
+    assert sum(received) == max_attempts
--- a/dotterelpaddle/tests/forwarding/test_view.py
+++ b/dotterelpaddle/tests/forwarding/test_view.py
@@ -23,7 +23,7 @@
 from dotterelpaddle.forwarding.removals import RECOVERY_HOLD_SECONDS
 from dotterelpaddle.forwarding.startup import STARTUP_WAIT_SECONDS
 from dotterelpaddle.forwarding.view import FleetView
-from dotterelpaddle.ids import EndpointName, ServiceName
+from dotterelpaddle.ids import EndpointName, Incarnation, ServiceName
 from dotterelpaddle.tests.forwarding.entries import make_entry
 from dotterelpaddle.tests.revisions import revision_at
 
@@ -205,6 +205,21 @@
     assert view.ready(service=SERVICE) == ()
 
 
+# Guards against an endpoint that started again after its clock had been set back: all
+# that its later lifetime writes is dropped, also that it is leaving.
+def test_lifetimes_are_ordered_without_a_wall_clock() -> None:
+    view = FleetView(clock=lambda: 0.0)
+    states = [EndpointState.READY] * 3 + [EndpointState.DRAINING]
+    for revision, state in enumerate(states, start=1):
+        incarnation = Incarnation(2000 if revision == 1 else 1000)
+        entry = replace(_entry(NAMES[0], revision, state), incarnation=incarnation)
+        view.apply_endpoints_update(
+            update=EndpointsUpdate(revision=revision_at(revision), entries=(entry,))
+        )
+
+    assert view.ready(service=SERVICE) == ()
+
+
 # Guards against requests at an endpoint that had been removed long before its removal
 # was known, because the router that reads for all had been killed.
 @pytest.mark.parametrize(("unconfirmed", "serves"), [(0.5, True), (1.8, False)])
