Drop a needless step of the retry budget, and log an unknown arrival

Reading the change once more: a bucket is bounded each time it is looked at, so that it need not be before a request adds to it; and no error is swallowed without a line.

--- a/dotterelpaddle/arrival.py
+++ b/dotterelpaddle/arrival.py
@@ -5,6 +5,10 @@
 import socket
 import struct
 
+from dotterelpaddle.logs import get_logger
+
+log = get_logger(name=__name__)
+
 _LAST_DATA_RECEIVED = struct.Struct("=I")
 
 _LAST_DATA_RECEIVED_OFFSET = 52
@@ -19,8 +23,9 @@
         return 0.0
     try:
         info = connection.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, _LENGTH)
-    except OSError:
+    except OSError as error:
         # The connection has ended, or is none of TCP.
+        log.debug("arrival_unknown", cause=str(error))
         return 0.0
     if len(info) < _LENGTH:
         return 0.0
--- a/dotterelpaddle/forwarding/retry_budget.py
+++ b/dotterelpaddle/forwarding/retry_budget.py
@@ -95,7 +95,7 @@
         self._updated_at = started_at
 
     def count_request(self, *, now: float) -> None:
-        """Add the share of one request."""
+        """Add the share of one request; `left` limits what the bucket holds."""
         self._requests.add(now=now)
         self._tokens += self._per_request
 
@@ -150,8 +150,6 @@
 
     def count_request(self, *, service: ServiceName) -> None:
         """Count a request for a service."""
-        # Tokens that the bucket can't hold must not make room for those of this one.
-        self._left(service)
         self._bucket(service).count_request(now=self._clock())
 
     def has_room(self, *, service: ServiceName) -> bool:
