Give outages and the store's answers modules of their own

Nothing but moves: the detection of outages is a class of its own, the decoding of the store's answers a module.

--- a/dotterelpaddle/forwarding/follower.py
+++ b/dotterelpaddle/forwarding/follower.py
@@ -9,6 +9,7 @@
 import anyio
 
 from dotterelpaddle.exceptions import HistoryLost, PlatformError
+from dotterelpaddle.forwarding.outages import OutageDetector
 from dotterelpaddle.forwarding.store_clock import latest_time
 from dotterelpaddle.logs import get_logger
 
@@ -70,16 +71,6 @@
 GOSSIP_CHECK_INTERVAL_SECONDS = 0.3
 """Seconds between checks of what peers report if they push all updates unasked."""
 
-OUTAGE_AFTER_FAILURES_SECONDS = 1.0
-"""Seconds without an answer to any router that count as an outage if calls of this one
-have failed in a row meanwhile: no entry expires in less."""
-
-OUTAGE_SECONDS = MAX_CONFIGURATION_AGE_SECONDS
-"""Seconds without an answer to any router that count as an outage if no two calls of
-this one in a row have failed: the second one uses a new connection. A single call also
-fails if its connection has gone silent, while the platform removes only the entries of
-endpoints that have left."""
-
 MIN_RETRY_DELAY_SECONDS = 0.1
 """Seconds before the first retry of a failed call; doubles up to the maximum."""
 
@@ -135,9 +126,8 @@
         self._store_clock = store_clock
         self._own_configuration_as_of: StoreTime | None = None
         self._own_endpoints_as_of: StoreTime | None = None
-        self._last_contact_at = float("-inf")
+        self._outages = OutageDetector(on_recovery=view.note_platform_recovery)
         self._failing = False
-        self._failed_repeatedly = False
         self._long_poll: anyio.CancelScope | None = None
         self._last_call_reason: CallReason | None = None
 
@@ -358,7 +348,9 @@
                     self._peer_summary.endpoints_as_of,
                 )
             )
-            self._record_contact(at=self._clock() - self._store_clock.age(of=confirmed))
+            self._outages.record_contact(
+                at=self._clock() - self._store_clock.age(of=confirmed)
+            )
             if self._must_poll and self._long_poll is not None:
                 self._long_poll.cancel()
 
@@ -371,27 +363,14 @@
         """Record that the source answered."""
         if as_of is not None:
             self._store_clock.record_answer(time=as_of, requested_at=requested_at)
-        self._record_contact(at=self._clock())
+        self._outages.record_contact(at=self._clock())
         self._failing = False
 
-    def _record_contact(self, *, at: float) -> None:
-        """Record when the source last answered any router, and detect outages."""
-        if at <= self._last_contact_at:
-            return
-        silent_for = at - self._last_contact_at
-        outage_after = (
-            OUTAGE_AFTER_FAILURES_SECONDS if self._failed_repeatedly else OUTAGE_SECONDS
-        )
-        if outage_after < silent_for < float("inf"):
-            log.info("platform_regained", silent_for=round(silent_for, 3))
-            self._view.note_platform_recovery()
-        self._last_contact_at = at
-        self._failed_repeatedly = False
-
     def _record_failure(
         self, *, what: str, error: PlatformError, repeated: bool
     ) -> None:
-        self._failed_repeatedly = self._failed_repeatedly or repeated
+        if repeated:
+            self._outages.record_failures()
         if not self._failing:
             log.warning(
                 "platform_failing", what=what, cause=error.message, peer=error.peer
--- a/dotterelpaddle/forwarding/view.py
+++ b/dotterelpaddle/forwarding/view.py
@@ -232,10 +232,7 @@
         return self._evacuations.exclude_evacuated(entries=available)
 
     def last_resort(self, *, service: ServiceName) -> tuple[EndpointEntry, ...]:
-        """Endpoints that may still serve if no other can.
-
-        Their entries were just removed, or they just reported that they are leaving.
-        """
+        """Endpoints that may serve if no other can: just removed, or just leaving."""
         gone = self._removed.still_serving(service=service)
         leaving = self._leaving.still_serving(entries=self.registered(service=service))
         return self._evacuations.exclude_evacuated(
@@ -243,11 +240,7 @@
         )
 
     def note_endpoints_confirmed(self, *, at: float) -> None:
-        """Record when the platform last confirmed the entries.
-
-        Args:
-            at: Seconds on the monotonic clock, minus infinity if it never did.
-        """
+        """Record when, on the monotonic clock, the platform confirmed the entries."""
         self._removed.note_confirmed(at=at)
 
     def note_platform_recovery(self) -> None:
--- a/dotterelpaddle/platform/store.py
+++ b/dotterelpaddle/platform/store.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import base64
-from dataclasses import dataclass, replace
+from dataclasses import replace
 from typing import TYPE_CHECKING, Any
 from urllib.parse import urlencode
 
@@ -19,20 +19,24 @@
 )
 from dotterelpaddle.forwarding.interface import EndpointsUpdate
 from dotterelpaddle.forwarding.revisions import FIRST_ERA, StoreRevision
-from dotterelpaddle.forwarding.store_clock import StoreTime
-from dotterelpaddle.ids import Revision, StoreEra
 from dotterelpaddle.logs import get_logger
 from dotterelpaddle.network import LinkedBackend
 from dotterelpaddle.platform.learned import rows_of, values_of
-from dotterelpaddle.platform.names import CallPath, Field, Header, Table
+from dotterelpaddle.platform.names import CallPath, Table
 from dotterelpaddle.platform.operator_rows import OperatorRowDecoder
-from dotterelpaddle.platform.rows import EntryRowDecoder, check_rows, row_value
+from dotterelpaddle.platform.rows import EntryRowDecoder, row_value
+from dotterelpaddle.platform.store_answers import (
+    StoreAnswer,
+    decode_answer,
+    decode_era,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Mapping
 
     from dotterelpaddle.address import Address
     from dotterelpaddle.forwarding.interface import DocumentDecoder, OperatorUpdate
+    from dotterelpaddle.ids import StoreEra
     from dotterelpaddle.links import Links
     from dotterelpaddle.peers.learned_rows import LearnedRows
     from dotterelpaddle.platform.rows import Row
@@ -53,23 +57,6 @@
 GONE = 410
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class _Answer:
-    """An answer of the store.
-
-    Attributes:
-        rows: The rows.
-        revision: Position of the store's last change.
-        time: When the store made it, None if it does not say.
-        truncated: Whether the store has further rows of the listing.
-    """
-
-    rows: list[Row]
-    revision: StoreRevision
-    time: StoreTime | None
-    truncated: bool
-
-
 class StoreSource:
     """Calls the platform's store.
 
@@ -210,7 +197,7 @@
                 peer=str(self._address),
             )
 
-    async def _read_all(self, *, table: str) -> tuple[list[Row], _Answer]:
+    async def _read_all(self, *, table: str) -> tuple[list[Row], StoreAnswer]:
         """Read all rows of a table.
 
         Later pages may include later changes, which the next watch returns again.
@@ -232,7 +219,9 @@
             rows = rows + page.rows
         return rows, first
 
-    async def _watch(self, *, table: str, after: StoreRevision, wait: float) -> _Answer:
+    async def _watch(
+        self, *, table: str, after: StoreRevision, wait: float
+    ) -> StoreAnswer:
         """Wait for the changes of a table's rows after a revision.
 
         Raises:
@@ -255,7 +244,7 @@
 
     async def _get(
         self, *, path: str, query: Mapping[str, Any], wait: float = 0.0
-    ) -> _Answer:
+    ) -> StoreAnswer:
         """Send one request to the store.
 
         Raises:
@@ -275,7 +264,7 @@
             raise PlatformUnavailable(
                 f"the store answered with status {response.status}", peer=peer
             )
-        return _decode_answer(content=response.content, era=era, peer=peer)
+        return decode_answer(content=response.content, era=era, peer=peer)
 
     async def _request(
         self, *, method: str, target: str, body: bytes = b"", wait: float = 0.0
@@ -328,7 +317,7 @@
                 the store came back from a copy.
         """
         known = self._era
-        era = _decode_era(headers=headers, peer=peer)
+        era = decode_era(headers=headers, peer=peer)
         if era is None:
             self._era = FIRST_ERA if known is None else known
             return self._era
@@ -341,63 +330,3 @@
             log.info("store_era", era=era, earlier=known, peer=peer)
             self._era = era
         return era
-
-
-def _decode_era(
-    *, headers: Iterable[tuple[bytes, bytes]], peer: str
-) -> StoreEra | None:
-    """Decode the era of an answer, None if it names none.
-
-    Raises:
-        PlatformUnavailable: If the era is no number.
-    """
-    for name, value in headers:
-        if name.lower() == Header.STORE_ERA:
-            if not value.isdigit():
-                raise PlatformUnavailable(
-                    f"the era in the answer of the store is {value!r}, not a number",
-                    peer=peer,
-                )
-            return StoreEra(int(value))
-    return None
-
-
-def _decode_answer(*, content: bytes, era: StoreEra, peer: str) -> _Answer:
-    try:
-        document = orjson.loads(content)
-    except orjson.JSONDecodeError as error:
-        raise PlatformUnavailable(
-            f"the answer of the store is not JSON: {error}", peer=peer
-        ) from error
-    if not isinstance(document, dict) or not isinstance(document.get("rows"), list):
-        raise PlatformUnavailable("the answer of the store has no rows", peer=peer)
-    check_rows(rows=document["rows"], peer=peer)
-    number = document.get("ver")
-    if not isinstance(number, int):
-        raise PlatformUnavailable("the answer of the store has no version", peer=peer)
-    return _Answer(
-        rows=document["rows"],
-        revision=StoreRevision(era=era, number=Revision(number)),
-        time=_decode_time(document=document, era=era, peer=peer),
-        truncated=bool(document.get("truncated")),
-    )
-
-
-def _decode_time(
-    *, document: Mapping[str, Any], era: StoreEra, peer: str
-) -> StoreTime | None:
-    """Decode when the store made an answer, None if it does not say.
-
-    Raises:
-        PlatformUnavailable: If the time is no number.
-    """
-    milliseconds = document.get(Field.NOW_MS)
-    if milliseconds is None:
-        return None
-    if isinstance(milliseconds, bool) or not isinstance(milliseconds, int | float):
-        raise PlatformUnavailable(
-            f"'{Field.NOW_MS}' in the answer of the store is {milliseconds!r}, not a "
-            "number",
-            peer=peer,
-        )
-    return StoreTime(era=era, seconds=milliseconds / 1000)
--- a/dotterelpaddle/tests/forwarding/test_follower.py
+++ b/dotterelpaddle/tests/forwarding/test_follower.py
@@ -12,10 +12,11 @@
 
 from dotterelpaddle.clock import monotonic
 from dotterelpaddle.exceptions import PlatformUnavailable
-from dotterelpaddle.forwarding import follower as follower_module
+from dotterelpaddle.forwarding import follower as follower_module, outages
 from dotterelpaddle.forwarding.follower import Follower
 from dotterelpaddle.forwarding.interface import EndpointsUpdate, OperatorUpdate
 from dotterelpaddle.forwarding.metrics import ForwardMetrics
+from dotterelpaddle.forwarding.outages import OUTAGE_AFTER_FAILURES_SECONDS
 from dotterelpaddle.forwarding.revisions import FIRST_ERA
 from dotterelpaddle.forwarding.store_clock import StoreClock, StoreTime
 from dotterelpaddle.forwarding.view import FleetView
@@ -223,8 +224,8 @@
     async with _follow(peers, source, view, clock=lambda: now):
         await wait_until(lambda: source.endpoint_calls > 0)
         # Calls fail for long, but a peer gets an answer between any two checks.
-        while now < 4 * follower_module.OUTAGE_AFTER_FAILURES_SECONDS:
-            now += follower_module.OUTAGE_AFTER_FAILURES_SECONDS / 4
+        while now < 4 * OUTAGE_AFTER_FAILURES_SECONDS:
+            now += OUTAGE_AFTER_FAILURES_SECONDS / 4
             age_reads = peers.age_reads
             await wait_until(
                 lambda age_reads=age_reads: peers.age_reads > age_reads + 1
@@ -239,7 +240,7 @@
 async def test_no_answer_to_any_router_is_an_outage(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    monkeypatch.setattr(follower_module, "OUTAGE_AFTER_FAILURES_SECONDS", 0.05)
+    monkeypatch.setattr(outages, "OUTAGE_AFTER_FAILURES_SECONDS", 0.05)
     peers = ScriptedPeers(outdated=True)
     source, view = ScriptedSource(failing=True), RecordingView(clock=monotonic)
     async with _follow(peers, source, view) as follower:
@@ -262,7 +263,7 @@
         await wait_until(lambda: source.endpoint_calls > 0)
         source.fails_next = True
         await wait_until(lambda: not source.fails_next)
-        now += 2 * follower_module.OUTAGE_AFTER_FAILURES_SECONDS
+        now += 2 * OUTAGE_AFTER_FAILURES_SECONDS
         calls = source.endpoint_calls
         await wait_until(lambda: source.endpoint_calls > calls + 1)
 
--- a/dotterelpaddle/tests/memory_http.py
+++ b/dotterelpaddle/tests/memory_http.py
@@ -42,6 +42,11 @@
         self._http = http
         self._is_cut = is_cut
 
+    @property
+    def connections(self) -> list[httpcore.AsyncConnectionInterface]:
+        """Open connections, of which it keeps none."""
+        return []
+
     async def __aenter__(self) -> MemoryPool:
         return self
 
--- a/dotterelpaddle/tests/peers/test_snapshot.py
+++ b/dotterelpaddle/tests/peers/test_snapshot.py
@@ -9,6 +9,7 @@
 import pytest
 from hypothesis import given, strategies as st
 
+from dotterelpaddle.address import Address
 from dotterelpaddle.exceptions import ControlError
 from dotterelpaddle.forwarding.caches import CacheMap
 from dotterelpaddle.forwarding.interface import EndpointsUpdate
@@ -26,7 +27,6 @@
 from dotterelpaddle.platform.documents import PlatformDocumentDecoder
 from dotterelpaddle.standins.runner import RunnerStandin
 from dotterelpaddle.tests.forwarding.harness import (
-    ANY_LOCAL_ADDRESS,
     SERVICE,
     configuration,
 )
@@ -35,6 +35,7 @@
 if TYPE_CHECKING:
     from dotterelpaddle.forwarding.revisions import StoreRevision
 
+ADDRESS = Address(host="10.0.0.1", port=80)
 DOCUMENTS = PlatformDocumentDecoder()
 FULL_REQUEST = SnapshotRequest(revision=None, uses=True)
 
@@ -43,7 +44,7 @@
     view = FleetView(clock=lambda: 0.0)
     document = orjson.dumps(configuration(version=version))
     view.apply_configuration(configuration=DOCUMENTS.configuration(document=document))
-    row = RunnerStandin(name="a").entry(address=ANY_LOCAL_ADDRESS, service=SERVICE)
+    row = RunnerStandin(name="a").entry(address=ADDRESS, service=SERVICE)
     entry = DOCUMENTS.endpoint(
         name=EndpointName("a"),
         document=orjson.dumps(row),
