--- a/dotterelpaddle/tests/forwarding/repeats_world.py
+++ b/dotterelpaddle/tests/forwarding/repeats_world.py
@@ -19,12 +19,10 @@
 
 from dotterelpaddle.platform.names import Header
 from dotterelpaddle.standins.behaviours import Fail, LoseAnswer, Refuse
-from dotterelpaddle.standins.runner import RunnerStandin, run_runner
+from dotterelpaddle.standins.runner import RunnerStandin
 from dotterelpaddle.standins.store import run_store
-from dotterelpaddle.tests.forwarding.silence_callers import EVENTS, TIME_LEFT_SECONDS
+from dotterelpaddle.tests.forwarding.silence_callers import TIME_LEFT_SECONDS
 from dotterelpaddle.tests.forwarding.silence_world import (
-    ANSWER_PARTS,
-    EVENT_PAUSE_SECONDS,
     MAX_ATTEMPTS,
     SilenceWorld,
 )
@@ -107,27 +105,10 @@
         default_factory=lambda: defaultdict(list)
     )
 
-    async def add_failing_endpoints(self) -> None:
-        """Start and register all endpoints."""
-        for service, versions in self.versions.items():
-            for version in versions:
-                runner = FailingRunner(
-                    name=f"runner-{len(self.runners) + 1}",
-                    version=version,
-                    events=EVENTS,
-                    pause=EVENT_PAUSE_SECONDS,
-                    answer_parts=ANSWER_PARTS,
-                    service=service,
-                    world=self,
-                )
-                address = await self.stack.enter_async_context(
-                    run_runner(runner=runner)
-                )
-                self.runners.append(runner)
-                self.entries[runner.name] = runner.entry(
-                    address=address, service=service, slots=64
-                )
-                self.register(runner)
+    def new_runner(self, *, service: str, version: str) -> RunnerStandin:
+        """Return an endpoint of a service that is not started yet."""
+        fields = self.runner_fields(version=version)
+        return FailingRunner(service=service, world=self, **fields)
 
     async def lose(
         self, routers: Iterable[RouterProcess], *, seconds: float, first_start: bool
@@ -239,7 +220,7 @@
             world.store_address = await stack.enter_async_context(
                 run_store(store=world.store)
             )
-            await world.add_failing_endpoints()
+            await world.add_endpoints()
             for domain in domains:
                 router = world.add_router(source=source)
                 router.failure_domain = domain
--- a/dotterelpaddle/tests/forwarding/silence_world.py
+++ b/dotterelpaddle/tests/forwarding/silence_world.py
@@ -95,17 +95,25 @@
         """All requests that were sent whole."""
         return self.callers.calls
 
+    def new_runner(self, *, service: str, version: str) -> RunnerStandin:
+        """Return an endpoint of a service that is not started yet."""
+        return RunnerStandin(**self.runner_fields(version=version))
+
+    def runner_fields(self, *, version: str) -> dict[str, Any]:
+        """Return the attributes of the next endpoint."""
+        return {
+            "name": f"runner-{len(self.runners) + 1}",
+            "version": version,
+            "events": EVENTS,
+            "pause": EVENT_PAUSE_SECONDS,
+            "answer_parts": ANSWER_PARTS,
+        }
+
     async def add_endpoints(self) -> None:
         """Start and register all endpoints."""
         for service, versions in self.versions.items():
             for version in versions:
-                runner = RunnerStandin(
-                    name=f"runner-{len(self.runners) + 1}",
-                    version=version,
-                    events=EVENTS,
-                    pause=EVENT_PAUSE_SECONDS,
-                    answer_parts=ANSWER_PARTS,
-                )
+                runner = self.new_runner(service=service, version=version)
                 address = await self.stack.enter_async_context(
                     run_runner(runner=runner)
                 )
--- a/dotterelpaddle/tests/forwarding/test_repeats_processes.py
+++ b/dotterelpaddle/tests/forwarding/test_repeats_processes.py
@@ -111,6 +111,7 @@
         tasks.cancel_scope.cancel()
     excess = world.excess()
     print(shape, trouble.__name__, "seed", seed, excess, len(world.calls), "calls")
+    print(len(world.told_too_much_time()), "arrivals told too much time")
 
     assert not world.run_at_too_many()
     assert max(excess.values()) <= 0
