--- a/dotterelpaddle/tests/forwarding/test_lifetime_order.py
+++ b/dotterelpaddle/tests/forwarding/test_lifetime_order.py
@@ -76,3 +76,29 @@
         )
 
     assert [entry.incarnation for entry in view.entries] == [FIRST]
+
+
+# Guards against an endpoint that is not used for two minutes, as its clock was set back
+# while its entry was removed.
+def test_lifetime_that_goes_on_writing_is_in_force_after_a_removal() -> None:
+    view = FleetView(clock=lambda: 0.0)
+    first = make_entry("endpoint", incarnation=FIRST, revision=revision_at(1))
+    view.apply_endpoints_update(
+        update=EndpointsUpdate(revision=first.revision, entries=(first,))
+    )
+    view.apply_endpoints_update(
+        update=EndpointsUpdate(
+            revision=revision_at(2),
+            entries=(),
+            removed={first.name: revision_at(2)},
+        )
+    )
+    for number in (3, 4, 5):
+        entry = make_entry(
+            "endpoint", incarnation=EARLIER, revision=revision_at(number)
+        )
+        view.apply_endpoints_update(
+            update=EndpointsUpdate(revision=entry.revision, entries=(entry,))
+        )
+
+    assert [entry.incarnation for entry in view.entries] == [EARLIER]
