Release what a failed attempt has received when it ends

What callers saw: routers of 300 MB that took 980 MB with the term pressure, beside endpoints whose plain answers don't end, though 107 MB counted as held; requests of others end with them.

Cause: an error keeps its traceback, this the frames it passed, and these the parts of the answer. AttemptRace, AttemptRunner and the exchange keep the error in a variable of such a frame, so that only the garbage collector released them, each 5,000 objects. Each failed request was such a cycle: 8.6 MB after a body without end, 1.2 MB after a timeout, its own body after any failure. Class: bytes that are released in the books and not in memory.

Why it works: what has failed passes AttemptRace or the application, and both clear the variables of all frames of the error and of its causes before they keep it. The body goes with the holding that counts it.

--- a/dotterelpaddle/forwarding/app.py
+++ b/dotterelpaddle/forwarding/app.py
@@ -16,6 +16,7 @@
 from dotterelpaddle.forwarding.retry_after import retry_after_seconds
 from dotterelpaddle.http_server import ReplyCut
 from dotterelpaddle.logs import get_logger
+from dotterelpaddle.tracebacks import release_frames
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable, Mapping
@@ -142,6 +143,8 @@
         finally:
             self._in_flight -= 1
             self._log_end(exchange=exchange)
+            # Its error may hold an endpoint's answer.
+            exchange.error = None
 
     async def _run(
         self, *, exchange: ForwardExchange, scope: Mapping[str, Any], receive: Receive
@@ -193,6 +196,7 @@
             ReplyCut: If an answer has started. The server then closes the
                 connection, which shows the caller that the answer is incomplete.
         """
+        release_frames(error=error)
         exchange.error = error
         reply = exchange.reply
         if reply.started:
--- a/dotterelpaddle/forwarding/attempt_race.py
+++ b/dotterelpaddle/forwarding/attempt_race.py
@@ -15,6 +15,8 @@
 
 import anyio
 
+from dotterelpaddle.tracebacks import release_frames
+
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Awaitable, Callable
 
@@ -207,7 +209,12 @@
                     await attempt.take_lead()
                     event = AttemptSucceeded(result=result)
         except Exception as error:
+            # The request may go on elsewhere without what this attempt has received.
+            release_frames(error=error)
             event = AttemptFailed(error=error)
+        except BaseException as error:
+            release_frames(error=error)
+            raise
         if self.is_open(attempt=attempt):
             self._open.remove(attempt)
             self.post(event=event)
--- a/dotterelpaddle/forwarding/filters.py
+++ b/dotterelpaddle/forwarding/filters.py
@@ -23,6 +23,7 @@
     BufferingRelay,
     EventRelay,
 )
+from dotterelpaddle.tracebacks import release_frames
 
 if TYPE_CHECKING:
     import random
@@ -194,6 +195,7 @@
                 exchange=exchange, relay=self._relay(exchange=exchange)
             )
         except FailedAnswer as error:
+            release_frames(error=error)
             if (
                 exchange.reply.started
                 or error.answer.head.status in NOT_EXECUTED_STATUSES
--- a/dotterelpaddle/forwarding/request_body.py
+++ b/dotterelpaddle/forwarding/request_body.py
@@ -52,7 +52,10 @@
         size = min(_declared_size(scope=scope), self._max_bytes)
         with self._held.request(size=size) as holding:
             exchange.holding = holding
-            yield
+            try:
+                yield
+            finally:
+                exchange.body = b""
 
     async def read(self, *, exchange: ForwardExchange, receive: Receive) -> bytes:
         """Read a body.
--- a/dotterelpaddle/standins/behaviours.py
+++ b/dotterelpaddle/standins/behaviours.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass
 
 
@@ -68,6 +69,25 @@
     chunk: bytes = b"x" * 16384
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Bulk:
+    """The endpoint runs the request and sends a large body at a rate.
+
+    Attributes:
+        size: Bytes of the body, None to send until the connection is closed.
+        declared: Length that the head declares, None to send the body in chunks.
+        bytes_per_second: Rate of the body.
+        status: HTTP status of the answer.
+        part_bytes: Bytes of the body that it sends at a time.
+    """
+
+    size: int | None = None
+    declared: int | None = None
+    bytes_per_second: float = math.inf
+    status: int = 200
+    part_bytes: int = 32 * 1024
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Garbage:
     """The endpoint sends bytes that are not HTTP."""
@@ -147,6 +167,7 @@
     | CutAnswer
     | LoseAnswer
     | Endless
+    | Bulk
     | Garbage
     | Foreign
     | ExtraAnswer
--- a/dotterelpaddle/standins/runner.py
+++ b/dotterelpaddle/standins/runner.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import deque
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
@@ -21,6 +22,7 @@
 from dotterelpaddle.platform.names import CallPath, Header
 from dotterelpaddle.standins.behaviours import (
     Behaviour,
+    Bulk,
     CutAnswer,
     Endless,
     ExtraAnswer,
@@ -183,6 +185,8 @@
                 while True:
                     await stream.send(chunk)
                     self.endless_bytes += len(chunk)
+            case Bulk():
+                await self._send_bulk(stream, request, behaviour)
             case Garbage():
                 await self._send(stream, b"\x00\x01 this is no answer\r\n\r\n")
                 return False
@@ -242,6 +246,29 @@
                 await anyio.sleep(self.pause)
             await self._send(stream, data[start : start + size])
 
+    async def _send_bulk(
+        self, stream: SocketStream, request: Received, behaviour: Bulk
+    ) -> None:
+        """Send a body part by part, no faster than its rate."""
+        in_chunks = behaviour.declared is None
+        framing = (
+            b"transfer-encoding: chunked"
+            if behaviour.declared is None
+            else b"content-length: %d" % behaviour.declared
+        )
+        head = self._head(request, status=behaviour.status, framing=framing)
+        await self._send(stream, head)
+        started_at = anyio.current_time()
+        size = math.inf if behaviour.size is None else behaviour.size
+        sent = 0
+        while sent < size:
+            part = bytes(int(min(behaviour.part_bytes, size - sent)))
+            await self._send(stream, _chunk(part) if in_chunks else part)
+            sent += len(part)
+            await anyio.sleep_until(started_at + sent / behaviour.bytes_per_second)
+        if in_chunks:
+            await self._send(stream, b"0\r\n\r\n")
+
     async def _stream(
         self, stream: SocketStream, request: Received, behaviour: Behaviour
     ) -> bool:
