Leave room for the requests of other services when one fills the bound on held bytes

Cause: the bound on held bytes is one for all services, and new requests of any of them are refused above three quarters of it. Besides, a request reserved nothing for its answer, and what waits on the connection of an answer without room was not counted. Class: a bound in the sum without a part for each who shares it.

Now a service may hold a multiple of what is free (dynamic thresholds, Choudhury and Hahne 1998), three times with a new request and nine times with answers to requests that run, so that some always stays free for others. A request reserves what the plain answers of its route have taken on average, before it is sent: once it runs, a refusal would not be true. Answers of one service don't wait behind those of another. held_bytes_by_use tells what is held where.

Alone, a service is refused at three quarters as before.

held_bytes and caller_memory move to a package of their own, memory/.

--- a/dotterelpaddle/forwarding/app.py
+++ b/dotterelpaddle/forwarding/app.py
@@ -23,12 +23,12 @@
 
     from dotterelpaddle.clock import Clock
     from dotterelpaddle.forwarding.filters import NextFilter
-    from dotterelpaddle.forwarding.held_bytes import HeldBytes
     from dotterelpaddle.forwarding.interface import Headers, WireCodec
     from dotterelpaddle.forwarding.isolation import IsolationDetector
     from dotterelpaddle.forwarding.metrics import ForwardMetrics
     from dotterelpaddle.forwarding.reply import Send
     from dotterelpaddle.forwarding.view import FleetView
+    from dotterelpaddle.memory.held_bytes import HeldBytes
 
     Receive = Callable[[], Awaitable[dict[str, Any]]]
 
--- a/dotterelpaddle/forwarding/call.py
+++ b/dotterelpaddle/forwarding/call.py
@@ -10,6 +10,7 @@
 
 from dotterelpaddle.exceptions import AnswerBroken, EndpointSilent
 from dotterelpaddle.forwarding.exceptions import UnreadAnswerBroken
+from dotterelpaddle.transport import MAX_BUFFERED_BYTES
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -18,7 +19,6 @@
     from dotterelpaddle.endpoint.patience import Patience
     from dotterelpaddle.endpoint.pool import Connection
     from dotterelpaddle.forwarding.attempt_race import OpenAttempt
-    from dotterelpaddle.forwarding.held_bytes import Holding
     from dotterelpaddle.forwarding.interface import (
         AnswerHead,
         ForwardRequest,
@@ -26,6 +26,7 @@
     )
     from dotterelpaddle.forwarding.liveness import EndpointLiveness
     from dotterelpaddle.forwarding.model import EndpointEntry
+    from dotterelpaddle.memory.holdings import Holding
 
 MAX_ANSWER_BYTES = 8 * 1024 * 1024
 """Limit on a buffered answer; the largest known ones take a few KB."""
@@ -146,18 +147,29 @@
         """
         chunks: list[bytes] = []
         size = 0
-        with self._holding.answer() as part:
-            await part.grow(size=self._declared_size)
-            async for chunk in self.chunks():
-                size += len(chunk)
-                if size > MAX_ANSWER_BYTES:
-                    raise AnswerBroken(
-                        f"the answer exceeds {MAX_ANSWER_BYTES} bytes",
-                        peer=self._endpoint,
-                    )
-                chunks.append(chunk)
-                await part.grow(size=size)
-            return b"".join(chunks)
+        try:
+            self._check_size(size=self._declared_size)
+            with self._holding.answer() as part:
+                await part.grow(size=self._declared_size, buffered=MAX_BUFFERED_BYTES)
+                async for chunk in self.chunks():
+                    size += len(chunk)
+                    self._check_size(size=size)
+                    chunks.append(chunk)
+                    await part.grow(size=size, buffered=MAX_BUFFERED_BYTES)
+                return b"".join(chunks)
+        finally:
+            self._holding.record_answer(size=size)
+
+    def _check_size(self, *, size: int) -> None:
+        """Check whether an answer may have a size.
+
+        Raises:
+            AnswerBroken: If it exceeds the limit.
+        """
+        if size > MAX_ANSWER_BYTES:
+            raise AnswerBroken(
+                f"the answer exceeds {MAX_ANSWER_BYTES} bytes", peer=self._endpoint
+            )
 
     @property
     def _declared_size(self) -> int:
--- a/dotterelpaddle/forwarding/caller_protocol.py
+++ b/dotterelpaddle/forwarding/caller_protocol.py
@@ -10,8 +10,8 @@
 
 from dotterelpaddle.arrival import seconds_since_last_data
 from dotterelpaddle.clock import monotonic
-from dotterelpaddle.forwarding.caller_memory import CallerMemory
 from dotterelpaddle.logs import get_logger
+from dotterelpaddle.memory.caller_memory import CallerMemory
 
 if TYPE_CHECKING:
     import asyncio
@@ -19,8 +19,8 @@
 
     from uvicorn.protocols.http.httptools_impl import RequestResponseCycle
 
-    from dotterelpaddle.forwarding.held_bytes import HeldBytes
     from dotterelpaddle.forwarding.model import CallerLimits
+    from dotterelpaddle.memory.held_bytes import HeldBytes
 
 log = get_logger(name=__name__)
 
--- a/dotterelpaddle/forwarding/exchange.py
+++ b/dotterelpaddle/forwarding/exchange.py
@@ -5,17 +5,17 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
-from dotterelpaddle.forwarding.held_bytes import unbounded_holding
+from dotterelpaddle.memory.held_bytes import unbounded_holding
 
 if TYPE_CHECKING:
     from dotterelpaddle.dispatch.outcome import OutcomeLog
     from dotterelpaddle.exceptions import RequestError
     from dotterelpaddle.forwarding.crash_subjects import CrashSubject
-    from dotterelpaddle.forwarding.held_bytes import Holding
     from dotterelpaddle.forwarding.interface import AnswerHead, ForwardRequest
     from dotterelpaddle.forwarding.model import ClientAccount, ForwardRoute
     from dotterelpaddle.forwarding.reply import ForwardReply
     from dotterelpaddle.ids import Fingerprint, ServiceName, SoftwareVersion
+    from dotterelpaddle.memory.holdings import Holding
 
 
 @dataclass(kw_only=True, slots=True)
--- a/dotterelpaddle/forwarding/filters.py
+++ b/dotterelpaddle/forwarding/filters.py
@@ -112,6 +112,7 @@
             request=request, account=exchange.account, body=exchange.body
         )
         exchange.service = self._service(route=route)
+        exchange.holding.assign(service=exchange.service)
         await next_filter(exchange)
 
     def _service(self, *, route: ForwardRoute) -> ServiceName:
--- a/dotterelpaddle/forwarding/metrics.py
+++ b/dotterelpaddle/forwarding/metrics.py
@@ -17,11 +17,11 @@
     from dotterelpaddle.forwarding.crashes import CrashTracker
     from dotterelpaddle.forwarding.exchange import ForwardExchange
     from dotterelpaddle.forwarding.follower import Follower
-    from dotterelpaddle.forwarding.held_bytes import HeldBytes
     from dotterelpaddle.forwarding.loads import LoadTracker
     from dotterelpaddle.forwarding.retry_budget import RetryBudget
     from dotterelpaddle.forwarding.slowdowns import Slowdowns
     from dotterelpaddle.forwarding.view import FleetView
+    from dotterelpaddle.memory.held_bytes import HeldBytes
     from dotterelpaddle.peers.directory import PeerDirectory
 
 MEMORY_FILE = Path("/proc/self/statm")
@@ -231,6 +231,14 @@
             name="held_bytes",
             doc="Bytes held for callers and endpoints, and their bound, if any.",
         )
+        self._held_by_use = self._registry.gauge(
+            name="held_bytes_by_use",
+            doc="Bytes held by service and by what they are held for.",
+        )
+        self._answers_waiting = self._registry.gauge(
+            name="answers_waiting_for_memory",
+            doc="Plain answers that wait for room, half read or not begun.",
+        )
         self._memory_refusals = self._registry.counter(
             name="memory_refusals_total",
             doc="Requests refused because of the bytes held for others.",
@@ -264,6 +272,10 @@
         self._peers.set({}, len(sources.directory.alive))
         self._memory.set({}, _resident_bytes())
         self._held.set({"state": "held"}, sources.held.held)
+        for (service, kind), size in sources.held.by_use().items():
+            labels = {"service": service or "", "kind": kind.value}
+            self._held_by_use.set(labels, size)
+        self._answers_waiting.set({}, sources.held.waiting)
         if sources.held.bound is not None:
             self._held.set({"state": "bound"}, sources.held.bound)
             self._memory_refusals.set({}, sources.held.refused)
--- a/dotterelpaddle/forwarding/relays.py
+++ b/dotterelpaddle/forwarding/relays.py
@@ -4,6 +4,8 @@
 
 from typing import TYPE_CHECKING, Protocol
 
+import anyio
+
 from dotterelpaddle.endpoint.evidence import Evidence
 from dotterelpaddle.endpoint.sse import EventBuffer, last_event_id
 from dotterelpaddle.exceptions import AnswerBroken
@@ -18,15 +20,16 @@
     StreamOrigin,
     StreamRecord,
 )
+from dotterelpaddle.transport import MAX_BUFFERED_BYTES
 
 if TYPE_CHECKING:
     from dotterelpaddle.clock import Clock
     from dotterelpaddle.forwarding.call import ForwardAnswer, ForwardCall
     from dotterelpaddle.forwarding.client import ForwardClient
     from dotterelpaddle.forwarding.exchange import ForwardExchange
-    from dotterelpaddle.forwarding.held_bytes import AnswerHolding
     from dotterelpaddle.forwarding.model import EndpointEntry
     from dotterelpaddle.forwarding.stream_pace import StreamPacer
+    from dotterelpaddle.memory.holdings import AnswerHolding
     from dotterelpaddle.streams.origins import StreamOrigins
 
 SUCCESS_STATUSES = range(200, 300)
@@ -154,7 +157,7 @@
         counted = answer.bytes_received
         async for chunk in answer.chunks():
             events = buffer.feed(chunk=chunk)
-            await part.grow(size=buffer.size)
+            await part.grow(size=buffer.size, buffered=MAX_BUFFERED_BYTES)
             if not events:
                 continue
             await call.attempt.take_lead()
@@ -167,7 +170,7 @@
             await reply.write(chunk=events)
             self._last_event_id = last_event_id(events=events) or self._last_event_id
             received = answer.bytes_received
-            await pace.wait(size=received - counted)
+            await _pause(seconds=pace.delay(size=received - counted), call=call)
             counted = received
         if buffer.in_event:
             raise AnswerBroken(
@@ -200,6 +203,13 @@
         )
 
 
+async def _pause(*, seconds: float, call: ForwardCall) -> None:
+    """Read nothing for a while; what the endpoint sends meanwhile waits."""
+    if seconds:
+        with call.holding.buffered(size=MAX_BUFFERED_BYTES):
+            await anyio.sleep(seconds)
+
+
 async def read_buffered_answer(
     *, answer: ForwardAnswer, call: ForwardCall
 ) -> BufferedAnswer:
--- a/dotterelpaddle/forwarding/request_body.py
+++ b/dotterelpaddle/forwarding/request_body.py
@@ -9,14 +9,16 @@
 
 from dotterelpaddle.entry.reader import CallerGone
 from dotterelpaddle.exceptions import BodyTooLarge, DeadlineExceeded
-from dotterelpaddle.forwarding.held_bytes import REQUEST_BYTES
+from dotterelpaddle.memory.answer_sizes import AnswerSizes
+from dotterelpaddle.memory.held_bytes import REQUEST_BYTES
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable, Iterator, Mapping
 
     from dotterelpaddle.forwarding.exchange import ForwardExchange
-    from dotterelpaddle.forwarding.held_bytes import HeldBytes, Holding
     from dotterelpaddle.forwarding.view import FleetView
+    from dotterelpaddle.memory.held_bytes import HeldBytes
+    from dotterelpaddle.memory.holdings import Holding
 
     Receive = Callable[[], Awaitable[dict[str, Any]]]
 
@@ -39,6 +41,7 @@
     def __init__(self, *, view: FleetView, held: HeldBytes) -> None:
         self._view = view
         self._held = held
+        self._answer_sizes = AnswerSizes()
 
     @contextmanager
     def admit(
@@ -50,7 +53,18 @@
             NotAccepting: If too much is held for other requests.
         """
         size = min(_declared_size(scope=scope), self._max_bytes)
-        with self._held.request(size=size) as holding:
+        request = exchange.request
+        route = self._view.route(host=request.host, path=request.path)
+        admitted = (
+            self._held.request(size=size)
+            if route is None
+            else self._held.request(
+                size=size,
+                service=max(route.services, key=lambda each: each.weight).service,
+                answers=self._answer_sizes.of(route=route),
+            )
+        )
+        with admitted as holding:
             exchange.holding = holding
             try:
                 yield
--- a/dotterelpaddle/forwarding/shared_state.py
+++ b/dotterelpaddle/forwarding/shared_state.py
@@ -14,7 +14,6 @@
 from dotterelpaddle.forwarding.crashes import CrashTracker
 from dotterelpaddle.forwarding.fleet_size import FleetSize
 from dotterelpaddle.forwarding.health import HealthTracker
-from dotterelpaddle.forwarding.held_bytes import HeldBytes, held_bytes_bound
 from dotterelpaddle.forwarding.leaving import LeavingEndpoints
 from dotterelpaddle.forwarding.liveness import EndpointLiveness
 from dotterelpaddle.forwarding.loads import LoadTracker
@@ -28,6 +27,8 @@
 )
 from dotterelpaddle.forwarding.store_clock import StoreClock
 from dotterelpaddle.forwarding.view import FleetView
+from dotterelpaddle.memory.bounds import held_bytes_bound
+from dotterelpaddle.memory.held_bytes import HeldBytes
 from dotterelpaddle.owners.service_times import ServiceTimes
 from dotterelpaddle.peers.directory import PeerDirectory
 from dotterelpaddle.peers.messages import PeerInfo
--- a/dotterelpaddle/forwarding/stream_pace.py
+++ b/dotterelpaddle/forwarding/stream_pace.py
@@ -9,8 +9,6 @@
 
 from typing import TYPE_CHECKING
 
-import anyio
-
 from dotterelpaddle.logs import get_logger
 
 if TYPE_CHECKING:
@@ -110,18 +108,18 @@
         self._endpoint = endpoint
         self._is_delayed = False
 
-    async def wait(self, *, size: int) -> None:
-        """Wait until the stream may be read on.
+    def delay(self, *, size: int) -> float:
+        """Return the seconds until the stream may be read on.
 
         Args:
             size: Bytes that were read of it.
         """
         beyond = self._own.take(size=size)
         if not beyond:
-            return
+            return 0.0
         seconds = self._shared.borrow(size=beyond)
         if not seconds:
-            return
+            return 0.0
         if not self._is_delayed:
             self._is_delayed = True
             log.info(
@@ -130,4 +128,4 @@
                 seconds=round(seconds, 3),
                 bytes_per_second=STREAM_BYTES_PER_SECOND,
             )
-        await anyio.sleep(seconds)
+        return seconds
--- a/dotterelpaddle/forwarding/caller_memory.py
+++ b/dotterelpaddle/memory/caller_memory.py
@@ -7,12 +7,13 @@
 from typing import TYPE_CHECKING
 
 from dotterelpaddle.logs import get_logger
+from dotterelpaddle.memory.kinds import HeldKind
 from dotterelpaddle.transport import MAX_BUFFERED_BYTES
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from dotterelpaddle.forwarding.held_bytes import HeldBytes
+    from dotterelpaddle.memory.held_bytes import HeldBytes
 
 log = get_logger(name=__name__)
 
@@ -53,7 +54,9 @@
         self._is_answering = is_answering
         self._idle_timeout = idle_timeout
         self._connection = ExitStack()
-        self._connection.enter_context(held.hold(size=CONNECTION_BYTES))
+        self._connection.enter_context(
+            held.hold(kind=HeldKind.CONNECTION, size=CONNECTION_BYTES)
+        )
         self._unread = ExitStack()
         self._endpoint = ExitStack()
         self._waiting = ExitStack()
@@ -66,15 +69,15 @@
         self._waiting.close()
         if requests:
             size = requests * WAITING_REQUEST_BYTES
-            self._waiting.enter_context(self._held.hold(size=size))
+            self._hold(self._waiting, kind=HeldKind.REQUEST, size=size)
 
     def begin_unread(self) -> None:
         """Hold what waits to be read from now on."""
         self._left = self._transport.get_write_buffer_size()
-        self._unread.enter_context(self._held.hold(size=self._left))
+        self._hold(self._unread, kind=HeldKind.UNREAD, size=self._left)
         if self._is_answering():
             # The rest of the answer waits on the endpoint's connection meanwhile.
-            self._endpoint.enter_context(self._held.hold(size=MAX_BUFFERED_BYTES))
+            self._hold(self._endpoint, kind=HeldKind.ANSWER, size=MAX_BUFFERED_BYTES)
         self._check_later()
 
     def end_unread(self) -> None:
@@ -92,6 +95,10 @@
         self._waiting.close()
         self._connection.close()
 
+    def _hold(self, stack: ExitStack, *, kind: HeldKind, size: int) -> None:
+        """Hold bytes until a stack is closed."""
+        stack.enter_context(self._held.hold(kind=kind, size=size))
+
     def _check_later(self) -> None:
         timer = asyncio.get_running_loop().call_later(self._idle_timeout(), self._check)
         self._unread.callback(timer.cancel)
--- a/dotterelpaddle/tests/forwarding/test_memory.py
+++ b/dotterelpaddle/tests/forwarding/test_memory.py
@@ -11,7 +11,7 @@
 
 from dotterelpaddle.address import Address
 from dotterelpaddle.forwarding import call
-from dotterelpaddle.forwarding.held_bytes import HELD_SHARE, IDLE_PROCESS_BYTES
+from dotterelpaddle.memory.bounds import HELD_SHARE, IDLE_PROCESS_BYTES
 from dotterelpaddle.platform.names import Header, Table
 from dotterelpaddle.standins.behaviours import Endless, Hang
 from dotterelpaddle.standins.runner import RunnerStandin
@@ -27,7 +27,7 @@
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
 
-    from dotterelpaddle.forwarding.held_bytes import HeldBytes
+    from dotterelpaddle.memory.held_bytes import HeldBytes
 
 pytestmark = pytest.mark.anyio
 
--- a/dotterelpaddle/tests/forwarding/test_stream_pace.py
+++ b/dotterelpaddle/tests/forwarding/test_stream_pace.py
@@ -29,7 +29,7 @@
     pace = pacer.pace(endpoint=EndpointId("engine"))
     while True:
         await anyio.sleep(every)
-        await pace.wait(size=size)
+        await anyio.sleep(pace.delay(size=size))
         sizes.append(size)
 
 
