Refuse an answer at its head that declares more than may be read of it

Cause: 8 MiB of each were read before the limit was noticed, though the head had told.

Evidence: test_answer_that_declares_too_many_bytes_is_not_read, where an endpoint declares one byte too many and sends byte by byte: 504 at the deadline before, 502 at once now.

--- a/dotterelpaddle/forwarding/call.py
+++ b/dotterelpaddle/forwarding/call.py
@@ -177,5 +177,5 @@
         if self._has_body:
             for name, value in self._response.headers:
                 if name.lower() == b"content-length" and value.isdigit():
-                    return min(int(value), MAX_ANSWER_BYTES)
+                    return int(value)
         return 0
--- a/dotterelpaddle/tests/forwarding/test_endless_answers.py
+++ b/dotterelpaddle/tests/forwarding/test_endless_answers.py
@@ -8,7 +8,8 @@
 
 from dotterelpaddle.endpoint.http_connection import READ_BYTES
 from dotterelpaddle.forwarding import stream_pace
-from dotterelpaddle.standins.behaviours import Endless
+from dotterelpaddle.forwarding.call import MAX_ANSWER_BYTES
+from dotterelpaddle.standins.behaviours import Bulk, Endless
 from dotterelpaddle.tests.forwarding.harness import run_fleet
 
 pytestmark = pytest.mark.anyio
@@ -71,6 +72,19 @@
         assert runner.endless_bytes <= MAX_BYTES
 
 
+# Guards against reading 8 MiB of an answer whose head says that it is longer than that:
+# many at a time took all the memory and processor time of a router.
+@pytest.mark.parametrize("path", ["/safe/1", "/unsafe/1"])
+async def test_answer_that_declares_too_many_bytes_is_not_read(path: str) -> None:
+    async with run_fleet(runners=1) as fleet:
+        runner = fleet.runners["runner-1"]
+        runner.plan.append(Bulk(declared=MAX_ANSWER_BYTES + 1, part_bytes=1))
+        with anyio.fail_after(MAX_SECONDS):
+            answer = await fleet.call(path)
+
+    assert answer.status == 502
+
+
 # Guards against blank lines that are passed on as if they were events: the caller had a
 # status of success and nothing more until its deadline, and others were not served.
 async def test_blank_lines_without_end_begin_no_stream() -> None:
