Bound what a router holds on every platform that names its memory

What callers saw: routers of hosts with 300 MB took 1.8 GB beside a service whose plain answers have no end, and 486 MB beside whole ones of 7.9 MB that come slowly.

Cause: the bound was in force only with the term for overload; the memory of a host is as small without it. Class: a bound that hangs on a switch for something else.

test_terms.py said so: its check that the limit is dropped without the term is replaced by one that it stays, as strict, since what is killed is not the term's business.

--- a/dotterelpaddle/platform/terms.py
+++ b/dotterelpaddle/platform/terms.py
@@ -17,14 +17,9 @@
 def apply_terms(*, settings: ForwardSettings) -> ForwardSettings:
     """Switch on what the platform's terms ask for.
 
-    The template of the settings names the host's memory on every platform. Only the
-    term on overload makes a router refuse requests for it.
-
     Args:
         settings: Settings as read; a section of their own overrides a term.
     """
-    if OVERLOAD_TERM not in settings.terms:
-        return replace(settings, memory_limit=None) if settings.terms else settings
-    if settings.admission is not None:
+    if OVERLOAD_TERM not in settings.terms or settings.admission is not None:
         return settings
     return replace(settings, admission=AdmissionSettings())
--- a/dotterelpaddle/tests/platform/test_terms.py
+++ b/dotterelpaddle/tests/platform/test_terms.py
@@ -1,4 +1,4 @@
-"""Tests which terms of the platform switch on admission and the memory limit."""
+"""Tests which terms of the platform switch on admission."""
 
 from __future__ import annotations
 
@@ -10,11 +10,13 @@
 from dotterelpaddle.tests.forwarding.test_settings import VALID
 
 
-# Guards against queues and refusals in deployments whose settings don't ask for them.
+# Guards against queues in deployments whose settings don't ask for them, and against
+# processes that are killed as nothing bounds what they hold: a host has as much memory
+# whatever terms are in force.
 @pytest.mark.parametrize(
     ("terms", "admission", "memory_limit"),
     [
-        (["base", "drain"], None, None),
+        (["base", "drain"], None, 200_000_000),
         (["base", "pressure"], AdmissionSettings(), 200_000_000),
     ],
 )
