Refuse what a stopping router has no time for, and answer the rest before it ends

Cause: nothing compared the time that is left of the grace with the time that a route's requests take, and a stop whose time was over cancelled what was in progress without an answer. Class: a promise for longer than the one who makes it lives.

Now a router remembers how long the last 32 requests of each route took. As it stops it refuses (503, not run, to be sent again once the balancer has rerouted) those that nine in ten of them would not make it, or any of them where a request must not run twice; another router has the whole timeout for these. What is still in progress 0.2 s before the end gets 502.

--- a/dotterelpaddle/forwarding/components.py
+++ b/dotterelpaddle/forwarding/components.py
@@ -40,6 +40,9 @@
 from dotterelpaddle.peers.tunnel_servers import TunnelServers
 from dotterelpaddle.peers.tunnels import TunnelBackend
 from dotterelpaddle.pipeline import compose
+from dotterelpaddle.shutdown.deadline import ShutdownDeadline
+from dotterelpaddle.shutdown.durations import RouteDurations
+from dotterelpaddle.shutdown.filter import ShutdownFilter
 from dotterelpaddle.streams.archive import StreamArchive
 from dotterelpaddle.streams.confirmation import EndpointsConfirmation
 from dotterelpaddle.streams.finder import StreamFinder
@@ -61,6 +64,7 @@
     Attributes:
         state: State that the components share.
         app: Serves callers.
+        shutdown_deadline: When requests in progress are ended.
         placer: Selects endpoints.
         client: Sends requests to endpoints.
         follower: Follows changes of the source.
@@ -81,6 +85,7 @@
 
     state: SharedState
     app: ForwardApp
+    shutdown_deadline: ShutdownDeadline
     placer: OwnerPlacer
     client: ForwardClient
     follower: Follower
@@ -97,9 +102,14 @@
     crash_archive: CrashArchive
     metrics: MetricsPage
 
-    def start_draining(self) -> None:
-        """Announce to callers and to other routers that this router is leaving."""
+    def start_draining(self, *, seconds: float) -> None:
+        """Announce to callers and to other routers that this router is leaving.
+
+        Args:
+            seconds: Time that is left for requests.
+        """
         self.app.start_draining()
+        self.shutdown_deadline.set(seconds=seconds)
         self.state.directory.announce_leaving()
 
 
@@ -266,6 +276,7 @@
         metrics=metrics,
         clock=clock,
     )
+    shutdown_deadline = ShutdownDeadline()
     filters = (
         RouteFilter(
             view=state.view,
@@ -275,6 +286,9 @@
         ),
         PromptSizeFilter(view=state.view, enabled=settings.admission is not None),
         DeadlineFilter(clock=clock),
+        ShutdownFilter(
+            deadline=shutdown_deadline, durations=RouteDurations(), clock=clock
+        ),
         ResumptionFilter(finder=stream_finder),
         ForwardFilter(
             attempts=attempts,
@@ -296,6 +310,7 @@
             held=state.held,
             clock=clock,
         ),
+        shutdown_deadline=shutdown_deadline,
         placer=owners.placer,
         client=client,
         follower=follower,
--- a/dotterelpaddle/forwarding/router.py
+++ b/dotterelpaddle/forwarding/router.py
@@ -30,6 +30,10 @@
 SHUTDOWN_MARGIN_SECONDS = 0.4
 """Seconds between the end of the graceful shutdown and the kill of the process."""
 
+LAST_ANSWERS_SECONDS = 0.2
+"""Seconds before the end of the graceful shutdown at which requests in progress are
+told that the router stops; their connections are cut afterwards."""
+
 HOUSEKEEPING_INTERVAL_SECONDS = 1.0
 """Seconds between cleanups of idle connections and state of removed endpoints."""
 
@@ -130,10 +134,9 @@
             peers=datagrams.address,
         )
         log.info("router_stopping", in_flight=app.in_flight)
-        components.start_draining()
-        components.tunnel_server.stop_within(
-            seconds=settings.shutdown_timeout - SHUTDOWN_MARGIN_SECONDS
-        )
+        seconds_left = settings.shutdown_timeout - SHUTDOWN_MARGIN_SECONDS
+        components.start_draining(seconds=seconds_left - LAST_ANSWERS_SECONDS)
+        components.tunnel_server.stop_within(seconds=seconds_left)
         await anyio.sleep(settings.drain_time)
         # The exit stack stops the callers' server first. That server accepts no new
         # connections, closes idle ones and waits for requests in flight.
--- a/dotterelpaddle/tests/forwarding/crash_world.py
+++ b/dotterelpaddle/tests/forwarding/crash_world.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import itertools
+import math
 import random
 from contextlib import contextmanager
 from dataclasses import dataclass, field
@@ -258,7 +259,7 @@
             self._update(parts, names=tuple(self._entries), whole=True)
             parts.state.caches.mark_populated()
             await host.stopping.wait()
-            parts.start_draining()
+            parts.start_draining(seconds=math.inf)
             while parts.app.in_flight:
                 await anyio.sleep(0.01)
             tasks.cancel_scope.cancel()
--- a/dotterelpaddle/tests/owners/fleet.py
+++ b/dotterelpaddle/tests/owners/fleet.py
@@ -8,6 +8,7 @@
 
 import bisect
 import itertools
+import math
 import random
 from typing import TYPE_CHECKING, Any
 
@@ -309,7 +310,7 @@
                 await anyio.sleep(0.05)
                 self._deliver_snapshot(parts)
                 await router.stopping.wait()
-                parts.start_draining()
+                parts.start_draining(seconds=math.inf)
                 await anyio.sleep(self._leave_time)
                 while router.in_flight:
                     await anyio.sleep(0.01)
--- a/dotterelpaddle/tests/owners/test_admission_failures.py
+++ b/dotterelpaddle/tests/owners/test_admission_failures.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 from functools import partial
 from typing import TYPE_CHECKING, Any
 
@@ -174,7 +175,7 @@
         await anyio.sleep(2.0)
         owner = world.owner
         assert owner.parts is not None
-        owner.parts.start_draining()
+        owner.parts.start_draining(seconds=math.inf)
         await anyio.sleep(1.5)
         assert world.owner is not owner
         await anyio.sleep(2.5)
@@ -194,7 +195,7 @@
         world.tasks.start_soon(partial(world.request, second, max_wait=1.0))
         await anyio.sleep(0.05)
         assert owner.parts.owners._admission.has_waiting
-        owner.parts.start_draining()
+        owner.parts.start_draining(seconds=math.inf)
         await anyio.sleep(0.15)
         assert not owner.parts.owners._admission.has_waiting
         assert world.queued() == 1
