Use an endpoint that comes back with an earlier start after its entry was removed

What callers saw: nothing but less capacity; an endpoint whose clock was set back while its entry was away was not used for two minutes.

Cause: each row with an earlier start than that of a removed entry was dropped as a delayed write, though its lifetime went on writing. An entry in force is replaced in that case (LifetimeOrder); the tombstone had a rule of its own. Class: one rule that stands twice.

--- a/dotterelpaddle/forwarding/lifetime_order.py
+++ b/dotterelpaddle/forwarding/lifetime_order.py
@@ -7,13 +7,14 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING
 
 from dotterelpaddle.logs import get_logger
 
 if TYPE_CHECKING:
     from dotterelpaddle.forwarding.model import EndpointEntry
+    from dotterelpaddle.forwarding.removals import Tombstone
     from dotterelpaddle.forwarding.revisions import StoreRevision
     from dotterelpaddle.ids import EndpointName, Incarnation
 
@@ -53,6 +54,18 @@
             return True
         return self._goes_on(known=known, entry=entry)
 
+    def is_after(self, *, tombstone: Tombstone, entry: EndpointEntry) -> bool:
+        """Return whether a row is later than the removal of the entry of its endpoint.
+
+        Args:
+            tombstone: The removed entry.
+            entry: The row.
+        """
+        if entry.revision <= tombstone.revision:
+            return False
+        known = replace(tombstone.entry, revision=tombstone.revision)
+        return self.is_later(known=known, entry=entry)
+
     def record(self, *, known: EndpointEntry | None, entry: EndpointEntry) -> None:
         """Record that a row is in force.
 
--- a/dotterelpaddle/forwarding/removals.py
+++ b/dotterelpaddle/forwarding/removals.py
@@ -109,13 +109,9 @@
             and each.entry.state is EndpointState.READY
         )
 
-    def supersedes(self, *, entry: EndpointEntry) -> bool:
-        """Return whether a received entry is older than its tombstone."""
-        removed = self._removed.get(entry.name)
-        if removed is None:
-            return False
-        from_earlier_incarnation = entry.incarnation < removed.entry.incarnation
-        return from_earlier_incarnation or removed.revision >= entry.revision
+    def get(self, *, name: EndpointName) -> Tombstone | None:
+        """Return the tombstone of an entry, None if there is none."""
+        return self._removed.get(name)
 
     def take(self, *, name: EndpointName) -> Tombstone | None:
         """Delete the tombstone of an entry that is there again, and return it."""
--- a/dotterelpaddle/forwarding/view.py
+++ b/dotterelpaddle/forwarding/view.py
@@ -344,7 +344,8 @@
         if known is not None and not self._order.is_later(known=known, entry=entry):
             self._move_to_era(known=known, revision=entry.revision)
             return self._contradicted.compare(in_force=known, ignored=entry)
-        if self._removed.supersedes(entry=entry):
+        removed = self._removed.get(name=name)
+        if removed and not self._order.is_after(tombstone=removed, entry=entry):
             return False
         if known is not None:
             self._copied.compare_states(earlier=known, later=entry)
