Don't blame an endpoint that cuts off a stream which the router delays

What callers saw: an endpoint got no more work from a router because it had cut off one stream, which came faster than the pace of streams and so filled its window.

Cause: an answer that breaks counts as unread if a single pause of the router lasted for 1 s. The pace of streams pauses for some 0.12 s, again and again, which keeps the window shut as well.

--- a/dotterelpaddle/forwarding/call.py
+++ b/dotterelpaddle/forwarding/call.py
@@ -95,6 +95,7 @@
         self._holding = call.holding
         self._has_body = call.request.method != "HEAD"
         self._liveness = liveness
+        self._is_delayed = False
 
     @property
     def head(self) -> AnswerHead:
@@ -106,14 +107,18 @@
         """Bytes that have come on the connection of the answer, in all its answers."""
         return self._connection.stream.bytes_received
 
+    def note_delay(self) -> None:
+        """Record that the router reads the answer more slowly than it comes."""
+        self._is_delayed = True
+
     async def chunks(self) -> AsyncIterator[bytes]:
         """Stream the body.
 
         Raises:
             EndpointSilent: If no chunk arrived until the request's deadline.
             AnswerBroken: If the body ended early or the connection was reset.
-            UnreadAnswerBroken: If memory is limited, and the router had paused reading
-                at any point of the answer.
+            UnreadAnswerBroken: If the router had delayed the answer or, where memory is
+                limited, paused reading at any point of it.
         """
         is_bounded, longest_pause = self._holding.is_bounded, 0.0
         try:
@@ -133,7 +138,7 @@
                 "the endpoint sent no more of the answer in time", peer=self._endpoint
             ) from error
         except (httpcore.NetworkError, httpcore.ProtocolError) as error:
-            unread = longest_pause >= MIN_UNREAD_SECONDS
+            unread = self._is_delayed or longest_pause >= MIN_UNREAD_SECONDS
             raise (UnreadAnswerBroken if unread else AnswerBroken)(
                 f"the connection broke during the answer: {error}", peer=self._endpoint
             ) from error
--- a/dotterelpaddle/forwarding/relays.py
+++ b/dotterelpaddle/forwarding/relays.py
@@ -170,8 +170,12 @@
             await reply.write(chunk=events)
             self._last_event_id = last_event_id(events=events) or self._last_event_id
             received = answer.bytes_received
-            await _pause(seconds=pace.delay(size=received - counted), call=call)
+            seconds = pace.delay(size=received - counted)
             counted = received
+            if seconds:
+                answer.note_delay()
+                with call.holding.buffered(size=MAX_BUFFERED_BYTES):
+                    await anyio.sleep(seconds)
         if buffer.in_event:
             raise AnswerBroken(
                 "the stream ended in the middle of an event", peer=call.entry.endpoint
@@ -203,13 +207,6 @@
         )
 
 
-async def _pause(*, seconds: float, call: ForwardCall) -> None:
-    """Read nothing for a while; what the endpoint sends meanwhile waits."""
-    if seconds:
-        with call.holding.buffered(size=MAX_BUFFERED_BYTES):
-            await anyio.sleep(seconds)
-
-
 async def read_buffered_answer(
     *, answer: ForwardAnswer, call: ForwardCall
 ) -> BufferedAnswer:
