--- /dev/null
+++ b/dotterelpaddle/crashes/__init__.py
@@ -0,0 +1,1 @@
+"""What crashes endpoints, and how requests that do are blocked."""
--- a/dotterelpaddle/forwarding/crash_causes.py
+++ b/dotterelpaddle/crashes/causes.py
@@ -5,12 +5,12 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from dotterelpaddle.forwarding.crash_subjects import PartSubject, RequestSubject
+from dotterelpaddle.crashes.subjects import PartSubject, RequestSubject
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
-    from dotterelpaddle.forwarding.crash_subjects import CrashSubject
+    from dotterelpaddle.crashes.subjects import CrashSubject
     from dotterelpaddle.ids import EndpointId
 
 
--- a/dotterelpaddle/forwarding/crash_guard.py
+++ b/dotterelpaddle/crashes/guard.py
@@ -5,14 +5,14 @@
 from contextlib import contextmanager
 from typing import TYPE_CHECKING
 
-from dotterelpaddle.dispatch.outcome import AttemptState
-from dotterelpaddle.exceptions import AnswerBroken, RequestBlocked
-from dotterelpaddle.forwarding.caches import shared_parts
-from dotterelpaddle.forwarding.crash_subjects import (
+from dotterelpaddle.crashes.subjects import (
     PartSubject,
     RequestSubject,
     part_subjects,
 )
+from dotterelpaddle.dispatch.outcome import AttemptState
+from dotterelpaddle.exceptions import AnswerBroken, RequestBlocked
+from dotterelpaddle.forwarding.caches import shared_parts
 from dotterelpaddle.forwarding.exceptions import FailedAnswer
 from dotterelpaddle.forwarding.model import RequestKind
 from dotterelpaddle.logs import get_logger
@@ -21,13 +21,13 @@
     from collections.abc import Iterator
 
     from dotterelpaddle.clock import Clock
-    from dotterelpaddle.forwarding.crash_subjects import CrashSubject
-    from dotterelpaddle.forwarding.crashes import CrashTracker
+    from dotterelpaddle.crashes.subjects import CrashSubject
+    from dotterelpaddle.crashes.termination_probes import TerminationProber
+    from dotterelpaddle.crashes.tracker import CrashTracker
     from dotterelpaddle.forwarding.exchange import ForwardExchange
     from dotterelpaddle.forwarding.metrics import ForwardMetrics
     from dotterelpaddle.forwarding.model import EndpointEntry
     from dotterelpaddle.forwarding.progress import AttemptProgress
-    from dotterelpaddle.forwarding.termination_probes import TerminationProber
 
 log = get_logger(name=__name__)
 
--- a/dotterelpaddle/forwarding/crash_note.py
+++ b/dotterelpaddle/crashes/note.py
@@ -7,7 +7,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from dotterelpaddle.forwarding.crash_subjects import CrashSubject
+    from dotterelpaddle.crashes.subjects import CrashSubject
     from dotterelpaddle.ids import EndpointId
 
 
--- a/dotterelpaddle/forwarding/crash_suspects.py
+++ b/dotterelpaddle/crashes/suspects.py
@@ -5,14 +5,14 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
-from dotterelpaddle.forwarding.crash_causes import Suspicion
-from dotterelpaddle.forwarding.crash_note import CrashNote, NoteKind
+from dotterelpaddle.crashes.causes import Suspicion
+from dotterelpaddle.crashes.note import CrashNote, NoteKind
 from dotterelpaddle.forwarding.report_state import ReportState
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
-    from dotterelpaddle.forwarding.crash_subjects import CrashSubject
+    from dotterelpaddle.crashes.subjects import CrashSubject
     from dotterelpaddle.ids import EndpointId
 
 REPORT_INTERVAL_SECONDS = 2.0
--- a/dotterelpaddle/forwarding/termination_probes.py
+++ b/dotterelpaddle/crashes/termination_probes.py
@@ -11,15 +11,15 @@
 
 import anyio
 
-from dotterelpaddle.forwarding.crash_subjects import RequestSubject
+from dotterelpaddle.crashes.subjects import RequestSubject
 from dotterelpaddle.forwarding.model import EndpointState
 from dotterelpaddle.forwarding.reachability import ConnectionOutcome, probe_connection
 from dotterelpaddle.logs import get_logger
 
 if TYPE_CHECKING:
     from dotterelpaddle.clock import Clock
-    from dotterelpaddle.forwarding.crash_subjects import CrashSubject
-    from dotterelpaddle.forwarding.crashes import CrashTracker
+    from dotterelpaddle.crashes.subjects import CrashSubject
+    from dotterelpaddle.crashes.tracker import CrashTracker
     from dotterelpaddle.forwarding.leaving import LeavingEndpoints
     from dotterelpaddle.forwarding.model import EndpointEntry
     from dotterelpaddle.forwarding.reachability import Reachability
--- a/dotterelpaddle/forwarding/crashes.py
+++ b/dotterelpaddle/crashes/tracker.py
@@ -13,11 +13,11 @@
 
 from typing import TYPE_CHECKING
 
+from dotterelpaddle.crashes.causes import find_causes
+from dotterelpaddle.crashes.note import CrashNote, NoteKind
+from dotterelpaddle.crashes.subjects import PartSubject, RequestSubject
+from dotterelpaddle.crashes.suspects import Event, ReportableEvent, Suspect
 from dotterelpaddle.exceptions import RequestBlocked
-from dotterelpaddle.forwarding.crash_causes import find_causes
-from dotterelpaddle.forwarding.crash_note import CrashNote, NoteKind
-from dotterelpaddle.forwarding.crash_subjects import PartSubject, RequestSubject
-from dotterelpaddle.forwarding.crash_suspects import Event, ReportableEvent, Suspect
 from dotterelpaddle.forwarding.report_state import ReportState
 from dotterelpaddle.logs import get_logger
 
@@ -25,7 +25,7 @@
     from collections.abc import Callable, Iterable, Iterator
 
     from dotterelpaddle.clock import Clock
-    from dotterelpaddle.forwarding.crash_subjects import CrashSubject
+    from dotterelpaddle.crashes.subjects import CrashSubject
     from dotterelpaddle.ids import EndpointId, PartKey
 
 log = get_logger(name=__name__)
--- a/dotterelpaddle/forwarding/app.py
+++ b/dotterelpaddle/forwarding/app.py
@@ -13,9 +13,9 @@
 from dotterelpaddle.forwarding.relays import NOT_EXECUTED_STATUSES
 from dotterelpaddle.forwarding.reply import MAX_WRITE_BYTES, ForwardReply
 from dotterelpaddle.forwarding.request_body import BodyReader
-from dotterelpaddle.forwarding.retry_after import retry_after_seconds
 from dotterelpaddle.http_server import ReplyCut
 from dotterelpaddle.logs import get_logger
+from dotterelpaddle.retries.retry_after import retry_after_seconds
 from dotterelpaddle.tracebacks import release_frames
 
 if TYPE_CHECKING:
--- a/dotterelpaddle/forwarding/attempt_sender.py
+++ b/dotterelpaddle/forwarding/attempt_sender.py
@@ -28,23 +28,23 @@
 )
 from dotterelpaddle.forwarding.interface import RequestMetadata
 from dotterelpaddle.forwarding.progress import AttemptProgress
-from dotterelpaddle.forwarding.retry_policy import MIN_TIME_LEFT_SECONDS
+from dotterelpaddle.retries.policy import MIN_TIME_LEFT_SECONDS
 
 if TYPE_CHECKING:
     from dotterelpaddle.clock import Clock
+    from dotterelpaddle.crashes.guard import CrashGuard
     from dotterelpaddle.forwarding.abandoned import AbandonedRequests
     from dotterelpaddle.forwarding.attempt_race import OpenAttempt
     from dotterelpaddle.forwarding.caches import CacheMap
     from dotterelpaddle.forwarding.choice import Choice
-    from dotterelpaddle.forwarding.crash_guard import CrashGuard
     from dotterelpaddle.forwarding.exchange import AttemptResult, ForwardExchange
     from dotterelpaddle.forwarding.health import HealthTracker
     from dotterelpaddle.forwarding.loads import LoadTracker
     from dotterelpaddle.forwarding.metrics import ForwardMetrics
     from dotterelpaddle.forwarding.reachability import Reachability
     from dotterelpaddle.forwarding.relays import Relay
-    from dotterelpaddle.forwarding.retry_policy import RetryPolicy
     from dotterelpaddle.forwarding.timeouts import TimeoutEstimator
+    from dotterelpaddle.retries.policy import RetryPolicy
 
 
 class AttemptSender:
--- a/dotterelpaddle/forwarding/attempts.py
+++ b/dotterelpaddle/forwarding/attempts.py
@@ -34,18 +34,18 @@
     RetryWithheld,
 )
 from dotterelpaddle.forwarding.progress import TriedEndpoints
-from dotterelpaddle.forwarding.retry_policy import RetryPolicy
+from dotterelpaddle.retries.policy import RetryPolicy
 from dotterelpaddle.streams.exceptions import EndpointsUnconfirmed
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
     from dotterelpaddle.clock import Clock
+    from dotterelpaddle.crashes.guard import CrashGuard
     from dotterelpaddle.forwarding.abandoned import AbandonedRequests
     from dotterelpaddle.forwarding.attempt_race import AttemptRace, OpenAttempt
     from dotterelpaddle.forwarding.caches import CacheMap
     from dotterelpaddle.forwarding.choice import Choice
-    from dotterelpaddle.forwarding.crash_guard import CrashGuard
     from dotterelpaddle.forwarding.exchange import AttemptResult, ForwardExchange
     from dotterelpaddle.forwarding.health import HealthTracker
     from dotterelpaddle.forwarding.loads import LoadTracker
@@ -54,11 +54,11 @@
     from dotterelpaddle.forwarding.reachability import Reachability
     from dotterelpaddle.forwarding.relays import Relay
     from dotterelpaddle.forwarding.residency import ResidencyPolicy
-    from dotterelpaddle.forwarding.retry_budget import RetryBudget
     from dotterelpaddle.forwarding.timeouts import TimeoutEstimator
     from dotterelpaddle.forwarding.view import FleetView
     from dotterelpaddle.ids import EndpointId
     from dotterelpaddle.owners.placer import OwnerPlacer
+    from dotterelpaddle.retries.budget import RetryBudget
     from dotterelpaddle.streams.confirmation import EndpointsConfirmation
     from dotterelpaddle.streams.lifetimes import EndpointLifetimes
 
--- a/dotterelpaddle/forwarding/components.py
+++ b/dotterelpaddle/forwarding/components.py
@@ -6,10 +6,11 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from dotterelpaddle.crashes.guard import CrashGuard
+from dotterelpaddle.crashes.termination_probes import TerminationProber
 from dotterelpaddle.forwarding.app import ForwardApp
 from dotterelpaddle.forwarding.attempts import AttemptRunner
 from dotterelpaddle.forwarding.client import ForwardClient
-from dotterelpaddle.forwarding.crash_guard import CrashGuard
 from dotterelpaddle.forwarding.filters import DeadlineFilter, ForwardFilter, RouteFilter
 from dotterelpaddle.forwarding.follower import Follower
 from dotterelpaddle.forwarding.isolation import IsolationDetector
@@ -25,7 +26,6 @@
 from dotterelpaddle.forwarding.residency import ResidencyPolicy
 from dotterelpaddle.forwarding.shared_state import SharedState, build_shared_state
 from dotterelpaddle.forwarding.stream_pace import StreamPacer
-from dotterelpaddle.forwarding.termination_probes import TerminationProber
 from dotterelpaddle.forwarding.timeouts import TimeoutEstimator
 from dotterelpaddle.network import LinkedBackend
 from dotterelpaddle.owners.components import build_owner_components
--- a/dotterelpaddle/forwarding/exchange.py
+++ b/dotterelpaddle/forwarding/exchange.py
@@ -8,9 +8,9 @@
 from dotterelpaddle.memory.held_bytes import unbounded_holding
 
 if TYPE_CHECKING:
+    from dotterelpaddle.crashes.subjects import CrashSubject
     from dotterelpaddle.dispatch.outcome import OutcomeLog
     from dotterelpaddle.exceptions import RequestError
-    from dotterelpaddle.forwarding.crash_subjects import CrashSubject
     from dotterelpaddle.forwarding.interface import AnswerHead, ForwardRequest
     from dotterelpaddle.forwarding.model import ClientAccount, ForwardRoute
     from dotterelpaddle.forwarding.reply import ForwardReply
--- a/dotterelpaddle/forwarding/filters.py
+++ b/dotterelpaddle/forwarding/filters.py
@@ -35,11 +35,11 @@
     from dotterelpaddle.forwarding.exchange import ForwardExchange
     from dotterelpaddle.forwarding.model import ForwardRoute
     from dotterelpaddle.forwarding.relays import Relay
-    from dotterelpaddle.forwarding.retry_budget import RetryBudget
     from dotterelpaddle.forwarding.startup import Startup
     from dotterelpaddle.forwarding.stream_pace import StreamPacer
     from dotterelpaddle.forwarding.view import FleetView
     from dotterelpaddle.ids import ServiceName
+    from dotterelpaddle.retries.budget import RetryBudget
     from dotterelpaddle.streams.origins import StreamOrigins
 
     NextFilter = Callable[[ForwardExchange], Awaitable[None]]
--- a/dotterelpaddle/forwarding/metrics.py
+++ b/dotterelpaddle/forwarding/metrics.py
@@ -13,16 +13,16 @@
 if TYPE_CHECKING:
     from aioprometheus import Gauge
 
+    from dotterelpaddle.crashes.tracker import CrashTracker
     from dotterelpaddle.forwarding.choice import Choice
-    from dotterelpaddle.forwarding.crashes import CrashTracker
     from dotterelpaddle.forwarding.exchange import ForwardExchange
     from dotterelpaddle.forwarding.follower import Follower
     from dotterelpaddle.forwarding.loads import LoadTracker
-    from dotterelpaddle.forwarding.retry_budget import RetryBudget
     from dotterelpaddle.forwarding.slowdowns import Slowdowns
     from dotterelpaddle.forwarding.view import FleetView
     from dotterelpaddle.memory.held_bytes import HeldBytes
     from dotterelpaddle.peers.directory import PeerDirectory
+    from dotterelpaddle.retries.budget import RetryBudget
 
 MEMORY_FILE = Path("/proc/self/statm")
 """Memory of the process in pages; the second field is the resident size."""
--- a/dotterelpaddle/forwarding/settings.py
+++ b/dotterelpaddle/forwarding/settings.py
@@ -8,8 +8,8 @@
 from dotterelpaddle.address import Address
 from dotterelpaddle.config.plain import Section, parse_yaml
 from dotterelpaddle.exceptions import SettingsError
-from dotterelpaddle.forwarding.retry_budget import RetryLimits
 from dotterelpaddle.ids import FailureDomain, Region, RouterId
+from dotterelpaddle.retries.budget import RetryLimits
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
--- a/dotterelpaddle/forwarding/shared_state.py
+++ b/dotterelpaddle/forwarding/shared_state.py
@@ -5,20 +5,19 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from dotterelpaddle.crashes.tracker import CrashTracker
 from dotterelpaddle.forwarding.abandoned import AbandonedRequests
 from dotterelpaddle.forwarding.backoffs import EndpointBackoffs
 from dotterelpaddle.forwarding.brittle import BrittleEndpoints
 from dotterelpaddle.forwarding.caches import CacheMap
 from dotterelpaddle.forwarding.cold import ColdEndpoints
 from dotterelpaddle.forwarding.connection_limits import ConnectionLimits
-from dotterelpaddle.forwarding.crashes import CrashTracker
 from dotterelpaddle.forwarding.fleet_size import FleetSize
 from dotterelpaddle.forwarding.health import HealthTracker
 from dotterelpaddle.forwarding.leaving import LeavingEndpoints
 from dotterelpaddle.forwarding.liveness import EndpointLiveness
 from dotterelpaddle.forwarding.loads import LoadTracker
 from dotterelpaddle.forwarding.request_totals import TotalsTracker
-from dotterelpaddle.forwarding.retry_budget import RetryBudget
 from dotterelpaddle.forwarding.slowdowns import Slowdowns
 from dotterelpaddle.forwarding.startup import (
     INTRODUCTION_WAIT_SECONDS,
@@ -32,6 +31,7 @@
 from dotterelpaddle.owners.service_times import ServiceTimes
 from dotterelpaddle.peers.directory import PeerDirectory
 from dotterelpaddle.peers.messages import PeerInfo
+from dotterelpaddle.retries.budget import RetryBudget
 from dotterelpaddle.streams.origins import StreamOrigins
 from dotterelpaddle.streams.route_history import RouteHistory
 from dotterelpaddle.streams.version_history import VersionHistory
--- a/dotterelpaddle/owners/inquiry.py
+++ b/dotterelpaddle/owners/inquiry.py
@@ -6,9 +6,9 @@
 from enum import Enum
 from typing import TYPE_CHECKING
 
-from dotterelpaddle.forwarding.retry_after import DEFAULT_RETRY_AFTER_SECONDS
 from dotterelpaddle.owners.messages import Refusal, RefusalReason
 from dotterelpaddle.owners.placement_request import MIN_WAIT_SECONDS
+from dotterelpaddle.retries.retry_after import DEFAULT_RETRY_AFTER_SECONDS
 
 if TYPE_CHECKING:
     from dotterelpaddle.ids import FailureDomain
--- a/dotterelpaddle/owners/placer.py
+++ b/dotterelpaddle/owners/placer.py
@@ -11,11 +11,11 @@
 from dotterelpaddle.exceptions import NoEndpoint
 from dotterelpaddle.forwarding.caches import part_tag, shared_parts
 from dotterelpaddle.forwarding.choice import Choice, LocalChoiceReason
-from dotterelpaddle.forwarding.retry_after import DEFAULT_RETRY_AFTER_SECONDS
 from dotterelpaddle.owners.inquiry import RESEND_SECONDS
 from dotterelpaddle.owners.messages import Grant
 from dotterelpaddle.owners.placement_request import PlacementRequest
 from dotterelpaddle.owners.shards import ranked_shards, shard_entries
+from dotterelpaddle.retries.retry_after import DEFAULT_RETRY_AFTER_SECONDS
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
--- a/dotterelpaddle/peers/crash_archive.py
+++ b/dotterelpaddle/peers/crash_archive.py
@@ -20,9 +20,9 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from dotterelpaddle.crashes.note import CrashNote
+    from dotterelpaddle.crashes.tracker import CrashTracker
     from dotterelpaddle.forwarding.brittle import BrittleEndpoints
-    from dotterelpaddle.forwarding.crash_note import CrashNote
-    from dotterelpaddle.forwarding.crashes import CrashTracker
     from dotterelpaddle.forwarding.startup import Startup
     from dotterelpaddle.forwarding.store_clock import StoreClock
     from dotterelpaddle.ids import ServiceName, StoreEra
--- a/dotterelpaddle/peers/crash_notes.py
+++ b/dotterelpaddle/peers/crash_notes.py
@@ -7,8 +7,8 @@
 
 from typing import TYPE_CHECKING, Any
 
-from dotterelpaddle.forwarding.crash_note import CrashNote, NoteKind
-from dotterelpaddle.forwarding.crash_subjects import PartSubject, RequestSubject
+from dotterelpaddle.crashes.note import CrashNote, NoteKind
+from dotterelpaddle.crashes.subjects import PartSubject, RequestSubject
 from dotterelpaddle.ids import EndpointId, Fingerprint, PartKey
 
 if TYPE_CHECKING:
--- a/dotterelpaddle/peers/crash_rows.py
+++ b/dotterelpaddle/peers/crash_rows.py
@@ -20,7 +20,7 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-    from dotterelpaddle.forwarding.crash_note import CrashNote
+    from dotterelpaddle.crashes.note import CrashNote
     from dotterelpaddle.forwarding.store_clock import StoreClock
 
 
--- a/dotterelpaddle/peers/exchange.py
+++ b/dotterelpaddle/peers/exchange.py
@@ -34,13 +34,12 @@
     from collections.abc import Mapping
 
     from dotterelpaddle.address import Address
+    from dotterelpaddle.crashes.tracker import CrashTracker
     from dotterelpaddle.forwarding.caches import CacheMap
-    from dotterelpaddle.forwarding.crashes import CrashTracker
     from dotterelpaddle.forwarding.follower import Follower
     from dotterelpaddle.forwarding.loads import LoadTracker
     from dotterelpaddle.forwarding.reachability import Reachability
     from dotterelpaddle.forwarding.request_totals import TotalsTracker
-    from dotterelpaddle.forwarding.retry_budget import RetryBudget
     from dotterelpaddle.forwarding.startup import Startup
     from dotterelpaddle.forwarding.use_queue import PartUse
     from dotterelpaddle.forwarding.view import FleetView
@@ -51,6 +50,7 @@
     from dotterelpaddle.peers.plan import Recipient, ReportPlan
     from dotterelpaddle.peers.tunnel_server import TunnelServer
     from dotterelpaddle.peers.tunnel_servers import TunnelServers
+    from dotterelpaddle.retries.budget import RetryBudget
     from dotterelpaddle.streams.lookup import StreamLookup
     from dotterelpaddle.streams.origins import StreamOrigins, StreamRecord
 
--- a/dotterelpaddle/peers/report.py
+++ b/dotterelpaddle/peers/report.py
@@ -12,7 +12,7 @@
 
 if TYPE_CHECKING:
     from dotterelpaddle.address import Address
-    from dotterelpaddle.forwarding.crash_note import CrashNote
+    from dotterelpaddle.crashes.note import CrashNote
     from dotterelpaddle.forwarding.evacuations import EvacuationSnapshot
     from dotterelpaddle.forwarding.leaving import LeavingNotice
     from dotterelpaddle.forwarding.revisions import StoreRevision
--- /dev/null
+++ b/dotterelpaddle/retries/__init__.py
@@ -0,0 +1,1 @@
+"""When requests go to another endpoint, and when refused callers may return."""
--- a/dotterelpaddle/forwarding/retry_policy.py
+++ b/dotterelpaddle/retries/policy.py
@@ -11,7 +11,7 @@
     from dotterelpaddle.clock import Clock
     from dotterelpaddle.exceptions import EndpointError
     from dotterelpaddle.forwarding.exchange import ForwardExchange
-    from dotterelpaddle.forwarding.retry_budget import RetryBudget
+    from dotterelpaddle.retries.budget import RetryBudget
 
 MIN_TIME_LEFT_SECONDS = 0.02
 """Minimum time left to send an attempt; no endpoint answers faster."""
--- a/dotterelpaddle/shutdown/filter.py
+++ b/dotterelpaddle/shutdown/filter.py
@@ -5,8 +5,8 @@
 from typing import TYPE_CHECKING
 
 from dotterelpaddle.exceptions import NotAccepting, RequestError
-from dotterelpaddle.forwarding.retry_after import retry_after_seconds
 from dotterelpaddle.logs import get_logger
+from dotterelpaddle.retries.retry_after import retry_after_seconds
 from dotterelpaddle.shutdown.exceptions import RouterStopped
 
 if TYPE_CHECKING:
--- a/dotterelpaddle/tests/forwarding/test_crash_causes.py
+++ b/dotterelpaddle/tests/crashes/test_causes.py
@@ -6,12 +6,12 @@
 
 from hypothesis import given, strategies as st
 
-from dotterelpaddle.forwarding.crash_causes import Suspicion, find_causes
-from dotterelpaddle.forwarding.crash_subjects import RequestSubject
+from dotterelpaddle.crashes.causes import Suspicion, find_causes
+from dotterelpaddle.crashes.subjects import RequestSubject
 from dotterelpaddle.ids import EndpointId, Fingerprint
 
 if TYPE_CHECKING:
-    from dotterelpaddle.forwarding.crash_subjects import CrashSubject
+    from dotterelpaddle.crashes.subjects import CrashSubject
 
 MIN_CRASHES = 3
 
--- a/dotterelpaddle/tests/forwarding/test_termination_probes.py
+++ b/dotterelpaddle/tests/crashes/test_termination_probes.py
@@ -11,12 +11,12 @@
 
 from dotterelpaddle.address import Address
 from dotterelpaddle.clock import monotonic
+from dotterelpaddle.crashes.subjects import RequestSubject
+from dotterelpaddle.crashes.termination_probes import TerminationProber
+from dotterelpaddle.crashes.tracker import MIN_CRASHES_TO_BLOCK, CrashTracker
 from dotterelpaddle.exceptions import RequestBlocked
-from dotterelpaddle.forwarding.crash_subjects import RequestSubject
-from dotterelpaddle.forwarding.crashes import MIN_CRASHES_TO_BLOCK, CrashTracker
 from dotterelpaddle.forwarding.model import EndpointState
 from dotterelpaddle.forwarding.reachability import Reachability
-from dotterelpaddle.forwarding.termination_probes import TerminationProber
 from dotterelpaddle.forwarding.view import FleetView
 from dotterelpaddle.ids import EndpointId, FailureDomain, Fingerprint
 from dotterelpaddle.links import Links
--- a/dotterelpaddle/tests/forwarding/test_crashes.py
+++ b/dotterelpaddle/tests/crashes/test_tracker.py
@@ -9,13 +9,12 @@
 from hypothesis import settings, strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
-from dotterelpaddle.exceptions import RequestBlocked
-from dotterelpaddle.forwarding.crash_subjects import RequestSubject
-from dotterelpaddle.forwarding.crash_suspects import (
+from dotterelpaddle.crashes.subjects import RequestSubject
+from dotterelpaddle.crashes.suspects import (
     ONE_CRASH_INTERVAL_SECONDS,
     REPORT_INTERVAL_SECONDS,
 )
-from dotterelpaddle.forwarding.crashes import (
+from dotterelpaddle.crashes.tracker import (
     MAX_ATTEMPT_SECONDS,
     MAX_NOTES_PER_REPORT,
     MAX_SUSPECTS,
@@ -24,11 +23,12 @@
     SUSPICION_SECONDS,
     CrashTracker,
 )
+from dotterelpaddle.exceptions import RequestBlocked
 from dotterelpaddle.forwarding.report_state import REPORTS_PER_UPDATE
 from dotterelpaddle.ids import EndpointId, Fingerprint
 
 if TYPE_CHECKING:
-    from dotterelpaddle.forwarding.crash_subjects import CrashSubject
+    from dotterelpaddle.crashes.subjects import CrashSubject
 
 
 def _request(name: str) -> RequestSubject:
--- a/dotterelpaddle/tests/forwarding/harness.py
+++ b/dotterelpaddle/tests/forwarding/harness.py
@@ -13,7 +13,6 @@
 from dotterelpaddle.address import Address
 from dotterelpaddle.clock import monotonic
 from dotterelpaddle.forwarding.dependencies import Dependencies
-from dotterelpaddle.forwarding.retry_budget import RetryLimits
 from dotterelpaddle.forwarding.router import RunningForwarder, run_forwarder
 from dotterelpaddle.forwarding.settings import ForwardSettings
 from dotterelpaddle.ids import FailureDomain, RouterId
@@ -23,6 +22,7 @@
 from dotterelpaddle.platform.names import Header, Table
 from dotterelpaddle.platform.protocols import PlatformCodec
 from dotterelpaddle.platform.store import StoreSource
+from dotterelpaddle.retries.budget import RetryLimits
 from dotterelpaddle.standins.runner import RunnerStandin, run_runner
 from dotterelpaddle.standins.store import StoreStandin, run_store
 
--- a/dotterelpaddle/tests/forwarding/test_crash_parts.py
+++ b/dotterelpaddle/tests/forwarding/test_crash_parts.py
@@ -4,17 +4,17 @@
 
 import pytest
 
-from dotterelpaddle.exceptions import RequestBlocked
-from dotterelpaddle.forwarding.crash_subjects import PartSubject, RequestSubject
-from dotterelpaddle.forwarding.crashes import (
+from dotterelpaddle.crashes.subjects import PartSubject, RequestSubject
+from dotterelpaddle.crashes.tracker import (
     ACQUITTAL_SECONDS,
     MAX_SUSPECT_PARTS,
     MIN_BLOCK_SECONDS,
     SETTLE_SECONDS,
     CrashTracker,
 )
+from dotterelpaddle.exceptions import RequestBlocked
 from dotterelpaddle.ids import Fingerprint, PartKey
-from dotterelpaddle.tests.forwarding.test_crashes import Router
+from dotterelpaddle.tests.crashes.test_tracker import Router
 
 
 def _part(name: str, position: int = 1) -> PartSubject:
--- a/dotterelpaddle/tests/forwarding/test_prompt_parts_processes.py
+++ b/dotterelpaddle/tests/forwarding/test_prompt_parts_processes.py
@@ -17,7 +17,7 @@
 import anyio
 import pytest
 
-from dotterelpaddle.forwarding.crashes import MIN_CRASHES_TO_BLOCK, SETTLE_SECONDS
+from dotterelpaddle.crashes.tracker import MIN_CRASHES_TO_BLOCK, SETTLE_SECONDS
 from dotterelpaddle.tests.forwarding.crash_engine import (
     EVENT_COUNT,
     EVENT_INTERVAL_SECONDS,
--- a/dotterelpaddle/tests/forwarding/test_prompt_parts_soak.py
+++ b/dotterelpaddle/tests/forwarding/test_prompt_parts_soak.py
@@ -15,7 +15,7 @@
 import anyio
 import pytest
 
-from dotterelpaddle.forwarding.crash_subjects import PartSubject, part_subjects
+from dotterelpaddle.crashes.subjects import PartSubject, part_subjects
 from dotterelpaddle.forwarding.interface import ForwardRequest, PromptPart
 from dotterelpaddle.ids import ModelId, RequestId, ServiceName
 from dotterelpaddle.tests.forwarding.crash_callers import CALL_TIMEOUT_SECONDS, MODEL
--- a/dotterelpaddle/tests/forwarding/test_retry_budget_incident.py
+++ b/dotterelpaddle/tests/forwarding/test_retry_budget_incident.py
@@ -8,8 +8,8 @@
 from typing import TYPE_CHECKING, TypeAlias
 
 from dotterelpaddle.forwarding.request_totals import RequestTotals, TotalsTracker
-from dotterelpaddle.forwarding.retry_budget import RetryBudget, RetryLimits
 from dotterelpaddle.ids import FailureDomain, RouterId, ServiceName
+from dotterelpaddle.retries.budget import RetryBudget, RetryLimits
 from dotterelpaddle.tests.owners.hosts import SEED_ADDRESSES, build_router
 
 if TYPE_CHECKING:
--- a/dotterelpaddle/tests/owners/hosts.py
+++ b/dotterelpaddle/tests/owners/hosts.py
@@ -14,7 +14,6 @@
 from dotterelpaddle.address import Address
 from dotterelpaddle.forwarding.components import Components, build_components
 from dotterelpaddle.forwarding.dependencies import Dependencies
-from dotterelpaddle.forwarding.retry_budget import RetryLimits
 from dotterelpaddle.forwarding.settings import (
     AdmissionSettings,
     ColdBounds,
@@ -22,6 +21,7 @@
 )
 from dotterelpaddle.ids import FailureDomain, RouterId
 from dotterelpaddle.links import Links
+from dotterelpaddle.retries.budget import RetryLimits
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/dotterelpaddle/tests/peers/fleet.py
+++ b/dotterelpaddle/tests/peers/fleet.py
@@ -19,10 +19,10 @@
     from dotterelpaddle.forwarding.caches import CacheMap
     from dotterelpaddle.forwarding.loads import LoadTracker
     from dotterelpaddle.forwarding.request_totals import TotalsTracker
-    from dotterelpaddle.forwarding.retry_budget import RetryBudget
     from dotterelpaddle.peers.directory import PeerDirectory
     from dotterelpaddle.peers.plan import ReportPlan
     from dotterelpaddle.peers.summary import PeerSummary
+    from dotterelpaddle.retries.budget import RetryBudget
 
 CONTROL = Address(host="10.9.9.9", port=9)
 
--- a/dotterelpaddle/tests/peers/test_crash_archive.py
+++ b/dotterelpaddle/tests/peers/test_crash_archive.py
@@ -8,13 +8,13 @@
 import anyio
 import pytest
 
-from dotterelpaddle.exceptions import ControlError, RequestBlocked
-from dotterelpaddle.forwarding.crash_subjects import PartSubject
-from dotterelpaddle.forwarding.crashes import (
+from dotterelpaddle.crashes.subjects import PartSubject
+from dotterelpaddle.crashes.tracker import (
     MIN_BLOCK_SECONDS,
     SETTLE_SECONDS,
     CrashTracker,
 )
+from dotterelpaddle.exceptions import ControlError, RequestBlocked
 from dotterelpaddle.forwarding.revisions import FIRST_ERA
 from dotterelpaddle.forwarding.startup import Startup
 from dotterelpaddle.forwarding.store_clock import StoreClock, StoreTime
--- a/dotterelpaddle/tests/peers/test_messages.py
+++ b/dotterelpaddle/tests/peers/test_messages.py
@@ -9,9 +9,9 @@
 from hypothesis import given, strategies as st
 
 from dotterelpaddle.address import Address
+from dotterelpaddle.crashes.note import CrashNote, NoteKind
+from dotterelpaddle.crashes.subjects import PartSubject, RequestSubject
 from dotterelpaddle.exceptions import ControlError
-from dotterelpaddle.forwarding.crash_note import CrashNote, NoteKind
-from dotterelpaddle.forwarding.crash_subjects import PartSubject, RequestSubject
 from dotterelpaddle.forwarding.evacuations import EvacuationSnapshot
 from dotterelpaddle.forwarding.leaving import LeavingNotice
 from dotterelpaddle.forwarding.request_totals import (
--- a/dotterelpaddle/tests/forwarding/test_retry_budget.py
+++ b/dotterelpaddle/tests/retries/test_budget.py
@@ -8,8 +8,8 @@
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
 from dotterelpaddle.forwarding.request_totals import RetryCounts
-from dotterelpaddle.forwarding.retry_budget import RetryBudget, RetryLimits
 from dotterelpaddle.ids import ServiceName
+from dotterelpaddle.retries.budget import RetryBudget, RetryLimits
 
 SERVICE = ServiceName("records")
 LIMITS = RetryLimits(share=0.2, allowance=20.0, window=10.0)
--- a/dotterelpaddle/tests/forwarding/test_retry_after.py
+++ b/dotterelpaddle/tests/retries/test_retry_after.py
@@ -10,7 +10,7 @@
 
 import pytest
 
-from dotterelpaddle.forwarding.retry_after import (
+from dotterelpaddle.retries.retry_after import (
     BALANCER_REROUTE_SECONDS,
     DEFAULT_RETRY_AFTER_SECONDS,
     MAX_TIME_LEFT_SHARE,
