--- a/dotterelpaddle/tests/forwarding/test_repeats_processes.py
+++ b/dotterelpaddle/tests/forwarding/test_repeats_processes.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import os
+import signal
 from collections.abc import Callable, Coroutine, Mapping, Sequence
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
@@ -79,6 +80,37 @@
     await world.lose(half, seconds=3.0, first_start=False)
 
 
+async def lose_all(world: RepeatsWorld) -> None:
+    """Lose all routers at once, twice."""
+    for _ in range(2):
+        await anyio.sleep(2.0)
+        await world.lose(world.routers, seconds=RESTART_SECONDS, first_start=False)
+
+
+async def add_routers(world: RepeatsWorld) -> None:
+    """Add half as many routers again, which callers use once they are ready."""
+    await anyio.sleep(1.0)
+    domains = [router.failure_domain for router in world.routers]
+    for domain in domains[: len(domains) // 2]:
+        router = world.add_router(source=SOURCE)
+        router.failure_domain = domain
+        world.start(router)
+        await world.until_ready(router)
+        world.callers.routers = [*world.callers.routers, router.callers]
+
+
+async def stop_a_domain(world: RepeatsWorld) -> None:
+    """Let the routers of one failure domain stand still for a while."""
+    await anyio.sleep(1.5)
+    domain = world.routers[0].failure_domain
+    for router in world.routers:
+        if router.failure_domain == domain:
+            router.send(signal.SIGSTOP)
+    await anyio.sleep(4.0)
+    for router in world.routers:
+        router.send(signal.SIGCONT)
+
+
 def _is_retryable(path: str) -> bool:
     return path.startswith(RETRYABLE_PATHS)
 
@@ -117,6 +149,20 @@
     assert max(excess.values()) <= 0
 
 
+# Guards against a budget that each router has to itself as their number changes: after
+# all are lost, as some are added, and while those of a failure domain stand still.
+@pytest.mark.parametrize("trouble", [lose_all, add_routers, stop_a_domain])
+@pytest.mark.parametrize("shape", SHAPES)
+@pytest.mark.parametrize("seed", SEEDS)
+async def test_repeats_stay_within_the_budget_as_routers_come_and_go(
+    seed: int,
+    shape: str,
+    trouble: Trouble,
+    tmp_path: Path,
+) -> None:
+    await _play(shape, trouble, seed=seed, directory=tmp_path)
+
+
 # Guards against retries of an earlier process that are spent again after each start of
 # a process that is told that the whole fleet starts for the first time, and against a
 # share of retries that is spent by two routers as callers move from one to the other.
--- a/dotterelpaddle/tests/forwarding/test_tunnels.py
+++ b/dotterelpaddle/tests/forwarding/test_tunnels.py
@@ -6,6 +6,7 @@
 import socket
 import struct
 from contextlib import AsyncExitStack
+from functools import partial
 from typing import TYPE_CHECKING
 
 import anyio
@@ -68,6 +69,22 @@
         assert len(runs) == 1
 
 
+# Guards against memory that tunnels take beyond the bound on what a router holds.
+async def test_bytes_in_tunnels_count_as_held() -> None:
+    async with (
+        run_fleet(runners=1, routers=2) as fleet,
+        anyio.create_task_group() as tasks,
+    ):
+        _cut_off(fleet, CUT_OFF)
+        runner = fleet.runners["runner-1"]
+        runner.plan.append(Hang())
+        tasks.start_soon(partial(fleet.call, "/unsafe/1", router=CUT_OFF))
+        await wait_until(lambda: runner.runs)
+
+        assert fleet.routers[THROUGH].components.state.held.held > 0
+        tasks.cancel_scope.cancel()
+
+
 async def test_routers_that_reach_no_endpoint_carry_nothing() -> None:
     async with run_fleet(runners=2, routers=3) as fleet:
         _cut_off(fleet, CUT_OFF, 2)
