--- a/dotterelpaddle/tests/forwarding/grace_world.py
+++ b/dotterelpaddle/tests/forwarding/grace_world.py
@@ -4,8 +4,9 @@
 
 import random
 import signal
-from contextlib import AsyncExitStack, asynccontextmanager
+from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
+from functools import partial
 from typing import TYPE_CHECKING
 
 import anyio
@@ -14,9 +15,12 @@
 from dotterelpaddle.platform.names import Header
 from dotterelpaddle.standins.behaviours import FallSilent
 from dotterelpaddle.standins.runner import RunnerStandin, run_runner
-from dotterelpaddle.standins.store import run_store
 from dotterelpaddle.tests.forwarding.harness import HOST, KEY, configuration, route
-from dotterelpaddle.tests.forwarding.versions_world import SLOTS, VersionsWorld
+from dotterelpaddle.tests.forwarding.versions_world import (
+    SLOTS,
+    VersionsWorld,
+    run_world,
+)
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Mapping
@@ -226,28 +230,10 @@
         routers: Number of routers.
         source: Directory with the release that the routers run, empty for this one.
     """
-    async with (
-        httpcore.AsyncConnectionPool() as http,
-        anyio.create_task_group() as tasks,
-    ):
-        async with AsyncExitStack() as stack:
-            world = GraceWorld(
-                directory=directory,
-                generator=random.Random(seed),
-                stack=stack,
-                tasks=tasks,
-                http=http,
-            )
-            world.store_address = await stack.enter_async_context(
-                run_store(store=world.store)
-            )
-            await world.add_services(dice=random.Random(seed))
-            for _ in range(routers):
-                world.add_router(source=source).shutdown_seconds = GRACE_SECONDS
-            try:
-                await world.start_all(first_start=True)
-                yield world
-            finally:
-                for router in world.routers:
-                    router.end()
-        tasks.cancel_scope.cancel()
+    make = partial(GraceWorld, directory=directory, generator=random.Random(seed))
+    async with run_world(make=make) as world:
+        await world.add_services(dice=random.Random(seed))
+        for _ in range(routers):
+            world.add_router(source=source).shutdown_seconds = GRACE_SECONDS
+        await world.start_all(first_start=True)
+        yield world
--- a/dotterelpaddle/tests/forwarding/held_world.py
+++ b/dotterelpaddle/tests/forwarding/held_world.py
@@ -8,8 +8,9 @@
 
 import random
 from collections import Counter
-from contextlib import AsyncExitStack, asynccontextmanager
+from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
+from functools import partial
 from pathlib import Path
 from typing import TYPE_CHECKING, Any
 
@@ -18,14 +19,13 @@
 
 from dotterelpaddle.platform.names import Header
 from dotterelpaddle.standins.runner import RunnerStandin, run_runner
-from dotterelpaddle.standins.store import run_store
 from dotterelpaddle.tests.forwarding.harness import (
     HOST,
     KEY,
     configuration,
     route,
 )
-from dotterelpaddle.tests.forwarding.versions_world import VersionsWorld
+from dotterelpaddle.tests.forwarding.versions_world import VersionsWorld, run_world
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Mapping, Sequence
@@ -228,30 +228,12 @@
         source: Directory with the release that the routers run, empty for this one.
         options: Further settings of the routers.
     """
-    async with (
-        httpcore.AsyncConnectionPool(max_connections=2000) as http,
-        anyio.create_task_group() as tasks,
-    ):
-        async with AsyncExitStack() as stack:
-            world = HeldWorld(
-                directory=directory,
-                generator=random.Random(seed),
-                stack=stack,
-                tasks=tasks,
-                http=http,
-            )
-            world.store_address = await stack.enter_async_context(
-                run_store(store=world.store)
-            )
-            await world.add_services()
-            for _ in range(routers):
-                router = world.add_router(source=source)
-                router.options = {"memory_mb": MEMORY_MB, **(options or {})}
-            try:
-                await world.start_all(first_start=True)
-                tasks.start_soon(world.sample_memory)
-                yield world
-            finally:
-                for router in world.routers:
-                    router.end()
-        tasks.cancel_scope.cancel()
+    make = partial(HeldWorld, directory=directory, generator=random.Random(seed))
+    async with run_world(make=make) as world:
+        await world.add_services()
+        for _ in range(routers):
+            router = world.add_router(source=source)
+            router.options = {"memory_mb": MEMORY_MB, **(options or {})}
+        await world.start_all(first_start=True)
+        world.tasks.start_soon(world.sample_memory)
+        yield world
--- a/dotterelpaddle/tests/forwarding/parts_world.py
+++ b/dotterelpaddle/tests/forwarding/parts_world.py
@@ -11,8 +11,9 @@
 import random
 import re
 import socket
-from contextlib import AsyncExitStack, asynccontextmanager
+from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
+from functools import partial
 from typing import TYPE_CHECKING, Any
 
 import anyio
@@ -23,7 +24,6 @@
 from dotterelpaddle.address import Address
 from dotterelpaddle.listening import address_of, bind
 from dotterelpaddle.platform.names import Table
-from dotterelpaddle.standins.store import run_store
 from dotterelpaddle.tests.forwarding.crash_callers import (
     CALL_TIMEOUT_SECONDS,
     Answer,
@@ -37,7 +37,7 @@
 )
 from dotterelpaddle.tests.forwarding.harness import SERVICE, configuration
 from dotterelpaddle.tests.forwarding.part_callers import SUCCESS, PartCallers
-from dotterelpaddle.tests.forwarding.versions_world import VersionsWorld
+from dotterelpaddle.tests.forwarding.versions_world import VersionsWorld, run_world
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -304,32 +304,18 @@
         deadly_part: Digest of the part.
         source: Directory with the release that the routers run, empty for this one.
     """
-    async with (
-        httpcore.AsyncConnectionPool() as http,
-        anyio.create_task_group() as tasks,
-    ):
-        async with AsyncExitStack() as stack:
-            world = PartsWorld(
-                directory=directory,
-                generator=random.Random(seed),
-                stack=stack,
-                tasks=tasks,
-                http=http,
-                seed=seed,
-                deadly_part=deadly_part,
-            )
-            world.store.configure(configuration=configuration())
-            world.store_address = await stack.enter_async_context(
-                run_store(store=world.store)
-            )
-            for _ in range(engines):
-                await world.add_engine()
-            for _ in range(routers):
-                world.add_router(source=source)
-            try:
-                await world.start_all(first_start=True)
-                yield world
-            finally:
-                for router in world.routers:
-                    router.end()
-        tasks.cancel_scope.cancel()
+    make = partial(
+        PartsWorld,
+        directory=directory,
+        generator=random.Random(seed),
+        seed=seed,
+        deadly_part=deadly_part,
+    )
+    async with run_world(make=make) as world:
+        world.store.configure(configuration=configuration())
+        for _ in range(engines):
+            await world.add_engine()
+        for _ in range(routers):
+            world.add_router(source=source)
+        await world.start_all(first_start=True)
+        yield world
--- a/dotterelpaddle/tests/forwarding/repeats_world.py
+++ b/dotterelpaddle/tests/forwarding/repeats_world.py
@@ -10,23 +10,22 @@
 import signal
 from bisect import bisect_left
 from collections import defaultdict
-from contextlib import AsyncExitStack, asynccontextmanager
+from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
+from functools import partial
 from typing import TYPE_CHECKING, Any
 
 import anyio
-import httpcore
 
 from dotterelpaddle.platform.names import Header
 from dotterelpaddle.standins.behaviours import Fail, LoseAnswer, Refuse
 from dotterelpaddle.standins.runner import RunnerStandin
-from dotterelpaddle.standins.store import run_store
 from dotterelpaddle.tests.forwarding.silence_callers import TIME_LEFT_SECONDS
 from dotterelpaddle.tests.forwarding.silence_world import (
     MAX_ATTEMPTS,
     SilenceWorld,
 )
-from dotterelpaddle.tests.forwarding.versions_world import RESTART_SECONDS
+from dotterelpaddle.tests.forwarding.versions_world import RESTART_SECONDS, run_world
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Iterable, Mapping, Sequence
@@ -203,36 +202,22 @@
         source: Directory with the release that the routers run, empty for this one.
         options: Further settings of the routers.
     """
-    async with (
-        httpcore.AsyncConnectionPool() as http,
-        anyio.create_task_group() as tasks,
-    ):
-        async with AsyncExitStack() as stack:
-            world = RepeatsWorld(
-                directory=directory,
-                generator=random.Random(seed),
-                dice=random.Random(seed),
-                stack=stack,
-                tasks=tasks,
-                http=http,
-                versions=versions,
-            )
-            world.store_address = await stack.enter_async_context(
-                run_store(store=world.store)
-            )
-            await world.add_endpoints()
-            for domain in domains:
-                router = world.add_router(source=source)
-                router.failure_domain = domain
-                router.shutdown_seconds = 8
-                router.options = dict(options or {})
-                world.callers.routers = [*world.callers.routers, router.callers]
-            try:
-                await world.start_all(first_start=True)
-                for _ in range(callers):
-                    tasks.start_soon(world.callers.call)
-                yield world
-            finally:
-                for router in world.routers:
-                    router.end()
-        tasks.cancel_scope.cancel()
+    make = partial(
+        RepeatsWorld,
+        directory=directory,
+        generator=random.Random(seed),
+        dice=random.Random(seed),
+        versions=versions,
+    )
+    async with run_world(make=make) as world:
+        await world.add_endpoints()
+        for domain in domains:
+            router = world.add_router(source=source)
+            router.failure_domain = domain
+            router.shutdown_seconds = 8
+            router.options = dict(options or {})
+            world.callers.routers = [*world.callers.routers, router.callers]
+        await world.start_all(first_start=True)
+        for _ in range(callers):
+            world.tasks.start_soon(world.callers.call)
+        yield world
--- a/dotterelpaddle/tests/forwarding/silence_world.py
+++ b/dotterelpaddle/tests/forwarding/silence_world.py
@@ -10,16 +10,15 @@
 import random
 import signal
 from collections import Counter
-from contextlib import AsyncExitStack, asynccontextmanager
+from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
+from functools import partial
 from typing import TYPE_CHECKING, Any
 
 import anyio
-import httpcore
 
 from dotterelpaddle.address import Address
 from dotterelpaddle.standins.runner import Received, RunnerStandin, run_runner
-from dotterelpaddle.standins.store import run_store
 from dotterelpaddle.tests.forwarding.harness import (
     ACCOUNT,
     KEY,
@@ -33,7 +32,11 @@
     Call,
     Callers,
 )
-from dotterelpaddle.tests.forwarding.versions_world import SLOTS, VersionsWorld
+from dotterelpaddle.tests.forwarding.versions_world import (
+    SLOTS,
+    VersionsWorld,
+    run_world,
+)
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Mapping, Sequence
@@ -303,33 +306,19 @@
         callers: Number of callers.
         source: Directory with the release that the routers run, empty for this one.
     """
-    async with (
-        httpcore.AsyncConnectionPool() as http,
-        anyio.create_task_group() as tasks,
-    ):
-        async with AsyncExitStack() as stack:
-            world = SilenceWorld(
-                directory=directory,
-                generator=random.Random(seed),
-                stack=stack,
-                tasks=tasks,
-                http=http,
-                versions=versions,
-            )
-            world.store_address = await stack.enter_async_context(
-                run_store(store=world.store)
-            )
-            await world.add_endpoints()
-            for _ in range(routers):
-                router = world.add_router(source=source)
-                router.shutdown_seconds = SHUTDOWN_SECONDS
-                world.callers.routers = [*world.callers.routers, router.callers]
-            try:
-                await world.start_all(first_start=True)
-                for _ in range(callers):
-                    tasks.start_soon(world.callers.call)
-                yield world
-            finally:
-                for router in world.routers:
-                    router.end()
-        tasks.cancel_scope.cancel()
+    make = partial(
+        SilenceWorld,
+        directory=directory,
+        generator=random.Random(seed),
+        versions=versions,
+    )
+    async with run_world(make=make) as world:
+        await world.add_endpoints()
+        for _ in range(routers):
+            router = world.add_router(source=source)
+            router.shutdown_seconds = SHUTDOWN_SECONDS
+            world.callers.routers = [*world.callers.routers, router.callers]
+        await world.start_all(first_start=True)
+        for _ in range(callers):
+            world.tasks.start_soon(world.callers.call)
+        yield world
--- a/dotterelpaddle/tests/forwarding/versions_world.py
+++ b/dotterelpaddle/tests/forwarding/versions_world.py
@@ -13,7 +13,7 @@
 from contextlib import AsyncExitStack, asynccontextmanager
 from dataclasses import dataclass, field
 from functools import partial
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Any, TypeVar
 
 import anyio
 import httpcore
@@ -40,6 +40,8 @@
 
     from anyio.abc import TaskGroup
 
+World = TypeVar("World", bound="VersionsWorld")
+
 START_LIMIT_SECONDS = 30.0
 RESTART_SECONDS = 0.3
 """Seconds after which the platform starts a process again that has ended."""
@@ -329,6 +331,30 @@
     return ports
 
 
+@asynccontextmanager
+async def run_world(*, make: Callable[..., World]) -> AsyncIterator[World]:
+    """Run the store of a world; its routers and tasks end with the context.
+
+    Args:
+        make: Makes the world; is given what ends with the context.
+    """
+    async with (
+        httpcore.AsyncConnectionPool(max_connections=None) as http,
+        anyio.create_task_group() as tasks,
+    ):
+        async with AsyncExitStack() as stack:
+            world = make(stack=stack, tasks=tasks, http=http)
+            world.store_address = await stack.enter_async_context(
+                run_store(store=world.store)
+            )
+            try:
+                yield world
+            finally:
+                for router in world.routers:
+                    router.end()
+        tasks.cancel_scope.cancel()
+
+
 @asynccontextmanager
 async def run_versions_world(
     *,
@@ -347,32 +373,14 @@
         sources: Directories with the releases that the first routers run.
         versions: Versions of the endpoints at the start.
     """
-    async with (
-        httpcore.AsyncConnectionPool() as http,
-        anyio.create_task_group() as tasks,
-    ):
-        async with AsyncExitStack() as stack:
-            world = VersionsWorld(
-                directory=directory,
-                generator=random.Random(seed),
-                stack=stack,
-                tasks=tasks,
-                http=http,
-            )
-            world.store.configure(configuration=configuration())
-            world.store_address = await stack.enter_async_context(
-                run_store(store=world.store)
-            )
-            for _ in range(3):
-                for version in versions:
-                    await world.add_runner(version)
-            for number in range(routers):
-                source = sources[number] if number < len(sources) else ""
-                world.add_router(source=source)
-            try:
-                await world.start_all(first_start=True)
-                yield world
-            finally:
-                for router in world.routers:
-                    router.end()
-        tasks.cancel_scope.cancel()
+    make = partial(VersionsWorld, directory=directory, generator=random.Random(seed))
+    async with run_world(make=make) as world:
+        world.store.configure(configuration=configuration())
+        for _ in range(3):
+            for version in versions:
+                await world.add_runner(version)
+        for number in range(routers):
+            source = sources[number] if number < len(sources) else ""
+            world.add_router(source=source)
+        await world.start_all(first_start=True)
+        yield world
