Give the routers of each play hosts of their own, so that plays side by side don't meet

The hosts were the same for all plays and the ports chosen by chance. SilenceWorld had hosts by process already; all have now.

--- a/dotterelpaddle/tests/forwarding/silence_world.py
+++ b/dotterelpaddle/tests/forwarding/silence_world.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import os
 import random
 import signal
 from collections import Counter
@@ -17,7 +16,6 @@
 
 import anyio
 
-from dotterelpaddle.address import Address
 from dotterelpaddle.standins.runner import Received, RunnerStandin, run_runner
 from dotterelpaddle.tests.forwarding.harness import (
     ACCOUNT,
@@ -88,11 +86,6 @@
         )
         self.store.configure(configuration=configuration(**self._fields()))
 
-    def _address(self, number: int, port: int) -> Address:
-        """Address of a router; soaks that run side by side have hosts of their own."""
-        high, low = divmod(os.getpid() % 62500, 250)
-        return Address(host=f"127.{high + 1}.{low}.{number}", port=self.ports[port])
-
     @property
     def calls(self) -> list[Call]:
         """All requests that were sent whole."""
--- a/dotterelpaddle/tests/forwarding/versions_world.py
+++ b/dotterelpaddle/tests/forwarding/versions_world.py
@@ -127,8 +127,12 @@
         return router
 
     def _address(self, number: int, port: int) -> Address:
-        """Address of a router; each has a host of its own and the same ports."""
-        return Address(host=f"127.0.1.{number}", port=self.ports[port])
+        """Address of a router; each has a host of its own and the same ports.
+
+        Plays side by side have other hosts, as they may choose the same ports.
+        """
+        high, low = divmod(os.getpid() % 62500, 250)
+        return Address(host=f"127.{high + 1}.{low}.{number}", port=self.ports[port])
 
     def start(self, router: RouterProcess, *, first_start: bool = False) -> None:
         """Start a router with the others as its seeds."""
