Log each change of the number of routers by which bounds are divided

Operators saw that the retry budget was spent, and not by how many routers its allowance had been divided.

--- a/dotterelpaddle/forwarding/fleet_size.py
+++ b/dotterelpaddle/forwarding/fleet_size.py
@@ -9,11 +9,15 @@
 
 from typing import TYPE_CHECKING
 
+from dotterelpaddle.logs import get_logger
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from dotterelpaddle.clock import Clock
 
+log = get_logger(name=__name__)
+
 SETTLING_SECONDS = 2.0
 """Seconds after its start in which a router may know few of the others."""
 
@@ -47,6 +51,7 @@
         self._started_at = clock()
         self._largest = 1
         self._largest_at = clock()
+        self._logged: int | None = None
 
     @property
     def count(self) -> int | None:
@@ -54,8 +59,15 @@
 
         A router that has never heard any other one can't tell how many there are.
         """
-        now = self._clock()
         known = self._known()
+        count = self._count(known=known)
+        if count != self._logged:
+            log.info("fleet_size_changed", count=count, heard=known)
+            self._logged = count
+        return count
+
+    def _count(self, *, known: int) -> int | None:
+        now = self._clock()
         if known >= self._largest or now - self._largest_at > self._memory:
             self._largest = known
             self._largest_at = now
