Divide bounds of the fleet by the routers that are registered in the store

What callers saw: routers that start anew in a network partition together sent up to 1.7 times the repeats that a service may get (186 of 107.8 with six router processes, 146 of 106.6 with 24), one failure domain unseen by the others 125 of 107.2.

Cause: each router divided the allowance by the routers that it had heard. On three sides of a cut that start anew each divides the whole allowance by its own number. The lines fleet_size_changed show 6 before and 2 after the start.

Each router now has a row in the store's table of routers. A router uses the number of rows only while it is at most 20 s old, and once its own row is 30 s old (or the whole fleet is new), so that of two routers that divide each is in the other's number. Without it, it spends the share of its own requests alone.

--- a/dotterelpaddle/daemon/process.py
+++ b/dotterelpaddle/daemon/process.py
@@ -17,6 +17,7 @@
 from dotterelpaddle.platform.documents import PlatformDocumentDecoder
 from dotterelpaddle.platform.engines import EngineCacheReader
 from dotterelpaddle.platform.protocols import PlatformCodec
+from dotterelpaddle.platform.router_rows import RouterRowsSource
 from dotterelpaddle.platform.store import StoreSource
 
 if TYPE_CHECKING:
@@ -49,6 +50,7 @@
         source=source,
         stream_store=source,
         crash_store=source,
+        registry_store=RouterRowsSource(source=source),
         protocols=PlatformCodec(),
         documents=documents,
         cache_reader=EngineCacheReader(links=links),
--- a/dotterelpaddle/forwarding/brittle.py
+++ b/dotterelpaddle/forwarding/brittle.py
@@ -16,8 +16,8 @@
 
 from typing import TYPE_CHECKING
 
-from dotterelpaddle.forwarding.fleet_size import SETTLING_SECONDS
 from dotterelpaddle.logs import get_logger
+from dotterelpaddle.registry.fleet_size import SETTLING_SECONDS
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping
--- a/dotterelpaddle/forwarding/cold.py
+++ b/dotterelpaddle/forwarding/cold.py
@@ -10,9 +10,9 @@
 from collections import deque
 from typing import TYPE_CHECKING
 
-from dotterelpaddle.forwarding.fleet_size import SETTLING_SECONDS
 from dotterelpaddle.logs import get_logger
 from dotterelpaddle.placement.rendezvous import digest
+from dotterelpaddle.registry.fleet_size import SETTLING_SECONDS
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
--- a/dotterelpaddle/forwarding/components.py
+++ b/dotterelpaddle/forwarding/components.py
@@ -40,6 +40,7 @@
 from dotterelpaddle.peers.tunnel_servers import TunnelServers
 from dotterelpaddle.peers.tunnels import TunnelBackend
 from dotterelpaddle.pipeline import compose
+from dotterelpaddle.registry.service import RouterRegistry
 from dotterelpaddle.shutdown.deadline import ShutdownDeadline
 from dotterelpaddle.shutdown.durations import RouteDurations
 from dotterelpaddle.shutdown.filter import ShutdownFilter
@@ -80,6 +81,7 @@
         stream_finder: Finds where streams that callers resume began.
         stream_archive: Keeps records of streams in the platform's store.
         crash_archive: Keeps what crashes endpoints in the platform's store.
+        registry: Registers this router in the platform's store; None without one.
         metrics: Renders the metrics page.
     """
 
@@ -100,6 +102,7 @@
     stream_finder: StreamFinder
     stream_archive: StreamArchive
     crash_archive: CrashArchive
+    registry: RouterRegistry | None
     metrics: MetricsPage
 
     def start_draining(self, *, seconds: float) -> None:
@@ -124,7 +127,11 @@
     """
     clock = dependencies.clock
     generator = random.Random(settings.router)
-    state = build_shared_state(settings=settings, clock=clock)
+    state = build_shared_state(
+        settings=settings,
+        has_registry=dependencies.registry_store is not None,
+        clock=clock,
+    )
     if dependencies.crash_store is None:
         state.recall.end()
     directory = state.directory
@@ -326,6 +333,7 @@
             crashes=state.crashes,
             introduction=state.introduction,
             directory=directory,
+            registry=state.registry,
             plan=plan,
             follower=follower,
             owners=owners.exchange,
@@ -348,6 +356,13 @@
             store_clock=state.store_clock,
             recall=state.recall,
         ),
+        registry=_build_registry(
+            settings=settings,
+            dependencies=dependencies,
+            state=state,
+            peer_summary=peer_summary,
+            generator=generator,
+        ),
         metrics=MetricsPage(
             metrics=metrics,
             sources=MetricsSources(
@@ -392,3 +407,25 @@
             generator=generator,
         ),
     )
+
+
+def _build_registry(
+    *,
+    settings: ForwardSettings,
+    dependencies: Dependencies,
+    state: SharedState,
+    peer_summary: PeerSummary,
+    generator: random.Random,
+) -> RouterRegistry | None:
+    store = dependencies.registry_store
+    if store is None or state.registry is None:
+        return None
+    return RouterRegistry(
+        router=settings.router,
+        store=store,
+        known=state.registry,
+        is_reader=lambda: peer_summary.is_platform_reader,
+        store_clock=state.store_clock,
+        clock=dependencies.clock,
+        generator=generator,
+    )
--- a/dotterelpaddle/forwarding/dependencies.py
+++ b/dotterelpaddle/forwarding/dependencies.py
@@ -15,6 +15,7 @@
     )
     from dotterelpaddle.links import Links
     from dotterelpaddle.peers.learned_rows import LearnedStore
+    from dotterelpaddle.registry.interface import RegistryStore
     from dotterelpaddle.streams.archive import StreamStore
 
 
@@ -26,6 +27,7 @@
         source: Store of the configuration and the endpoints.
         stream_store: Keeps records of streams, None to keep none.
         crash_store: Keeps what crashes endpoints, None to keep nothing.
+        registry_store: Keeps the rows in which routers register, None to keep none.
         protocols: Translates callers' requests and endpoints' answers.
         documents: Decodes the documents of the source.
         cache_reader: Requests the list of cached prompt parts from an endpoint.
@@ -41,3 +43,4 @@
     clock: Clock
     stream_store: StreamStore | None = None
     crash_store: LearnedStore | None = None
+    registry_store: RegistryStore | None = None
--- a/dotterelpaddle/forwarding/router.py
+++ b/dotterelpaddle/forwarding/router.py
@@ -109,6 +109,8 @@
         tasks.start_soon(components.epoch_discovery.run)
         tasks.start_soon(components.stream_archive.run)
         tasks.start_soon(components.crash_archive.run)
+        if components.registry is not None:
+            tasks.start_soon(components.registry.run)
         readiness = await stack.enter_async_context(
             serve(
                 app=ReadinessApp(is_ready=lambda: app.ready), address=settings.readiness
--- a/dotterelpaddle/forwarding/shared_state.py
+++ b/dotterelpaddle/forwarding/shared_state.py
@@ -12,7 +12,6 @@
 from dotterelpaddle.forwarding.caches import CacheMap
 from dotterelpaddle.forwarding.cold import ColdEndpoints
 from dotterelpaddle.forwarding.connection_limits import ConnectionLimits
-from dotterelpaddle.forwarding.fleet_size import FleetSize
 from dotterelpaddle.forwarding.health import HealthTracker
 from dotterelpaddle.forwarding.leaving import LeavingEndpoints
 from dotterelpaddle.forwarding.liveness import EndpointLiveness
@@ -31,6 +30,8 @@
 from dotterelpaddle.owners.service_times import ServiceTimes
 from dotterelpaddle.peers.directory import PeerDirectory
 from dotterelpaddle.peers.messages import PeerInfo
+from dotterelpaddle.registry.fleet_size import FleetSize
+from dotterelpaddle.registry.known import KnownRegistry
 from dotterelpaddle.retries.budget import RetryBudget
 from dotterelpaddle.streams.origins import StreamOrigins
 from dotterelpaddle.streams.route_history import RouteHistory
@@ -67,6 +68,7 @@
         recall: Lets them wait for what the platform's store keeps of these.
         retry_budget: Limits the retries of all routers.
         directory: The other routers.
+        registry: What is known of the registry of all routers; None without one.
         stream_origins: Where the streams that callers may resume began.
         version_history: Software versions that services had recently.
         route_history: Routes of streams that led to other services recently.
@@ -91,17 +93,21 @@
     recall: Startup
     retry_budget: RetryBudget
     directory: PeerDirectory
+    registry: KnownRegistry | None
     stream_origins: StreamOrigins
     version_history: VersionHistory
     route_history: RouteHistory
     held: HeldBytes
 
 
-def build_shared_state(*, settings: ForwardSettings, clock: Clock) -> SharedState:
+def build_shared_state(
+    *, settings: ForwardSettings, has_registry: bool, clock: Clock
+) -> SharedState:
     """Build the state that the components of a router share.
 
     Args:
         settings: Settings of the router.
+        has_registry: Whether routers register themselves in the platform's store.
         clock: Monotonic clock.
     """
     caches = CacheMap(clock=clock)
@@ -130,12 +136,14 @@
     def _known_routers() -> int:
         return max(directory.router_count, totals.router_count)
 
+    store_clock = StoreClock(clock=clock)
+    registry = KnownRegistry(store_clock=store_clock, clock=clock)
     fleet_size = FleetSize(
-        known=_known_routers,
+        heard=_known_routers,
         has_seeds=directory.has_seeds,
+        registered=(lambda: registry.routers) if has_registry else None,
         clock=clock,
     )
-    store_clock = StoreClock(clock=clock)
     view = FleetView(
         clock=clock,
         leaving=LeavingEndpoints(
@@ -189,6 +197,7 @@
             clock=clock,
         ),
         directory=directory,
+        registry=registry if has_registry else None,
         stream_origins=StreamOrigins(clock=clock),
         version_history=VersionHistory(
             view=view, first_start=settings.first_start, clock=clock
--- a/dotterelpaddle/owners/components.py
+++ b/dotterelpaddle/owners/components.py
@@ -5,7 +5,6 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from dotterelpaddle.forwarding.fleet_size import FleetSize
 from dotterelpaddle.forwarding.settings import AdmissionSettings
 from dotterelpaddle.owners.admission import SlotAdmission
 from dotterelpaddle.owners.counts import ShardCounts
@@ -18,6 +17,7 @@
 from dotterelpaddle.owners.shards import ShardMap
 from dotterelpaddle.owners.slot_lease import SlotLease
 from dotterelpaddle.peers.directory import PEER_EXPIRY_SECONDS
+from dotterelpaddle.registry.fleet_size import FleetSize
 
 if TYPE_CHECKING:
     import random
@@ -73,7 +73,7 @@
         directory=state.directory,
         heard=lambda: max(state.totals.router_count, 1 + len(counts.routers)),
         fleet_size=FleetSize(
-            known=lambda: max(state.directory.router_count, state.totals.router_count),
+            heard=lambda: max(state.directory.router_count, state.totals.router_count),
             has_seeds=state.directory.has_seeds,
             clock=clock,
             memory=PEER_EXPIRY_SECONDS,
--- a/dotterelpaddle/owners/slot_lease.py
+++ b/dotterelpaddle/owners/slot_lease.py
@@ -20,10 +20,10 @@
     from collections.abc import Callable
 
     from dotterelpaddle.clock import Clock
-    from dotterelpaddle.forwarding.fleet_size import FleetSize
     from dotterelpaddle.ids import FailureDomain
     from dotterelpaddle.peers.directory import PeerDirectory
     from dotterelpaddle.peers.messages import PeerInfo
+    from dotterelpaddle.registry.fleet_size import FleetSize
 
 log = get_logger(name=__name__)
 
--- a/dotterelpaddle/peers/exchange.py
+++ b/dotterelpaddle/peers/exchange.py
@@ -50,6 +50,7 @@
     from dotterelpaddle.peers.plan import Recipient, ReportPlan
     from dotterelpaddle.peers.tunnel_server import TunnelServer
     from dotterelpaddle.peers.tunnel_servers import TunnelServers
+    from dotterelpaddle.registry.known import KnownRegistry
     from dotterelpaddle.retries.budget import RetryBudget
     from dotterelpaddle.streams.lookup import StreamLookup
     from dotterelpaddle.streams.origins import StreamOrigins, StreamRecord
@@ -95,6 +96,7 @@
         crashes: Requests during which endpoints crashed.
         introduction: Ends once another router has told what it knows.
         directory: The other routers.
+        registry: What is known of the registry of all routers; None without one.
         plan: Chooses the recipients of reports.
         follower: Tells as of when the platform confirmed the data.
         owners: Processes messages between routers and owners.
@@ -117,6 +119,7 @@
         crashes: CrashTracker,
         introduction: Startup,
         directory: PeerDirectory,
+        registry: KnownRegistry | None,
         plan: ReportPlan,
         follower: Follower,
         owners: OwnerExchange,
@@ -136,6 +139,7 @@
         self._crashes = crashes
         self._introduction = introduction
         self._directory = directory
+        self._registry = registry
         self._plan = plan
         self._follower = follower
         self._owners = owners
@@ -276,6 +280,7 @@
             endpoints_lost=self._reachability.endpoints_lost,
             seeks_tunnels=service_lost,
             service_lost=service_lost,
+            registry=None if self._registry is None else self._registry.summary,
         )
 
     def _totals_for(self, *, own: RequestTotals, recipient: Recipient) -> RequestTotals:
@@ -381,6 +386,8 @@
         self._caches.receive(uses=report.uses, forward_as=origin)
         self._crashes.receive(notes=report.crashes, forward=origin is not None)
         self._introduction.end()
+        if self._registry is not None:
+            self._registry.receive(summary=report.registry)
         self._tunnel_servers.receive(report=report)
         self._stream_origins.receive(
             records=report.streams, forward=origin is UseOrigin.SAME_DOMAIN
--- a/dotterelpaddle/peers/messages.py
+++ b/dotterelpaddle/peers/messages.py
@@ -34,6 +34,7 @@
 from dotterelpaddle.peers.crash_notes import decode_notes, encode_notes
 from dotterelpaddle.peers.incarnations import LatestIncarnations, decode_endpoints
 from dotterelpaddle.peers.report import PeerInfo, PeerReport
+from dotterelpaddle.registry.summary import RegistrySummary
 from dotterelpaddle.streams.messages import decode_records, encode_records
 
 if TYPE_CHECKING:
@@ -92,6 +93,9 @@
 SERVICE_LOST_INDEX = 34
 """Index of whether the sender itself reaches no endpoint of a service."""
 
+REGISTRY_INDEX = 35
+"""Index of the summary of the registry of all routers."""
+
 UNKNOWN_AGE = None
 """Value of the fields in which earlier releases report the ages of their data.
 
@@ -176,6 +180,7 @@
             encode_records(records=report.streams),
             [report.seeks_tunnels, [str(each) for each in report.tunnel_servers]],
             report.service_lost,
+            _registry_fields(report.registry),
         ]
     )
 
@@ -266,6 +271,7 @@
             streams=decode_records(fields=_optional_field(fields, STREAMS_INDEX, ())),
             tells_streams=len(fields) > STREAMS_INDEX,
             service_lost=None if service_lost is None else bool(service_lost),
+            registry=_registry(_optional_field(fields, REGISTRY_INDEX, None)),
         )
     except (
         orjson.JSONDecodeError,
@@ -330,6 +336,22 @@
     return [tunnels, report.endpoints_lost]
 
 
+def _registry_fields(summary: RegistrySummary | None) -> list[Any] | None:
+    if summary is None:
+        return None
+    times = _time_fields(summary.oldest), _time_fields(summary.as_of)
+    return [summary.routers, *times]
+
+
+def _registry(fields: Any) -> RegistrySummary | None:
+    if fields is None:
+        return None
+    routers, oldest, as_of = fields
+    return RegistrySummary(
+        routers=int(routers), oldest=_store_time(oldest), as_of=_store_time(as_of)
+    )
+
+
 def _eras(fields: Any) -> tuple[StoreEra, StoreEra]:
     endpoints, evacuated = fields
     return StoreEra(int(endpoints)), StoreEra(int(evacuated))
@@ -376,7 +398,9 @@
 
 
 def _time(fields: Any) -> StoreTime | None:
-    if fields is None:
-        return None
+    return None if fields is None else _store_time(fields)
+
+
+def _store_time(fields: Any) -> StoreTime:
     era, milliseconds = fields
     return StoreTime(era=StoreEra(int(era)), seconds=int(milliseconds) / 1000)
--- a/dotterelpaddle/peers/report.py
+++ b/dotterelpaddle/peers/report.py
@@ -22,6 +22,7 @@
         FailureDomain,
         RouterId,
     )
+    from dotterelpaddle.registry.summary import RegistrySummary
     from dotterelpaddle.streams.origins import StreamRecord
 
 
@@ -86,6 +87,7 @@
         tells_streams: Whether its release records where streams began.
         service_lost: Whether it reaches no endpoint of a service itself, None if its
             release does not tell.
+        registry: Its latest summary of the registry of all routers, None without any.
     """
 
     router: RouterId
@@ -120,6 +122,7 @@
     streams: tuple[StreamRecord, ...] = ()
     tells_streams: bool = True
     service_lost: bool | None = None
+    registry: RegistrySummary | None = None
 
     def is_repeated_after(self, known: PeerReport) -> bool:
         """Return whether a known report of the same process is as new."""
--- a/dotterelpaddle/platform/names.py
+++ b/dotterelpaddle/platform/names.py
@@ -91,6 +91,7 @@
     # Written and read by the routers.
     STREAMS = "streams"
     CRASHES = "crashes"
+    ROUTERS = "routers"
 
 
 class Field:
--- a/dotterelpaddle/platform/rows.py
+++ b/dotterelpaddle/platform/rows.py
@@ -121,3 +121,14 @@
         raise RecordError(
             f"the row has no valid value: {error}", field="value"
         ) from error
+
+
+def values_of_rows(*, rows: Iterable[Row]) -> dict[str, bytes]:
+    """Return the values of rows, by key, without rows that have no valid value."""
+    values = {}
+    for row in rows:
+        try:
+            values[row["key"]] = row_value(row=row)
+        except RecordError as error:
+            log.warning("row_unusable", key=row["key"], cause=error.message)
+    return values
--- a/dotterelpaddle/platform/store.py
+++ b/dotterelpaddle/platform/store.py
@@ -15,7 +15,6 @@
     HistoryLost,
     PlatformAnswerLost,
     PlatformUnavailable,
-    RecordError,
 )
 from dotterelpaddle.forwarding.interface import EndpointsUpdate
 from dotterelpaddle.forwarding.revisions import FIRST_ERA, StoreRevision
@@ -24,7 +23,7 @@
 from dotterelpaddle.platform.learned import rows_of, values_of
 from dotterelpaddle.platform.names import CallPath, Table
 from dotterelpaddle.platform.operator_rows import OperatorRowDecoder
-from dotterelpaddle.platform.rows import EntryRowDecoder, row_value
+from dotterelpaddle.platform.rows import EntryRowDecoder, values_of_rows
 from dotterelpaddle.platform.store_answers import (
     StoreAnswer,
     decode_answer,
@@ -36,7 +35,7 @@
 
     from dotterelpaddle.address import Address
     from dotterelpaddle.forwarding.interface import DocumentDecoder, OperatorUpdate
-    from dotterelpaddle.ids import StoreEra
+    from dotterelpaddle.ids import Revision, RouterId, StoreEra
     from dotterelpaddle.links import Links
     from dotterelpaddle.peers.learned_rows import LearnedRows
     from dotterelpaddle.platform.rows import Row
@@ -55,6 +54,7 @@
 
 OK = 200
 GONE = 410
+CONDITION_FAILED = 412
 
 
 class StoreSource:
@@ -149,7 +149,7 @@
         Raises:
             PlatformError: If the store does not confirm them in time.
         """
-        await self._put_values(table=Table.STREAMS, values=rows)
+        await self.write_rows(table=Table.STREAMS, put=rows)
 
     async def learned_rows(self) -> LearnedRows:
         """Read the rows with what routers have learned of endpoints.
@@ -165,37 +165,69 @@
         Raises:
             PlatformError: If the store does not confirm them in time.
         """
-        await self._put_values(table=Table.CRASHES, values=values_of(rows=rows))
+        await self.write_rows(table=Table.CRASHES, put=values_of(rows=rows))
 
-    async def _read_values(self, *, table: str) -> dict[str, bytes]:
-        """Read the values of all rows of a table, by their keys."""
-        rows, _ = await self._read_all(table=table)
-        values = {}
-        for row in rows:
-            try:
-                values[row["key"]] = row_value(row=row)
-            except RecordError as error:
-                log.warning("row_unusable", key=row["key"], cause=error.message)
-        return values
-
-    async def _put_values(self, *, table: str, values: Mapping[str, bytes]) -> None:
-        """Write rows of a table, all or none."""
-        entries = [
-            {
-                "table": table,
-                "part": "",
-                "key": key,
-                "value": base64.b64encode(value).decode(),
-            }
-            for key, value in values.items()
-        ]
-        body = orjson.dumps({"expectedRev": [], "put": entries, "remove": []})
-        response = await self._request(method="POST", target=CallPath.WRITE, body=body)
-        if response.status != OK:
+    async def read_rows(self, *, table: str, key: str = "") -> StoreAnswer:
+        """Read the rows of a table of the routers, or only the one with a key.
+
+        Raises:
+            PlatformError: If the store returns no valid answer in time.
+        """
+        if not key:
+            rows, first = await self._read_all(table=table)
+            return replace(first, rows=rows)
+        query = {"table": table, "part": "", "from": key, "to": key + "\0", "limit": 1}
+        answer = await self._get(path=CallPath.READ, query=query)
+        return replace(
+            answer, rows=[each for each in answer.rows if each["key"] == key]
+        )
+
+    async def write_rows(
+        self,
+        *,
+        table: str,
+        put: Mapping[str, bytes] | None = None,
+        remove: Mapping[RouterId, Revision] | None = None,
+    ) -> bool:
+        """Write and remove rows of a table of the routers, all or none.
+
+        Args:
+            table: Table of the rows.
+            put: New values, by key.
+            remove: Keys of the rows to remove, with the revisions that they must have.
+
+        Returns:
+            Whether all of them had these revisions.
+
+        Raises:
+            PlatformError: If the store does not confirm the transaction in time.
+        """
+        put, remove = put or {}, remove or {}
+        row = {"table": table, "part": ""}
+        transaction = {
+            "expectedRev": [
+                {**row, "key": key, "ver": revision} for key, revision in remove.items()
+            ],
+            "put": [
+                {**row, "key": key, "value": base64.b64encode(value).decode()}
+                for key, value in put.items()
+            ],
+            "remove": [{**row, "key": key} for key in remove],
+        }
+        response = await self._request(
+            method="POST", target=CallPath.WRITE, body=orjson.dumps(transaction)
+        )
+        if response.status not in (OK, CONDITION_FAILED):
             raise PlatformUnavailable(
                 f"the store answered with status {response.status}",
                 peer=str(self._address),
             )
+        return response.status == OK
+
+    async def _read_values(self, *, table: str) -> dict[str, bytes]:
+        """Read the values of all rows of a table, by their keys."""
+        rows, _ = await self._read_all(table=table)
+        return values_of_rows(rows=rows)
 
     async def _read_all(self, *, table: str) -> tuple[list[Row], StoreAnswer]:
         """Read all rows of a table.
--- a/dotterelpaddle/forwarding/fleet_size.py
+++ b/dotterelpaddle/registry/fleet_size.py
@@ -1,8 +1,8 @@
 """The number of routers among which bounds of the whole fleet are divided.
 
 A router that counts too few others takes too large a part of a bound. Routers that it
-no longer hears may run on the other side of a network partition, and a router that has
-just started has not heard all of them yet.
+does not hear may run on the other side of a network partition. So it counts those that
+are registered in the platform's store, and those that it has heard.
 """
 
 from __future__ import annotations
@@ -30,8 +30,10 @@
     """Counts the routers of the fleet, this one included.
 
     Args:
-        known: Returns the number of routers known at present.
+        heard: Returns the number of routers heard lately, this one included.
         has_seeds: Whether the settings name other routers.
+        registered: Returns the number of routers in the registry, None while it is
+            uncertain. Without a registry those that were heard are all that are known.
         clock: Monotonic clock.
         memory: Seconds for which routers that are no longer heard still count.
     """
@@ -39,13 +41,15 @@
     def __init__(
         self,
         *,
-        known: Callable[[], int],
+        heard: Callable[[], int],
         has_seeds: bool,
+        registered: Callable[[], int | None] | None = None,
         clock: Clock,
         memory: float = MEMORY_SECONDS,
     ) -> None:
-        self._known = known
+        self._heard = heard
         self._has_seeds = has_seeds
+        self._registered = registered
         self._clock = clock
         self._memory = memory
         self._started_at = clock()
@@ -55,23 +59,24 @@
 
     @property
     def count(self) -> int | None:
-        """Largest recent number of routers; None while too few may be known.
-
-        A router that has never heard any other one can't tell how many there are.
-        """
-        known = self._known()
-        count = self._count(known=known)
+        """Largest recent number of routers; None while too few may be known."""
+        heard = self._heard()
+        count = self._count(heard=heard)
         if count != self._logged:
-            log.info("fleet_size_changed", count=count, heard=known)
+            log.info("fleet_size_changed", count=count, heard=heard)
             self._logged = count
         return count
 
-    def _count(self, *, known: int) -> int | None:
+    def _count(self, *, heard: int) -> int | None:
         now = self._clock()
-        if known >= self._largest or now - self._largest_at > self._memory:
-            self._largest = known
+        if heard >= self._largest or now - self._largest_at > self._memory:
+            self._largest = heard
             self._largest_at = now
-        settling = now - self._started_at < SETTLING_SECONDS
-        if self._has_seeds and (settling or self._largest == 1):
+        if self._registered is not None:
+            registered = self._registered()
+            return None if registered is None else max(registered, self._largest)
+        # A router that has never heard another one can't tell how many there are.
+        is_settling = now - self._started_at < SETTLING_SECONDS
+        if self._has_seeds and (is_settling or self._largest == 1):
             return None
         return self._largest
--- a/dotterelpaddle/standins/store.py
+++ b/dotterelpaddle/standins/store.py
@@ -25,6 +25,7 @@
 FORBIDDEN = 403
 NOT_FOUND = 404
 HISTORY_LOST = 410
+CONDITION_FAILED = 412
 UNAVAILABLE = 503
 ANYWHERE = Address(host="127.0.0.1", port=0)
 
@@ -208,25 +209,44 @@
         )
 
     async def _write(self, *, receive: Any, send: Any) -> None:
-        """Apply a transaction, without conditions, to the tables of the routers."""
+        """Apply a transaction to the tables of the routers if its conditions hold."""
         body, more = b"", True
         while more:
             message = await receive()
             body += message.get("body", b"")
             more = message.get("more_body", False)
         transaction = orjson.loads(body)
-        tables = {each["table"] for each in transaction["put"]}
-        if tables & {Table.OPERATOR, Table.ENDPOINTS}:
+        changes = [*transaction["put"], *transaction["remove"]]
+        if {each["table"] for each in changes} & {Table.OPERATOR, Table.ENDPOINTS}:
             await self._reply(send, FORBIDDEN, {})
             return
+        if not all(self._has_revision(each) for each in transaction["expectedRev"]):
+            await self._reply(
+                send,
+                CONDITION_FAILED,
+                {"rows": [], "ver": self._revision, "nowMs": _now_ms()},
+            )
+            return
         for each in transaction["put"]:
             self.put(
                 table=each["table"],
                 key=each["key"],
                 value=base64.b64decode(each["value"], validate=True),
             )
+        for each in transaction["remove"]:
+            self.remove(table=each["table"], key=each["key"])
         await self._reply(send, 200, {"ver": self._revision, "nowMs": _now_ms()})
 
+    def _has_revision(self, expected: Mapping[str, Any]) -> bool:
+        """Return whether a row has an expected revision, 0 if it doesn't exist."""
+        changes = [
+            change
+            for change in self._changes
+            if (change.table, change.key) == (expected["table"], expected["key"])
+        ]
+        exists = bool(changes) and changes[-1].value is not None
+        return expected["ver"] == (changes[-1].revision if exists else 0)
+
     def _has_history(self, *, after: int) -> bool:
         return self._oldest <= after <= self._revision
 
@@ -257,6 +277,7 @@
             if change.table == query["table"]
             and change.part == query.get("part", "")
             and change.key >= query.get("from", "")
+            and ("to" not in query or change.key < query["to"])
         }
         rows = [
             _row(newest[key]) for key in sorted(newest) if newest[key].value is not None
--- a/dotterelpaddle/tests/forwarding/cut_world.py
+++ b/dotterelpaddle/tests/forwarding/cut_world.py
@@ -9,7 +9,7 @@
 
 import random
 from contextlib import asynccontextmanager
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from functools import partial
 from typing import TYPE_CHECKING, Any
 
@@ -28,25 +28,10 @@
 
 @dataclass(kw_only=True)
 class CutWorld(RepeatsWorld):
-    """A fleet of router processes that may start in a network partition.
+    """A fleet of router processes that may start in a network partition."""
 
-    Attributes:
-        cut_off: Failure domains whose routers start with seeds of their own failure
-            domain alone.
-    """
-
-    cut_off: set[str] = field(default_factory=set)
     _moved: int = 0
 
-    def start(self, router: RouterProcess, *, first_start: bool = False) -> None:
-        """Start a router; one of a cut-off domain has only seeds of that domain."""
-        others = [each for each in self.routers if each is not router]
-        if router.failure_domain in self.cut_off:
-            domain = router.failure_domain
-            others = [each for each in others if each.failure_domain == domain]
-        seeds = [each.control for each in others][:3]
-        router.start(first_start=first_start, seeds=seeds, store=self.store_address)
-
     def members(self, *domains: str) -> list[RouterProcess]:
         """Return the routers of some failure domains."""
         return [each for each in self.routers if each.failure_domain in domains]
--- a/dotterelpaddle/tests/forwarding/test_cold.py
+++ b/dotterelpaddle/tests/forwarding/test_cold.py
@@ -20,7 +20,6 @@
 from dotterelpaddle.forwarding.caches import CacheMap
 from dotterelpaddle.forwarding.cold import ColdEndpoints
 from dotterelpaddle.forwarding.evacuations import EvacuationSnapshot
-from dotterelpaddle.forwarding.fleet_size import SETTLING_SECONDS
 from dotterelpaddle.forwarding.health import HealthTracker
 from dotterelpaddle.forwarding.interface import EndpointsUpdate
 from dotterelpaddle.forwarding.loads import LoadTracker
@@ -41,6 +40,7 @@
     RouterId,
     ServiceName,
 )
+from dotterelpaddle.registry.fleet_size import SETTLING_SECONDS
 from dotterelpaddle.tests.forwarding.entries import make_entry, make_request
 from dotterelpaddle.tests.revisions import revision_at
 
--- a/dotterelpaddle/tests/forwarding/test_sensitive_endpoints.py
+++ b/dotterelpaddle/tests/forwarding/test_sensitive_endpoints.py
@@ -9,8 +9,8 @@
 import pytest
 
 from dotterelpaddle.forwarding.backoffs import EndpointBackoffs
-from dotterelpaddle.forwarding.fleet_size import SETTLING_SECONDS
 from dotterelpaddle.ids import EndpointId
+from dotterelpaddle.registry.fleet_size import SETTLING_SECONDS
 from dotterelpaddle.tests.forwarding.entries import make_brittle, make_entry
 from dotterelpaddle.tests.forwarding.harness import run_fleet
 
--- a/dotterelpaddle/tests/forwarding/versions_world.py
+++ b/dotterelpaddle/tests/forwarding/versions_world.py
@@ -67,6 +67,8 @@
         generator: Source of all random choices.
         ports: Ports of all routers: callers, readiness, control, peers.
         counts: What became of the callers' streams.
+        cut_off: Failure domains whose routers start with seeds of their own failure
+            domain alone, so that they hear no others that start at the same time.
         names_last_try: Whether callers name the last try that brought events as the
             one that they resume, not the first.
     """
@@ -84,6 +86,7 @@
     entries: dict[str, dict[str, Any]] = field(default_factory=dict)
     counts: Counts = field(default_factory=Counts)
     calling: bool = True
+    cut_off: set[str] = field(default_factory=set)
     names_last_try: bool = False
     _callers: int = 0
     _requests: int = 0
@@ -135,8 +138,14 @@
         return Address(host=f"127.{high + 1}.{low}.{number}", port=self.ports[port])
 
     def start(self, router: RouterProcess, *, first_start: bool = False) -> None:
-        """Start a router with the others as its seeds."""
-        seeds = [each.control for each in self.routers if each is not router]
+        """Start a router with others as its seeds, in a cut those that it reaches."""
+        domain = router.failure_domain
+        seeds = [
+            each.control
+            for each in self.routers
+            if each is not router
+            and (domain not in self.cut_off or each.failure_domain == domain)
+        ]
         router.start(first_start=first_start, seeds=seeds[:3], store=self.store_address)
 
     async def start_all(self, *, first_start: bool = False) -> None:
--- a/dotterelpaddle/tests/owners/test_slot_lease.py
+++ b/dotterelpaddle/tests/owners/test_slot_lease.py
@@ -9,7 +9,6 @@
 import pytest
 
 from dotterelpaddle.address import Address
-from dotterelpaddle.forwarding.fleet_size import FleetSize
 from dotterelpaddle.forwarding.loads import LoadTracker
 from dotterelpaddle.forwarding.request_totals import TotalsTracker
 from dotterelpaddle.forwarding.view import FleetView
@@ -30,6 +29,7 @@
 from dotterelpaddle.peers.directory import PeerDirectory
 from dotterelpaddle.peers.messages import PeerInfo
 from dotterelpaddle.peers.owner_election import SLOT_OWNER_EXPIRY_SECONDS
+from dotterelpaddle.registry.fleet_size import FleetSize
 
 HERE, THERE = FailureDomain("here"), FailureDomain("there")
 ENDPOINT = EndpointId("brittle")
@@ -56,7 +56,7 @@
             directory=self.directory,
             heard=lambda: self.heard,
             fleet_size=FleetSize(
-                known=lambda: fleet, has_seeds=False, clock=self.clock
+                heard=lambda: fleet, has_seeds=False, clock=self.clock
             ),
             clock=self.clock,
         )
--- a/dotterelpaddle/tests/peers/test_messages.py
+++ b/dotterelpaddle/tests/peers/test_messages.py
@@ -46,6 +46,7 @@
     decode_report,
     encode_report,
 )
+from dotterelpaddle.registry.summary import RegistrySummary
 from dotterelpaddle.tests.revisions import revision_at
 
 OWN = Address(host="10.0.0.1", port=1)
@@ -125,6 +126,17 @@
     assert decode_report(datagram=encode_report(report=told)) == told
 
 
+def test_registry_summary_round_trip() -> None:
+    summary = RegistrySummary(
+        routers=88,
+        oldest=StoreTime(era=StoreEra(1), seconds=3.5),
+        as_of=StoreTime(era=StoreEra(2), seconds=12.25),
+    )
+    report = _report(registry=summary)
+
+    assert decode_report(datagram=encode_report(report=report)) == report
+
+
 def test_crash_notes_round_trip() -> None:
     notes = (
         CrashNote(
--- a/dotterelpaddle/tests/platform/test_store.py
+++ b/dotterelpaddle/tests/platform/test_store.py
@@ -13,10 +13,12 @@
     PlatformAnswerLost,
     PlatformUnavailable,
 )
+from dotterelpaddle.ids import RouterId
 from dotterelpaddle.links import Links
 from dotterelpaddle.peers.learned_rows import LearnedRows
 from dotterelpaddle.platform.documents import PlatformDocumentDecoder
 from dotterelpaddle.platform.names import Table
+from dotterelpaddle.platform.router_rows import RouterRowsSource
 from dotterelpaddle.platform.store import StoreSource
 from dotterelpaddle.standins.store import Cutting, Refusing, StoreStandin, run_store
 from dotterelpaddle.tests.platform.test_protocols import ENTRY
@@ -148,3 +150,37 @@
 
         with pytest.raises(PlatformAnswerLost):
             await source.put_stream_rows(rows={"versions": b"{}"})
+
+
+async def test_rows_of_routers_are_read_one_by_one_and_all_at_once() -> None:
+    async with _running(StoreStandin()) as source:
+        registry = RouterRowsSource(source=source)
+        for name in ("router-1", "router-10", "router-2"):
+            await registry.put_router_row(router=RouterId(name), row=name.encode())
+
+        one = await registry.router_row(router=RouterId("router-1"))
+        none = await registry.router_row(router=RouterId("router-3"))
+        everyone = await registry.router_rows()
+
+    assert [row.value for row in one.rows.values()] == [b"router-1"]
+    assert one.as_of is not None
+    assert not none.rows
+    assert len(everyone.rows) == 3
+
+
+# Guards against a row that a router renews while another one removes it.
+async def test_row_of_a_router_that_has_changed_is_not_removed() -> None:
+    router = RouterId("router-1")
+    async with _running(StoreStandin()) as source:
+        registry = RouterRowsSource(source=source)
+        await registry.put_router_row(router=router, row=b"1")
+        old = (await registry.router_rows()).rows
+        await registry.put_router_row(router=router, row=b"2")
+
+        await registry.remove_router_rows(rows=old)
+        kept = (await registry.router_rows()).rows
+        await registry.remove_router_rows(rows=kept)
+        left = (await registry.router_rows()).rows
+
+    assert kept[router].value == b"2"
+    assert not left
--- a/dotterelpaddle/tests/forwarding/test_fleet_size.py
+++ b/dotterelpaddle/tests/registry/test_fleet_size.py
@@ -1,6 +1,6 @@
 from __future__ import annotations
 
-from dotterelpaddle.forwarding.fleet_size import (
+from dotterelpaddle.registry.fleet_size import (
     MEMORY_SECONDS,
     SETTLING_SECONDS,
     FleetSize,
@@ -14,7 +14,7 @@
         self.now = 0.0
         self.known = 1
         self.fleet = FleetSize(
-            known=lambda: self.known, has_seeds=has_seeds, clock=lambda: self.now
+            heard=lambda: self.known, has_seeds=has_seeds, clock=lambda: self.now
         )
 
     def count_after(self, *, seconds: float, known: int) -> int | None:
