Let an owner grant slots only while it hears most of the registered routers

What callers saw: after all routers had been killed and started in a network partition, brittle endpoints ended one after the other, and next to nothing was served.

Cause: an owner grants the slots of endpoints while it hears more than half of the routers that it knows. One that has just started knows those that it hears, so that each side of a cut had an owner which granted all slots.

Owners now count the registered routers of the last three minutes, also while the store is away, which each side of a cut reads.

--- a/dotterelpaddle/owners/components.py
+++ b/dotterelpaddle/owners/components.py
@@ -63,6 +63,7 @@
         generator: Source of random retry times.
         clock: Monotonic clock.
     """
+    registry = state.registry
     shards = ShardMap(view=state.view)
     reporter = InFlightReporter(
         router=settings.router, loads=state.loads, shards=shards, clock=clock
@@ -75,6 +76,7 @@
         fleet_size=FleetSize(
             heard=lambda: max(state.directory.router_count, state.totals.router_count),
             has_seeds=state.directory.has_seeds,
+            registered=None if registry is None else lambda: registry.recent_routers,
             clock=clock,
             memory=PEER_EXPIRY_SECONDS,
         ),
--- a/dotterelpaddle/tests/forwarding/test_brittle_processes.py
+++ b/dotterelpaddle/tests/forwarding/test_brittle_processes.py
@@ -159,6 +159,23 @@
         await world.start_all()
 
 
+async def _starts_in_a_cut(world: BrittleProcesses) -> None:
+    """Kill all routers; each hears only its failure domain afterwards."""
+    world.cut_off.update(DOMAINS)
+    await _loss_of_all(world)
+
+
+async def _overload_after_starts_in_a_cut(world: BrittleProcesses) -> None:
+    """Kill all routers under more load than the endpoints can serve."""
+    world.cut_off.update(DOMAINS)
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(
+            partial(world.send, share=OVERLOAD_SHARE, seconds=1.5 * LOAD_SECONDS)
+        )
+        await anyio.sleep(CALM_SECONDS)
+        await world.kill(*world.routers)
+
+
 def _third(world: BrittleProcesses) -> list[RouterProcess]:
     return world.generator.sample(world.routers, ROUTERS // 3)
 
@@ -197,6 +214,8 @@
     _loss_of_all_as_a_first_start,
     _store_back_before_the_loss_of_all,
     _store_back_while_all_start,
+    _starts_in_a_cut,
+    _overload_after_starts_in_a_cut,
 ]
 
 
