Count what the tunnels of other routers hold, and open none without room

What callers saw: nothing yet. A router that carries the connections of others counted 0 bytes for them, beside the bound on what it holds, and took up to 256.

Process memory with 256 tunnels was not measured.

--- a/dotterelpaddle/forwarding/components.py
+++ b/dotterelpaddle/forwarding/components.py
@@ -153,7 +153,11 @@
         generator=generator,
     )
     tunnel_server = TunnelServer(
-        view=state.view, reachability=reachability, backend=backend, clock=clock
+        view=state.view,
+        reachability=reachability,
+        backend=backend,
+        held=state.held,
+        clock=clock,
     )
     client = ForwardClient(
         codec=dependencies.protocols,
--- a/dotterelpaddle/memory/kinds.py
+++ b/dotterelpaddle/memory/kinds.py
@@ -12,3 +12,4 @@
     ANSWER = "answer"
     UNREAD = "unread"
     CONNECTION = "connection"
+    TUNNEL = "tunnel"
--- a/dotterelpaddle/peers/tunnel_server.py
+++ b/dotterelpaddle/peers/tunnel_server.py
@@ -17,7 +17,10 @@
 
 from dotterelpaddle.accepting import accepting
 from dotterelpaddle.address import Address
+from dotterelpaddle.exceptions import NotAccepting
 from dotterelpaddle.logs import get_logger
+from dotterelpaddle.memory.held_bytes import REQUEST_BYTES
+from dotterelpaddle.memory.kinds import HeldKind
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Awaitable, Callable, Iterator
@@ -27,6 +30,7 @@
     from dotterelpaddle.clock import Clock
     from dotterelpaddle.forwarding.reachability import Reachability
     from dotterelpaddle.forwarding.view import FleetView
+    from dotterelpaddle.memory.held_bytes import HeldBytes
     from dotterelpaddle.network import LinkedBackend, LinkedStream
 
 log = get_logger(name=__name__)
@@ -42,6 +46,10 @@
 
 MAX_CHUNK_BYTES = 65536
 
+TUNNEL_BYTES = 2 * REQUEST_BYTES
+"""What an open tunnel takes besides the bytes that it copies: two tasks, and two
+connections with their buffers."""
+
 CONNECTION_ERRORS = (
     anyio.BrokenResourceError,
     anyio.ClosedResourceError,
@@ -64,6 +72,7 @@
         view: The endpoints in force; only their addresses are served.
         reachability: Endpoints that this router can't reach either.
         backend: Opens connections to endpoints.
+        held: Accounts for what the process holds, and bounds it.
         clock: Monotonic clock.
     """
 
@@ -73,11 +82,13 @@
         view: FleetView,
         reachability: Reachability,
         backend: LinkedBackend,
+        held: HeldBytes,
         clock: Clock,
     ) -> None:
         self._view = view
         self._reachability = reachability
         self._backend = backend
+        self._held = held
         self._clock = clock
         self._drain_until = float("-inf")
         self._open = 0
@@ -126,7 +137,8 @@
         self._open += 1
         try:
             async with stream:
-                await self._serve_connection(stream)
+                with self._held.hold(kind=HeldKind.TUNNEL, size=TUNNEL_BYTES):
+                    await self._serve_connection(stream)
         except CONNECTION_ERRORS as error:
             log.info("tunnel_broken", cause=repr(error))
         finally:
@@ -149,10 +161,18 @@
         if upstream is None:
             return
         try:
-            await _copy_both_ways(stream, upstream)
+            await self._copy_both_ways(stream, upstream)
         finally:
             await upstream.aclose()
 
+    def _has_room(self) -> bool:
+        """Return whether the process may hold what one more tunnel takes."""
+        try:
+            self._held.check_room(service=None, size=0)
+        except NotAccepting:
+            return False
+        return True
+
     async def _connect(self, target: str) -> tuple[int, LinkedStream | None]:
         entry = next(
             (each for each in self._view.entries if str(each.address) == target), None
@@ -161,7 +181,7 @@
             return STATUS_UNKNOWN_ENDPOINT, None
         if self._reachability.is_suspect(endpoint=entry.endpoint):
             return STATUS_TIMED_OUT, None
-        if self._open > MAX_TUNNELS:
+        if self._open > MAX_TUNNELS or not self._has_room():
             return STATUS_BUSY, None
         address = entry.address
         try:
@@ -176,6 +196,36 @@
             return STATUS_REFUSED, None
         return STATUS_ESTABLISHED, upstream
 
+    async def _copy_both_ways(
+        self, stream: SocketStream, upstream: LinkedStream
+    ) -> None:
+        """Copy bytes until either end closes."""
+        async with anyio.create_task_group() as tasks:
+
+            async def _copy(
+                read: Callable[[], Awaitable[bytes]],
+                write: Callable[[bytes], Awaitable[None]],
+            ) -> None:
+                try:
+                    while data := await read():
+                        with self._held.hold(kind=HeldKind.TUNNEL, size=len(data)):
+                            await write(data)
+                except CONNECTION_ERRORS as error:
+                    log.info("tunnel_broken", cause=repr(error))
+                tasks.cancel_scope.cancel()
+
+            async def _read_stream() -> bytes:
+                try:
+                    return await stream.receive(MAX_CHUNK_BYTES)
+                except anyio.EndOfStream:
+                    return b""
+
+            async def _read_upstream() -> bytes:
+                return await upstream.read(MAX_CHUNK_BYTES)
+
+            tasks.start_soon(_copy, _read_stream, upstream.write)
+            tasks.start_soon(_copy, _read_upstream, stream.send)
+
 
 async def _read_request(
     connection: h11.Connection, stream: SocketStream
@@ -193,31 +243,3 @@
         if isinstance(event, h11.Request) and event.method == b"CONNECT":
             return event
         return None
-
-
-async def _copy_both_ways(stream: SocketStream, upstream: LinkedStream) -> None:
-    """Copy bytes until either end closes."""
-    async with anyio.create_task_group() as tasks:
-
-        async def _copy(
-            read: Callable[[], Awaitable[bytes]],
-            write: Callable[[bytes], Awaitable[None]],
-        ) -> None:
-            try:
-                while data := await read():
-                    await write(data)
-            except CONNECTION_ERRORS as error:
-                log.info("tunnel_broken", cause=repr(error))
-            tasks.cancel_scope.cancel()
-
-        async def _read_stream() -> bytes:
-            try:
-                return await stream.receive(MAX_CHUNK_BYTES)
-            except anyio.EndOfStream:
-                return b""
-
-        async def _read_upstream() -> bytes:
-            return await upstream.read(MAX_CHUNK_BYTES)
-
-        tasks.start_soon(_copy, _read_stream, upstream.write)
-        tasks.start_soon(_copy, _read_upstream, stream.send)
