Divide connections by the routers that were registered before the store went away

While the number of routers is uncertain a router divides the connections of an endpoint by those that it hears, in a cut by those on its own side.

It now counts those that the registry had lately, too. The test of it failed before (60 connections for one router instead of 10); the other tests of test_fleet_bounds.py pass since routers are registered, and show what each bound leaves to a router that hears nobody: retries, cold endpoints and connections are divided by all.

--- a/dotterelpaddle/forwarding/shared_state.py
+++ b/dotterelpaddle/forwarding/shared_state.py
@@ -181,7 +181,9 @@
         else ConnectionLimits(
             view=view,
             router_count=lambda: fleet_size.count,
-            known_routers=lambda: max(_known_routers(), len(settings.seeds)),
+            known_routers=lambda: max(
+                _known_routers(), len(settings.seeds), registry.recent_routers or 0
+            ),
         ),
         slowdowns=Slowdowns(clock=clock),
         service_times=ServiceTimes(clock=clock),
