Let owners count the routers that run, not those that are gone for good

What callers of brittle endpoints would see: no slot granted for three minutes after more than half of the routers have been replaced by others of other names, as their rows still count.

A summary tells how many routers have renewed their rows in the last 45 s, and owners count these; rows are renewed each 30 s. What a bound is divided by keeps counting all rows of three minutes. Where a renewal fails the registry is still read.

--- a/dotterelpaddle/owners/components.py
+++ b/dotterelpaddle/owners/components.py
@@ -76,8 +76,9 @@
         fleet_size=FleetSize(
             heard=lambda: max(state.directory.router_count, state.totals.router_count),
             has_seeds=state.directory.has_seeds,
-            registered=None if registry is None else lambda: registry.recent_routers,
+            registered=None if registry is None else lambda: registry.active_routers,
             clock=clock,
+            use="slot_lease",
             memory=PEER_EXPIRY_SECONDS,
         ),
         clock=clock,
--- a/dotterelpaddle/peers/fields.py
+++ b/dotterelpaddle/peers/fields.py
@@ -22,16 +22,17 @@
     if summary is None:
         return None
     times = time_fields(summary.oldest), time_fields(summary.as_of)
-    return [summary.routers, *times]
+    return [summary.routers, summary.active, *times]
 
 
 def decode_registry(fields: Any) -> RegistrySummary | None:
     """Decode a summary of the registry, None for none."""
     if fields is None:
         return None
-    routers, oldest, as_of = fields
+    routers, active, oldest, as_of = fields
     return RegistrySummary(
         routers=int(routers),
+        active=int(active),
         oldest=decode_store_time(oldest),
         as_of=decode_store_time(as_of),
     )
--- a/dotterelpaddle/registry/fleet_size.py
+++ b/dotterelpaddle/registry/fleet_size.py
@@ -35,6 +35,7 @@
         registered: Returns the number of routers in the registry, None while it is
             uncertain. Without a registry those that were heard are all that are known.
         clock: Monotonic clock.
+        use: What the number is for, in log lines.
         memory: Seconds for which routers that are no longer heard still count.
     """
 
@@ -45,12 +46,14 @@
         has_seeds: bool,
         registered: Callable[[], int | None] | None = None,
         clock: Clock,
+        use: str = "bounds",
         memory: float = MEMORY_SECONDS,
     ) -> None:
         self._heard = heard
         self._has_seeds = has_seeds
         self._registered = registered
         self._clock = clock
+        self._use = use
         self._memory = memory
         self._started_at = clock()
         self._largest = 1
@@ -63,7 +66,7 @@
         heard = self._heard()
         count = self._count(heard=heard)
         if count != self._logged:
-            log.info("fleet_size_changed", count=count, heard=heard)
+            log.info("fleet_size_changed", use=self._use, count=count, heard=heard)
             self._logged = count
         return count
 
--- a/dotterelpaddle/registry/known.py
+++ b/dotterelpaddle/registry/known.py
@@ -29,13 +29,16 @@
 EXPIRY_SECONDS = 180.0
 """Seconds after its last renewal for which a registration counts."""
 
+ACTIVE_SECONDS = 45.0
+"""Seconds after its last renewal for which a router is taken to run."""
+
 MAX_SUMMARY_AGE_SECONDS = 20.0
 """Seconds for which a summary may be relied on."""
 
 JOIN_SECONDS = 30.0
 """Seconds after its registration for which a router waits until it divides a bound. All
-others have newer summaries by then, though the store may perform a write ten seconds
-late."""
+others have newer summaries ten seconds before: the store may perform a write late, and
+what they spent of a larger part must leave the window of a bound."""
 
 SIMULTANEOUS_SECONDS = 5.0
 """Seconds within which the routers of a new fleet register."""
@@ -111,8 +114,19 @@
         summary = self._summary
         if summary is None:
             return None
-        expired = self._clock() - self._summary_at > EXPIRY_SECONDS
-        return 0 if expired else summary.routers
+        return 0 if self._has_expired else summary.routers
+
+    @property
+    def active_routers(self) -> int | None:
+        """Number of those that ran when they were read last, as long as it holds."""
+        summary = self._summary
+        if summary is None:
+            return None
+        return 0 if self._has_expired else summary.active
+
+    @property
+    def _has_expired(self) -> bool:
+        return self._clock() - self._summary_at > EXPIRY_SECONDS
 
     @property
     def obstacle(self) -> RegistryObstacle | None:
--- a/dotterelpaddle/registry/service.py
+++ b/dotterelpaddle/registry/service.py
@@ -15,6 +15,7 @@
 from dotterelpaddle.forwarding.store_clock import StoreTime
 from dotterelpaddle.logs import get_logger
 from dotterelpaddle.registry.known import (
+    ACTIVE_SECONDS,
     EXPIRY_SECONDS,
     MAX_SUMMARY_AGE_SECONDS,
     SIMULTANEOUS_SECONDS,
@@ -47,7 +48,7 @@
 MAX_START_DELAY_SECONDS = 0.3
 """Longest time until the first call, as all routers of a fleet may start at once."""
 
-RENEWAL_SECONDS = 60.0
+RENEWAL_SECONDS = 30.0
 """Seconds between two renewals of a registration."""
 
 MAX_COOLDOWN_SECONDS = 8.0
@@ -131,10 +132,11 @@
         own = self._known.own
         if own is None or self._may_be_unlisted(own):
             await self._register()
-        elif self._store_clock.age(of=own.renewed_at) > RENEWAL_SECONDS:
-            await self._write(registered_at=own.registered_at)
+            own = self._known.own
         if self._known.own is not None and self._is_read_due():
             await self._read_all()
+        if own is not None and self._is_renewal_due(own):
+            await self._write(registered_at=own.registered_at)
 
     def _may_be_unlisted(self, own: Registration) -> bool:
         """Return whether the store may not have this router's row any more."""
@@ -143,6 +145,9 @@
             return True
         return self._store_clock.age(of=own.renewed_at) > EXPIRY_SECONDS
 
+    def _is_renewal_due(self, own: Registration) -> bool:
+        return self._store_clock.age(of=own.renewed_at) > RENEWAL_SECONDS
+
     def _is_read_due(self) -> bool:
         age = self._known.summary_age
         uptime = self._clock() - self._started_at
@@ -207,6 +212,7 @@
         if listed:
             summary = RegistrySummary(
                 routers=len(listed),
+                active=sum(_is_active(each, as_of=as_of) for each in listed),
                 oldest=min(each.registered_at for each in listed),
                 as_of=as_of,
             )
@@ -237,6 +243,14 @@
         return answer
 
 
+def _is_active(registration: Registration, *, as_of: StoreTime) -> bool:
+    """Return whether a router ran a moment before the rows were read."""
+    renewed_at = registration.renewed_at
+    if renewed_at.era != as_of.era:
+        return True
+    return as_of.seconds - renewed_at.seconds <= ACTIVE_SECONDS
+
+
 def _is_current(registration: Registration, *, as_of: StoreTime) -> bool:
     """Return whether a row of this router still counts at all readers."""
     renewed_at = registration.renewed_at
--- a/dotterelpaddle/registry/summary.py
+++ b/dotterelpaddle/registry/summary.py
@@ -14,11 +14,14 @@
     """The registry as it was at one moment.
 
     Attributes:
-        routers: Number of routers that had renewed their registration lately.
-        oldest: When the first of them was registered.
+        routers: Number of routers whose registration had not expired.
+        active: Number of those that had renewed it within `ACTIVE_SECONDS`, and so ran
+            a moment before.
+        oldest: When the first of the routers was registered.
         as_of: When the store read them.
     """
 
     routers: int
+    active: int
     oldest: StoreTime
     as_of: StoreTime
--- a/dotterelpaddle/tests/peers/test_messages.py
+++ b/dotterelpaddle/tests/peers/test_messages.py
@@ -99,6 +99,7 @@
             "parts": 1,
             "registry": RegistrySummary(
                 routers=88,
+                active=86,
                 oldest=StoreTime(era=StoreEra(1), seconds=3.5),
                 as_of=StoreTime(era=StoreEra(2), seconds=12.25),
             ),
--- a/dotterelpaddle/tests/registry/test_fleet_bounds.py
+++ b/dotterelpaddle/tests/registry/test_fleet_bounds.py
@@ -97,7 +97,9 @@
         long_ago = StoreTime(era=FIRST_ERA, seconds=1.0)
         registry.own = Registration(registered_at=long_ago, renewed_at=now)
         registry.receive(
-            summary=RegistrySummary(routers=ROUTERS, oldest=long_ago, as_of=now)
+            summary=RegistrySummary(
+                routers=ROUTERS, active=ROUTERS, oldest=long_ago, as_of=now
+            )
         )
 
     @property
--- a/dotterelpaddle/tests/registry/test_registry.py
+++ b/dotterelpaddle/tests/registry/test_registry.py
@@ -13,6 +13,7 @@
 from dotterelpaddle.ids import Revision, RouterId, StoreEra
 from dotterelpaddle.registry.interface import RegistryRow, RegistryRows
 from dotterelpaddle.registry.known import (
+    ACTIVE_SECONDS,
     EXPIRY_SECONDS,
     JOIN_SECONDS,
     MAX_SUMMARY_AGE_SECONDS,
@@ -161,6 +162,31 @@
     assert set(store.rows) == {"r2"}
 
 
+# Guards against owners that grant no slots for long, as many routers are gone for good.
+def test_router_that_has_gone_soon_counts_as_not_running() -> None:
+    store = Store()
+    Process(store=store, name="r1").run(seconds=5)
+    process = Process(store=store, name="r2")
+
+    process.run(seconds=5)
+    assert process.known.active_routers == 2
+    process.run(seconds=ACTIVE_SECONDS + READ_INTERVAL_SECONDS)
+    assert process.known.active_routers == 1
+    assert process.known.routers == 2
+
+
+# Guards against owners on two sides of a cut that start after a long time without any.
+def test_router_that_starts_after_a_long_time_runs_at_once() -> None:
+    store = Store()
+    Process(store=store, name="r1").run(seconds=5)
+    store.now += 2 * ACTIVE_SECONDS
+    Process(store=store, name="r1").run(seconds=1)
+    other = Process(store=store, name="r2")
+    other.run(seconds=HEARING_SECONDS + 1)
+
+    assert other.known.active_routers == 2
+
+
 def test_running_router_renews_its_registration() -> None:
     store = Store()
     process = Process(store=store)
