--- a/dotterelpaddle/registry/service.py
+++ b/dotterelpaddle/registry/service.py
@@ -141,7 +141,7 @@
     def _may_be_unlisted(self, own: Registration) -> bool:
         """Return whether the store may not have this router's row any more."""
         summary = self._known.summary
-        if summary is not None and summary.as_of.era != own.renewed_at.era:
+        if summary is not None and summary.as_of.era > own.renewed_at.era:
             return True
         return self._store_clock.age(of=own.renewed_at) > EXPIRY_SECONDS
 
