Write a router's own row anew if it can't be decoded

A malformed row counts as a router that joined long ago. Under a router's own name it was taken over as such, so that this router did not wait until others count it. Found in reading; test_router_writes_its_own_row_anew_if_nobody_can_read_it fails without.

--- a/dotterelpaddle/registry/service.py
+++ b/dotterelpaddle/registry/service.py
@@ -166,7 +166,7 @@
         earlier = _decoded(answer).get(self._router)
         if answer.as_of is None:
             return
-        if earlier is not None and _is_current(earlier, as_of=answer.as_of):
+        if earlier is not None and _may_be_taken_over(earlier, as_of=answer.as_of):
             self._known.own = earlier
             log.info("registration_found", router=self._router)
             return
@@ -251,10 +251,10 @@
     return as_of.seconds - renewed_at.seconds <= ACTIVE_SECONDS
 
 
-def _is_current(registration: Registration, *, as_of: StoreTime) -> bool:
-    """Return whether a row of this router still counts at all readers."""
+def _may_be_taken_over(registration: Registration, *, as_of: StoreTime) -> bool:
+    """Return whether a row of this router is sound, and still counts at all readers."""
     renewed_at = registration.renewed_at
-    if renewed_at.era != as_of.era:
+    if renewed_at.era != as_of.era or registration.registered_at == LONG_AGO:
         return False
     return as_of.seconds - renewed_at.seconds < EXPIRY_SECONDS
 
--- a/dotterelpaddle/tests/registry/test_registry.py
+++ b/dotterelpaddle/tests/registry/test_registry.py
@@ -207,6 +207,18 @@
     assert process.known.routers == 2
 
 
+# Guards against a router that does not wait after another writer spoilt its row.
+def test_router_writes_its_own_row_anew_if_nobody_can_read_it() -> None:
+    store = Store()
+    Process(store=store, name="r1").run(seconds=60)
+    store.rows[RouterId("r2")] = RegistryRow(value=b"[", revision=Revision(1))
+    process = Process(store=store, name="r2")
+
+    process.run(seconds=READ_INTERVAL_SECONDS)
+
+    assert process.known.obstacle is RegistryObstacle.JOINING
+
+
 # Guards against a router that relies on a row which a copy of the store does not have.
 def test_store_back_from_a_copy_loses_no_router() -> None:
     store = Store()
