Tell a summary of the registry only while its age is known

Routers that start one after the other while the store is away could pass a number of routers on to each other for good, each counting it as new from its arrival. Owners would count routers that have gone long ago, and grant no slots. Found in reading; test_summary_is_told_only_by_those_who_know_its_age guards against it.

--- a/dotterelpaddle/peers/exchange.py
+++ b/dotterelpaddle/peers/exchange.py
@@ -266,7 +266,7 @@
             endpoints_lost=self._reachability.endpoints_lost,
             seeks_tunnels=service_lost,
             service_lost=service_lost,
-            registry=None if self._registry is None else self._registry.summary,
+            registry=None if self._registry is None else self._registry.to_tell,
         )
 
     def _totals_for(self, *, own: RequestTotals, recipient: Recipient) -> RequestTotals:
--- a/dotterelpaddle/registry/known.py
+++ b/dotterelpaddle/registry/known.py
@@ -83,6 +83,14 @@
         """The latest summary, read by this router or told by another one."""
         return self._summary
 
+    @property
+    def to_tell(self) -> RegistrySummary | None:
+        """The latest summary, None if this router can't tell whether it still holds.
+
+        Routers that reach no store would else pass it on among each other for good.
+        """
+        return self._summary if self.summary_age <= EXPIRY_SECONDS else None
+
     def receive(self, *, summary: RegistrySummary | None) -> None:
         """Keep a summary if it is the latest one."""
         known = self._summary
--- a/dotterelpaddle/tests/forwarding/budget_fleet.py
+++ b/dotterelpaddle/tests/forwarding/budget_fleet.py
@@ -174,7 +174,7 @@
                         failure_domain=HERE,
                         totals=totals,
                     )
-                    recipient.known.receive(summary=sender.known.summary)
+                    recipient.known.receive(summary=sender.known.to_tell)
 
     def worst_excess(self) -> float:
         """Return the most retries of any window beyond what its requests allow."""
--- a/dotterelpaddle/tests/registry/test_registry.py
+++ b/dotterelpaddle/tests/registry/test_registry.py
@@ -150,6 +150,21 @@
     assert process.known.recent_routers == 0
 
 
+# Guards against a number that routers which start during an outage of the store pass on
+# to each other for good.
+def test_summary_is_told_only_by_those_who_know_its_age() -> None:
+    store = Store()
+    first = Process(store=store, name="r1")
+    first.run(seconds=60)
+    without_store = Process(store=store, name="r2")
+    without_store.known.receive(summary=first.known.to_tell)
+
+    assert without_store.known.active_routers == 1
+    assert without_store.known.to_tell is None
+    store.now += EXPIRY_SECONDS + 1
+    assert first.known.to_tell is None
+
+
 def test_registration_that_is_not_renewed_expires_and_its_row_goes() -> None:
     store = Store()
     Process(store=store, name="r1").run(seconds=5)
--- a/dotterelpaddle/tests/registry/test_registry_machine.py
+++ b/dotterelpaddle/tests/registry/test_registry_machine.py
@@ -145,7 +145,7 @@
     @rule(sender=st.sampled_from(NAMES), recipient=st.sampled_from(NAMES))
     def tell(self, sender: RouterId, recipient: RouterId) -> None:
         if {sender, recipient} <= self.processes.keys():
-            summary = self.processes[sender].known.summary
+            summary = self.processes[sender].known.to_tell
             self.processes[recipient].known.receive(summary=summary)
 
     @rule(seconds=st.sampled_from([0.2, 1.0, 5.0]))
