--- a/dotterelpaddle/tests/forwarding/test_repeats_in_cuts.py
+++ b/dotterelpaddle/tests/forwarding/test_repeats_in_cuts.py
@@ -66,6 +66,14 @@
     await world.start_again(chosen)
 
 
+async def all_stop_in_turn(world: CutWorld) -> None:
+    """Stop one router after the other; each hears its failure domain afterwards."""
+    world.cut_off.update(DOMAINS)
+    for router in world.routers:
+        await world.end([router], number=signal.SIGTERM)
+        await world.start_again([router])
+
+
 async def all_start_connected(world: CutWorld) -> None:
     """Kill all routers; each hears all others afterwards."""
     await world.end(world.routers, number=signal.SIGKILL)
@@ -147,6 +155,7 @@
     return world.proxies
 
 
+START_SCENES = [all_start_in_a_cut, a_domain_starts_unseen, all_stop_in_turn]
 PROXY_SCENES = [
     added_in_a_cut,
     running_are_cut,
@@ -190,7 +199,7 @@
 
 # Guards against routers that start in a network partition, count only those on their
 # own side of it, and together spend the retry allowance several times.
-@pytest.mark.parametrize("scene", [all_start_in_a_cut, a_domain_starts_unseen])
+@pytest.mark.parametrize("scene", START_SCENES if ALL else START_SCENES[:2])
 @pytest.mark.parametrize("seed", SEEDS)
 async def test_routers_that_start_in_a_cut_keep_the_retry_budget(
     seed: int, scene: Scene, tmp_path: Path
