--- a/review/lib2/deployment.py
+++ b/review/lib2/deployment.py
@@ -25,8 +25,9 @@
 WALKTHROUGH, RECEIPT, SESSION = "/walkthrough/", "/receipt/", "/session-rec/"
 WALKTHROUGH_MS, RECORD_BUDGET_MS, RECORD_TIMEOUT_MS = 15_000, 1_500, 800
 
-EVENT_SECONDS = 0.06
-"""Seconds between two events of five tokens, at a step of twelve ms."""
+EVENTS = 76
+EVENT_SECONDS = 0.025
+"""Seconds between two events of five tokens, at a step of five ms."""
 
 MAX_HEADER_BYTES = 16_384
 
@@ -101,8 +102,15 @@
 
 
 @asynccontextmanager
-async def running() -> AsyncIterator[Deployment]:
-    """Run a deployment until the context ends."""
+async def running(
+    *, event_seconds: float = EVENT_SECONDS, max_descriptors: int | None = None
+) -> AsyncIterator[Deployment]:
+    """Run a deployment until the context ends.
+
+    Args:
+        event_seconds: Seconds between two events of a stream.
+        max_descriptors: Descriptors of each router, None for those of this process.
+    """
     store = Store()
     await store.start()
     store.put("op", "config", json.dumps(configuration()).encode())
@@ -113,7 +121,7 @@
             service=MODELS,
             zone=ZONES[number % len(ZONES)],
             slots=MODEL_SLOTS,
-            event_seconds=EVENT_SECONDS,
+            event_seconds=event_seconds,
         )
         for number in range(MODEL_RUNNERS)
     ]
@@ -129,7 +137,7 @@
     ]
     for runner in [*models, *records]:
         await runner.start()
-    fleet = Fleet(zones=ZONES, store=store.address)
+    fleet = Fleet(zones=ZONES, store=store.address, max_descriptors=max_descriptors)
     try:
         await fleet.start()
         yield Deployment(store=store, models=models, records=records, fleet=fleet)
--- a/review/lib2/fleet.py
+++ b/review/lib2/fleet.py
@@ -6,6 +6,7 @@
 import json
 import os
 import random
+import resource
 import signal
 import subprocess
 import tempfile
@@ -25,6 +26,12 @@
 CALLERS, READINESS, CONTROL, METRICS, PEERS, TUNNELS = range(6)
 """What listens on a router's ports, by offset from the first one."""
 
+MEMORY_MB = 300
+"""Memory of a machine; the platform kills a process that takes more."""
+
+RESTART_SECONDS = 0.5
+"""Seconds after which the platform starts a process again that has ended."""
+
 STARTS = 20
 """Tries to find ports that are free on all addresses of a fleet."""
 
@@ -39,13 +46,22 @@
     Args:
         zones: The zone of each router.
         store: Address of the store.
+        max_descriptors: Descriptors of each router, None for those of this process.
     """
 
-    def __init__(self, *, zones: list[str], store: tuple[str, int]) -> None:
+    def __init__(
+        self,
+        *,
+        zones: list[str],
+        store: tuple[str, int],
+        max_descriptors: int | None = None,
+    ) -> None:
+        self._max_descriptors = max_descriptors
         self._zones = zones
         self._store = store
         self._folder = tempfile.TemporaryDirectory()
         self._processes: list[subprocess.Popen[bytes]] = []
+        self.own_ends: list[list[float]] = [[] for _ in zones]
         net = random.randrange(2, 250)
         self._hosts = [f"127.77.{net}.{number + 1}" for number in range(len(zones))]
         self._port = random.randrange(20_000, 30_000)
@@ -60,6 +76,25 @@
         """Exit codes of the processes, None for those that run."""
         return [each.poll() for each in self._processes]
 
+    def memory_mb(self) -> list[float]:
+        """Return the resident memory of each running process, megabytes."""
+        pages = [
+            int(Path(f"/proc/{each.pid}/statm").read_text().split()[1])
+            for each in self._processes
+            if each.poll() is None
+        ]
+        return [each * os.sysconf("SC_PAGE_SIZE") / 1e6 for each in pages]
+
+    def errors(self) -> list[str]:
+        """Return the lines of each router's output that name an error of Python."""
+        logs = sorted(Path(self._folder.name).glob("*.log"))
+        return [
+            " / ".join(
+                {line for line in each.read_text().splitlines() if _is_error(line)}
+            )
+            for each in logs
+        ]
+
     async def start(self) -> None:
         """Start all routers and wait until they are ready.
 
@@ -69,7 +104,7 @@
         if not (ROOT / "target" / "deps").is_dir():
             raise CannotRun("run the build of the deploy file first")
         for number in range(len(self._zones)):
-            self._start(number)
+            self._processes.append(self._launch(number, first_start=True))
         ends_at = time.monotonic() + STARTS
         for host in self._hosts:
             while not await self._is_ready(host):
@@ -77,6 +112,19 @@
                     raise CannotRun(f"the router at {host} is not ready in time")
                 await asyncio.sleep(0.1)
 
+    async def restart_ended(self) -> None:
+        """Start processes again that have ended, as the platform does.
+
+        `own_ends` receives the times of their ends, seconds on the monotonic clock.
+        """
+        while True:
+            for number, process in enumerate(self._processes):
+                if process.poll() is not None:
+                    self.own_ends[number].append(time.monotonic())
+                    await asyncio.sleep(RESTART_SECONDS)
+                    self._processes[number] = self._launch(number, first_start=False)
+            await asyncio.sleep(0.05)
+
     def end(self) -> None:
         """End all routers."""
         for each in self._processes:
@@ -85,9 +133,10 @@
                 each.wait()
         self._folder.cleanup()
 
-    def _start(self, number: int) -> None:
+    def _launch(self, number: int, *, first_start: bool) -> subprocess.Popen[bytes]:
         path = Path(self._folder.name) / f"{number}.yaml"
-        path.write_text(json.dumps(self._settings(number)))
+        settings = {**self._settings(number), "first_start": first_start}
+        path.write_text(json.dumps(settings))
         deploy = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())
         environment = {
             "PATH": os.environ["PATH"],
@@ -95,15 +144,25 @@
             "PYTHONPATH": str(ROOT / "target" / "deps"),
             "DOTTERELPADDLE_SETTINGS": str(path),
         }
-        with path.with_suffix(".log").open("wb") as output:
-            process = subprocess.Popen(
+        with path.with_suffix(".log").open("ab") as output:
+            return subprocess.Popen(
                 deploy["roles"]["router"]["run"].split(),
                 cwd=ROOT,
                 env=environment,
                 stdout=output,
                 stderr=subprocess.STDOUT,
+                preexec_fn=self._limit_descriptors,
             )
-        self._processes.append(process)
+
+    def _limit_descriptors(self) -> None:
+        """Limit the descriptors of a router, as the platform does."""
+        limit = self._max_descriptors
+        if limit is not None:
+            resource.setrlimit(resource.RLIMIT_NOFILE, (limit, limit))
+
+    async def is_ready(self, number: int) -> bool:
+        """Ask a router as the platform's balancer does."""
+        return await self._is_ready(self._hosts[number])
 
     def _settings(self, number: int) -> dict[str, Any]:
         """Return what the platform makes of the template of the deploy file."""
@@ -112,7 +171,6 @@
             "router": f"front-{self._zones[number]}-{number}",
             "failure_domain": self._zones[number],
             "regions": dict.fromkeys(self._zones, "prairie"),
-            "first_start": True,
             "listen": {
                 "callers": f"{host}:{port + CALLERS}",
                 "readiness": f"{host}:{port + READINESS}",
@@ -128,7 +186,7 @@
             "store": "{}:{}".format(*self._store),
             "leaving_ms": 2000,
             "terms": TERMS,
-            "memory_mb": 300,
+            "memory_mb": MEMORY_MB,
             "shutdown_seconds": 8,
             "repeats": {"share": 0.2, "allowance": 52, "window_seconds": 10},
         }
@@ -145,3 +203,8 @@
         except (OSError, TimeoutError):
             return False
         return b" 200 " in line
+
+
+def _is_error(line: str) -> bool:
+    """Return whether a line of a traceback names the error."""
+    return "Error: " in line and not line.startswith("{")
--- a/review/lib2/playing.py
+++ b/review/lib2/playing.py
@@ -83,6 +83,10 @@
         except CannotRun as error:
             record.say(f"could not run: {error}")
             return COULD_NOT_RUN
+        except Exception as error:
+            # A fault of the script itself says nothing of the rule.
+            record.say(f"could not run: {error!r}")
+            return COULD_NOT_RUN
         finally:
             watching.cancel()
         record.say(f"longest pause of the stand-ins themselves: {worst[0]:.3f} s")
--- a/review/lib2/runners.py
+++ b/review/lib2/runners.py
@@ -11,9 +11,15 @@
 from wire import ATTEMPT_ID, EXPECTED_RUNNER, SEAL, Request, answer, read_request
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from store import Store
 
 BEAT_SECONDS = 1.2
+NOT_EXECUTED = "X-Dotterelpaddle-Not-Executed"
+MEMORY_TOKENS = 656_486
+"""Tokens for which a model runner has memory."""
+
 CACHE_LIST = b'{"epoch": 1, "next": 1, "held": []}'
 
 
@@ -55,11 +61,13 @@
         work_seconds: float = 0.06,
     ) -> None:
         self._store = store
-        self._service = service
-        self._zone = zone
+        self.service = service
+        self.zone = zone
+        self.slots = slots
+        self.crashed = False
+        self.before_answer: Callable[[Request], None] = lambda request: None
         self._work_seconds = work_seconds
         self._changes = 0
-        self._slots = slots
         self._free = asyncio.Semaphore(slots)
         self._connections: set[asyncio.StreamWriter] = set()
         self.name = name
@@ -76,20 +84,26 @@
 
     def crash(self) -> None:
         """End at once: no entry is written any more, connections are reset."""
+        self.crashed = True
         self._beats.cancel()
         self._server.close()
         for writer in self._connections:
             writer.transport.abort()
 
+    def forget_entry(self) -> None:
+        """Let the store drop the entry, as after three beats of silence."""
+        loop = asyncio.get_running_loop()
+        loop.call_later(BEAT_SECONDS, self._store.drop, "servers", self.name)
+
     async def _beat(self) -> None:
         while True:
             self._changes += 1
             entry = {
-                "service": self._service,
+                "service": self.service,
                 "address": self.address,
-                "zone": self._zone,
+                "zone": self.zone,
                 "version": "v1",
-                "slots": self._slots,
+                "slots": self.slots,
                 "state": "ready",
                 "coldLeftMs": 0,
                 "seq": self._changes,
@@ -119,13 +133,21 @@
             writer.write(answer(200, CACHE_LIST))
         elif request.headers.get(EXPECTED_RUNNER, self.name) != self.name:
             writer.write(answer(421, X_Dotterelpaddle_Runner_Id=self.name))
+        elif self._rejects(request):
+            headers = {ATTEMPT_ID: request.attempt, NOT_EXECUTED: "1"}
+            writer.write(answer(503, **headers))
         else:
             async with self._free:
                 run = Run(attempt=request.attempt, at=time.monotonic())
                 self.runs.append(run)
+                self.before_answer(request)
                 await self._work(request, writer)
                 run.ended = True
 
+    def _rejects(self, request: Request) -> bool:
+        """Return whether there is no room for a request, however long it waits."""
+        return False
+
     async def _work(self, request: Request, writer: asyncio.StreamWriter) -> None:
         await asyncio.sleep(self._work_seconds)
         headers = {ATTEMPT_ID: request.attempt, SEAL: f"seal.{request.attempt}"}
@@ -145,6 +167,9 @@
         self._event_seconds = event_seconds
         self.models = ["m"]
 
+    def _rejects(self, request: Request) -> bool:
+        return prompt_tokens(request) > MEMORY_TOKENS
+
     async def _work(self, request: Request, writer: asyncio.StreamWriter) -> None:
         attempt = request.attempt
         head = [
@@ -167,3 +192,9 @@
 def events_of(request: Request) -> int:
     """Return the events of a stream, which its path names."""
     return int(request.target.rsplit("/", 1)[1])
+
+
+def prompt_tokens(request: Request) -> int:
+    """Return the tokens of the parts of a prompt."""
+    prefix = request.headers.get("x-dotterelpaddle-prompt-prefix", "")
+    return sum(int(each.rsplit(":", 1)[1]) for each in prefix.split(",") if each)
--- a/review/lib2/wire.py
+++ b/review/lib2/wire.py
@@ -50,6 +50,9 @@
         whole: Whether the answer was complete.
         started_after: Seconds until the head of the answer, None without one.
         headers: Headers of the answer, names in lower case.
+        timed_out: Whether the client stopped watching.
+        prompt: Parts of its prompt, empty for none.
+        router: Host of the router.
     """
 
     attempt: str
@@ -60,6 +63,9 @@
     whole: bool = False
     started_after: float | None = None
     headers: dict[str, str] = field(default_factory=dict)
+    timed_out: bool = False
+    prompt: str = ""
+    router: str = ""
 
 
 def new_attempt() -> str:
@@ -132,7 +138,7 @@
         body: Body.
         patience: Seconds after which the client stops watching.
     """
-    result = Result(attempt=new_attempt(), sent_at=time.monotonic())
+    result = Result(attempt=new_attempt(), sent_at=time.monotonic(), router=address[0])
     lines = [
         f"{method} {target} HTTP/1.1",
         f"Host: {host}",
@@ -155,7 +161,9 @@
             result.status = int(first.split(" ")[1])
             result.headers = _headers(rest)
             await _read_body(reader, result)
-    except (TimeoutError, OSError, asyncio.IncompleteReadError):
+    except TimeoutError:
+        result.timed_out = True
+    except (OSError, asyncio.IncompleteReadError):
         # What came until then stands in the result.
         pass
     finally:
