--- a/review/lib2/playing.py
+++ b/review/lib2/playing.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import os
+import signal
 import sys
 import time
 from pathlib import Path
@@ -76,6 +77,11 @@
         os._exit(code)
 
     async def _code() -> int:
+        # Whoever stops the script ends the processes that it started, too.
+        this = asyncio.current_task()
+        assert this is not None
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(number, this.cancel)
         worst = [0.0]
         watching = asyncio.create_task(watch_own_lag(worst))
         try:
@@ -83,6 +89,9 @@
         except CannotRun as error:
             record.say(f"could not run: {error}")
             return COULD_NOT_RUN
+        except asyncio.CancelledError:
+            record.say("could not run: it was stopped")
+            return COULD_NOT_RUN
         except Exception as error:
             # A fault of the script itself says nothing of the rule.
             record.say(f"could not run: {error!r}")
