Bound the prompt tokens that a caller states, and sums that routers report

With 400 or 4,400 digits the client itself got a 500.

Cause: the figure was taken at any size and added to the queued tokens of an endpoint, which each report names; a report holds 64 bits. A bound on a part alone is not enough: each of 20 requests with 14 shared parts of 18 nines fits, and their sum does not.

Now a part counts as at most a billion tokens, more than any engine has memory for; the request goes on with its header as it came, and the endpoint decides. Counts are bounded once more where a report writes them, so that no sum can fail to be written.

--- a/dotterelpaddle/peers/messages.py
+++ b/dotterelpaddle/peers/messages.py
@@ -11,6 +11,7 @@
 import orjson
 
 from dotterelpaddle.address import Address
+from dotterelpaddle.counts import bounded_count
 from dotterelpaddle.exceptions import ControlError
 from dotterelpaddle.forwarding.evacuations import EvacuationSnapshot
 from dotterelpaddle.forwarding.leaving import LeavingNotice
@@ -141,12 +142,15 @@
                 totals.scope.value,
                 totals.routers,
                 {
-                    name: load
+                    name: bounded_count(value=load)
                     for endpoint, load in totals.loads.items()
                     if (name := incarnations.name(endpoint=endpoint)) is not None
                 },
                 {
-                    service: [counts.requests, counts.retries]
+                    service: [
+                        bounded_count(value=counts.requests),
+                        bounded_count(value=counts.retries),
+                    ]
                     for service, counts in totals.retries.items()
                 },
             ],
@@ -162,7 +166,7 @@
             [peer_fields(peer) for peer in report.peers[:MAX_LISTED_PEERS]],
             incarnations.encoded,
             {
-                name: tokens
+                name: bounded_count(value=tokens)
                 for endpoint, tokens in totals.queued_tokens.items()
                 if (name := incarnations.name(endpoint=endpoint)) is not None
             },
--- a/dotterelpaddle/platform/protocols.py
+++ b/dotterelpaddle/platform/protocols.py
@@ -5,6 +5,7 @@
 import re
 from typing import TYPE_CHECKING, Any
 
+from dotterelpaddle.counts import parse_count
 from dotterelpaddle.exceptions import MalformedRequest
 from dotterelpaddle.forwarding.interface import (
     AnswerHead,
@@ -33,7 +34,7 @@
 """Value of a boolean header that is true."""
 
 _TOKEN_COUNT = re.compile(r"([0-9]{1,18})\s*,\s*([0-9]{1,18})")
-_PART = re.compile(r"\s*([0-9a-fA-F]+):(\d+)\s*")
+_PART = re.compile(r"\s*([0-9a-fA-F]+):([0-9]+)\s*")
 _FIGURE = r"\s*(\d{1,9})\s*"
 _LOAD = re.compile(f"{_FIGURE},{_FIGURE},{_FIGURE}(?:,{_FIGURE})?", re.ASCII)
 
@@ -183,12 +184,13 @@
 
 
 def _prompt(text: str) -> tuple[PromptPart, ...]:
-    """Decode the parts of a prompt; skip invalid ones."""
+    """Decode the parts of a prompt; skip invalid ones, and bound their tokens."""
     parts = []
     for entry in text.split(",") if text else ():
         match = _PART.fullmatch(entry)
         if match is not None:
-            parts.append(PromptPart(digest=match[1], tokens=int(match[2])))
+            tokens = parse_count(digits=match[2])
+            parts.append(PromptPart(digest=match[1], tokens=tokens))
     return tuple(parts)
 
 
