Write a line of the log whatever its fields hold

Cause: the line about the attempt names the missing tokens; their sum exceeds 64 bits, the encoder of lines raises, and its error ends the request, or whichever task writes the line. The same holds for text with a lone surrogate and for objects without a text.

Now a field that can't be encoded is written as text, and the other fields as before. A line is first encoded as a whole, so that usual lines cost nothing more.

--- a/dotterelpaddle/line_logs.py
+++ b/dotterelpaddle/line_logs.py
@@ -45,6 +45,9 @@
 """Minimum interval of lines that count dropped lines. Without it, a flood would add
 one such line for each line that it writes."""
 
+MAX_TEXT_CHARACTERS = 200
+"""Characters of a field that is written as text because JSON can't hold it."""
+
 LINES_DROPPED_EVENT = "lines_left_out"
 """Event that counts the dropped lines by event."""
 
@@ -136,16 +139,14 @@
     def _enqueue(self, event: str, fields: dict[str, Any]) -> bool:
         """Queue a line; False if the queue is full."""
         self._line_number += 1
-        line = orjson.dumps(
+        line = _encode(
             {
                 "task_uuid": self._process,
                 "task_level": [self._line_number],
                 "timestamp": time.time(),
                 "message_type": event,
                 **fields,
-            },
-            default=str,
-            option=orjson.OPT_APPEND_NEWLINE | orjson.OPT_NON_STR_KEYS,
+            }
         )
         with self._condition:
             if self._queued_bytes + len(line) > MAX_QUEUED_BYTES:
@@ -184,3 +185,32 @@
                 # The reader has closed its end, so there is nowhere to log the error.
                 return False
         return True
+
+
+def _encode(fields: dict[str, Any]) -> bytes:
+    """Encode a line; a field that JSON can't hold is written as text."""
+    try:
+        return _dump(fields)
+    except TypeError:
+        return _dump({name: _encodable(value) for name, value in fields.items()})
+
+
+def _dump(fields: dict[str, Any]) -> bytes:
+    return orjson.dumps(
+        fields,
+        default=str,
+        option=orjson.OPT_APPEND_NEWLINE | orjson.OPT_NON_STR_KEYS,
+    )
+
+
+def _encodable(value: Any) -> Any:
+    """Return a value if JSON can hold it, else its beginning as ASCII text."""
+    try:
+        _dump({"value": value})
+    except TypeError as error:
+        try:
+            return ascii(value)[:MAX_TEXT_CHARACTERS]
+        except Exception:
+            # The text of an integer has a limit, and `repr` of others may fail, too.
+            return f"{type(value).__name__} that can't be written: {error}"
+    return value
--- a/dotterelpaddle/tests/test_line_logs.py
+++ b/dotterelpaddle/tests/test_line_logs.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING, Any
 
 import orjson
+import pytest
 
 from dotterelpaddle import line_logs
 from dotterelpaddle.line_logs import (
@@ -20,8 +21,6 @@
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
-    import pytest
-
 log = get_logger(name=__name__)
 
 PIPE_BYTES = 1 << 20
@@ -133,3 +132,50 @@
         pipe.sink.write(event="placed", fields={}, keep=True)
     pipe.sink.write(event="placed", fields={}, keep=True)
     os.close(pipe.writer)
+
+
+class _Unprintable:
+    def __repr__(self) -> str:
+        raise ValueError("no text")
+
+
+# Guards against requests that fail because a line about them can't be written.
+@pytest.mark.parametrize(
+    ("value", "text"),
+    [
+        (2**64, "18446744073709551616"),
+        (-(2**70), "-1180591620717411303424"),
+        ("path \ud800", r"'path \ud800'"),
+        ({"tokens": 2**64}, "{'tokens': 18446744073709551616}"),
+        ([2**64, 1], "[18446744073709551616, 1]"),
+        ({2**64: 1}, "{18446744073709551616: 1}"),
+        (10**200, str(10**200)[:200]),
+        (
+            10**5000,
+            "int that can't be written: Integer exceeds 64-bit range",
+        ),
+        (
+            [_Unprintable()],
+            "list that can't be written: Type is not JSON serializable: _Unprintable",
+        ),
+    ],
+    ids=[
+        "over 64 bits",
+        "under 64 bits",
+        "surrogate",
+        "in a mapping",
+        "in a list",
+        "as a key",
+        "long text",
+        "integer without text",
+        "object without text",
+    ],
+)
+def test_field_that_json_cannot_hold_is_written_as_text(value: Any, text: str) -> None:
+    with _pipe_sink() as pipe:
+        log.info("attempt_begun", missing=value, endpoint="engine-1")
+
+    (line,) = pipe.read()
+    assert line["missing"] == text
+    assert line["endpoint"] == "engine-1"
+    assert line["message_type"] == "attempt_begun"
