Take any number of rejections that an endpoint says it bears

Now a billion stands for any greater number, in lines and in the row that keeps the limits.

Before: test_any_number_of_rejections_that_an_endpoint_bears_loses_no_answer fails in 3 of 3 cases with 500 instead of 200.

--- a/dotterelpaddle/platform/protocols.py
+++ b/dotterelpaddle/platform/protocols.py
@@ -130,7 +130,7 @@
 def _rejection_limit(headers: Mapping[bytes, bytes]) -> int | None:
     """Decode the number of rejections that an endpoint bears; None if it names none."""
     text = _text(headers, Header.REJECTION_LIMIT)
-    return int(text) if text.isascii() and text.isdigit() else None
+    return parse_count(digits=text) if text.isascii() and text.isdigit() else None
 
 
 def _load(headers: Mapping[bytes, bytes]) -> EndpointLoad | None:
--- a/dotterelpaddle/standins/runner.py
+++ b/dotterelpaddle/standins/runner.py
@@ -46,7 +46,7 @@
 )
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator
+    from collections.abc import AsyncIterator, Sequence
 
     from anyio.abc import SocketStream
 
@@ -66,6 +66,7 @@
         leaving: Whether its answers state that it is leaving.
         rejection_limit: Rejections within a second beyond which it counts as having
             ended, which all its answers tell; None if it bears any number.
+        odd_headers: Header lines of each answer that no sound endpoint sends.
         room: Requests that it serves at a time; it rejects others. None for no bound.
         silent_until: Time on the loop's clock until which it answers nothing.
         held_until: Time on the loop's clock until which it sends nothing at all, also
@@ -87,6 +88,7 @@
     pause: float = 0.0
     leaving: bool = False
     rejection_limit: int | None = None
+    odd_headers: Sequence[bytes] = ()
     room: int | None = None
     silent_until: float = 0.0
     held_until: float = 0.0
@@ -358,6 +360,7 @@
             lines.append(Header.LEAVING + b": 1")
         if self.rejection_limit is not None:
             lines.append(Header.REJECTION_LIMIT + b": %d" % self.rejection_limit)
+        lines += self.odd_headers
         if sealed:
             lines.append(Header.ORIGIN_PROOF + b": " + SEAL)
         lines += [name + b": " + value for name, value in (extra or {}).items()]
--- a/dotterelpaddle/tests/forwarding/test_odd_numbers.py
+++ b/dotterelpaddle/tests/forwarding/test_odd_numbers.py
@@ -104,3 +104,19 @@
             await _hear_more_reports(fleet)
 
         assert (await fleet.call("/safe/")).status == 200
+
+
+# Guards against answers that are lost because an endpoint says that it bears more
+# rejections than a line of the log, or a row of the store, can hold.
+@pytest.mark.parametrize(
+    "limit", ["18446744073709551616", "9" * 400, "9" * 4400], ids=len
+)
+async def test_any_number_of_rejections_that_an_endpoint_bears_loses_no_answer(
+    limit: str,
+) -> None:
+    async with _run_logged(runners=1) as fleet:
+        (runner,) = fleet.runners.values()
+        runner.odd_headers = [Header.REJECTION_LIMIT + b": " + limit.encode()]
+        answer = await fleet.call("/unsafe/")
+
+    assert answer.status == 200
