Take no number from another router or a row that can't be passed on

What callers would see: routers that end one after the other without any odd client.

Cause: the JSON reader makes a float of an integer beyond 64 bits, int() makes an integer of it again, and what was read could not be written: counts that an aggregator adds up, ages of crashes, points in time and eras, versions, numbers of grants and handovers. The store's own answers had the same weakness in their era and time.

Now counts and ages are bounded as they are read and as they are written; a number that names something (a sequence, a revision, an era) and is no integer of 64 bits makes the report, row or message malformed, which drops it with a line of the log, as before. All decoders take the same errors for malformed.

--- a/dotterelpaddle/counts.py
+++ b/dotterelpaddle/counts.py
@@ -29,8 +29,8 @@
 
 
 def bounded_count(*, value: float) -> int:
-    """Return a count of 0 to `MAX_COUNT`, the nearest to a value."""
-    return int(min(max(value, 0), MAX_COUNT))
+    """Return the count of 0 to `MAX_COUNT` that is nearest to a value."""
+    return round(min(max(value, 0), MAX_COUNT))
 
 
 def decode_count(value: Any) -> int:
@@ -39,7 +39,8 @@
     Raises:
         OverflowError, TypeError, ValueError: If the value is no number.
     """
-    return bounded_count(value=int(value))
+    count = int(value)
+    return count if 0 <= count <= MAX_COUNT else bounded_count(value=count)
 
 
 def decode_integer(value: Any) -> int:
--- a/dotterelpaddle/forwarding/store_clock.py
+++ b/dotterelpaddle/forwarding/store_clock.py
@@ -8,21 +8,25 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
+from dotterelpaddle.counts import decode_integer
+from dotterelpaddle.ids import StoreEra
 from dotterelpaddle.logs import get_logger
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
     from dotterelpaddle.clock import Clock
-    from dotterelpaddle.ids import StoreEra
 
 log = get_logger(name=__name__)
 
 MAX_CLOCK_DRIFT = 1e-4
 """Maximum difference between the rates of two hosts' clocks."""
 
+MAX_CLOCK_SECONDS = 1e12
+"""Latest time that a store's clock shows, with milliseconds that a message can hold."""
+
 TOLERANCE_SECONDS = 0.05
 """Difference from the estimate that rounding and short delays of a clock explain."""
 
@@ -41,6 +45,19 @@
     era: StoreEra
     seconds: float
 
+    @classmethod
+    def stated(cls, *, era: Any, seconds: Any) -> StoreTime:
+        """Return a point in time that a row or another process states.
+
+        Raises:
+            OverflowError, TypeError: If a value is no number.
+            ValueError: If it is none, or one that no store's clock shows.
+        """
+        time = cls(era=StoreEra(decode_integer(era)), seconds=float(seconds))
+        if not abs(time.seconds) <= MAX_CLOCK_SECONDS:
+            raise ValueError(f"{time.seconds!r} is no time of a store's clock")
+        return time
+
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class _Reading:
--- a/dotterelpaddle/owners/handover.py
+++ b/dotterelpaddle/owners/handover.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from dotterelpaddle.counts import decode_count, decode_integer
 from dotterelpaddle.ids import EndpointId, FailureDomain, RouterId
 from dotterelpaddle.owners.in_flight_report import (
     InFlightReport,
@@ -114,14 +115,15 @@
     return Handover(
         router=RouterId(str(router)),
         domain=FailureDomain(str(domain)),
-        number=int(number),
-        part=int(part),
-        parts=int(parts),
+        number=decode_integer(number),
+        part=decode_count(part),
+        parts=decode_count(parts),
         counts=tuple(
             RouterCounts(
                 report=decode_report(fields=report),
                 granted={
-                    int(key): EndpointId(str(endpoint)) for key, endpoint in granted
+                    decode_integer(key): EndpointId(str(endpoint))
+                    for key, endpoint in granted
                 },
                 age=float(age),
             )
--- a/dotterelpaddle/owners/in_flight_report.py
+++ b/dotterelpaddle/owners/in_flight_report.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from dotterelpaddle.counts import bounded_count, decode_count, decode_integer
 from dotterelpaddle.ids import EndpointId, RouterId
 
 if TYPE_CHECKING:
@@ -39,7 +40,7 @@
         report.router,
         report.incarnation,
         report.sequence,
-        dict(report.loads),
+        {name: bounded_count(value=load) for name, load in report.loads.items()},
         sorted(report.pending),
     ]
 
@@ -53,8 +54,10 @@
     router, incarnation, sequence, loads, numbers = fields
     return InFlightReport(
         router=RouterId(str(router)),
-        incarnation=int(incarnation),
-        sequence=int(sequence),
-        loads={EndpointId(str(name)): int(load) for name, load in loads.items()},
-        pending=frozenset(int(number) for number in numbers),
+        incarnation=decode_integer(incarnation),
+        sequence=decode_integer(sequence),
+        loads={
+            EndpointId(str(name)): decode_count(load) for name, load in loads.items()
+        },
+        pending=frozenset(decode_integer(number) for number in numbers),
     )
--- a/dotterelpaddle/owners/messages.py
+++ b/dotterelpaddle/owners/messages.py
@@ -8,7 +8,8 @@
 
 import orjson
 
-from dotterelpaddle.exceptions import ControlError
+from dotterelpaddle.counts import bounded_count, decode_count, decode_integer
+from dotterelpaddle.exceptions import MALFORMED_DOCUMENT, ControlError
 from dotterelpaddle.forwarding.choice import ChoiceReason
 from dotterelpaddle.forwarding.interface import PromptPart
 from dotterelpaddle.ids import (
@@ -205,10 +206,10 @@
                     message.endpoint,
                     message.fetch_from,
                     message.reason.value,
-                    message.load,
+                    bounded_count(value=message.load),
                     message.mean_load,
-                    message.missing_tokens,
-                    message.work_tokens,
+                    bounded_count(value=message.missing_tokens),
+                    bounded_count(value=message.work_tokens),
                     # Routers without admission accept no further field.
                     *([] if message.others_wait is None else [message.others_wait]),
                 ]
@@ -241,18 +242,12 @@
             case "held":
                 return decode_report(fields=fields[1])
             case "waiting":
-                return Waiting(number=int(fields[1]))
+                return Waiting(number=decode_integer(fields[1]))
             case "refused":
                 return _decode_refusal(fields)
             case "handover":
                 return decode_handover(fields=fields[1:])
-    except (
-        orjson.JSONDecodeError,
-        AttributeError,
-        IndexError,
-        TypeError,
-        ValueError,
-    ) as error:
+    except MALFORMED_DOCUMENT as error:
         raise ControlError(f"malformed owner message: {error!r}") from error
     raise ControlError(f"unknown kind of owner message: {fields[0]!r}")
 
@@ -272,21 +267,21 @@
 
 
 def _milliseconds(seconds: float) -> int:
-    return round(seconds * MS_PER_SECOND)
+    return bounded_count(value=round(seconds * MS_PER_SECOND))
 
 
 def _decode_refusal(fields: Any) -> Refusal:
     _, number, retry_after, reason, *_ = fields
     return Refusal(
-        number=int(number),
-        retry_after=float(retry_after) / MS_PER_SECOND,
+        number=decode_integer(number),
+        retry_after=decode_count(retry_after) / MS_PER_SECOND,
         reason=RefusalReason(reason),
     )
 
 
 def _decode_grant_request(fields: Any) -> GrantRequest:
     return GrantRequest(
-        number=int(fields[1]),
+        number=decode_integer(fields[1]),
         report=decode_report(fields=fields[2]),
         query=_decode_query(fields[3:]),
         slowdowns=decode_slowdowns(
@@ -312,7 +307,8 @@
         shard=None if shard is None else FailureDomain(str(shard)),
         model=ModelId(str(model)),
         prompt=tuple(
-            PromptPart(digest=str(part), tokens=int(tokens)) for part, tokens in prompt
+            PromptPart(digest=str(part), tokens=decode_count(tokens))
+            for part, tokens in prompt
         ),
         retryable=bool(retryable),
         excluded=frozenset(EndpointId(str(each)) for each in excluded),
@@ -326,14 +322,14 @@
 def _decode_grant(fields: Any) -> Grant:
     _, number, endpoint, source, reason, load, mean_load, missing, work, *added = fields
     return Grant(
-        number=int(number),
+        number=decode_integer(number),
         endpoint=_decode_endpoint(endpoint),
         fetch_from=_decode_endpoint(source),
         reason=ChoiceReason(reason),
-        load=int(load),
+        load=decode_count(load),
         mean_load=float(mean_load),
-        missing_tokens=int(missing),
-        work_tokens=int(work),
+        missing_tokens=decode_count(missing),
+        work_tokens=decode_count(work),
         others_wait=bool(added[0]) if added else None,
     )
 
--- a/dotterelpaddle/owners/request_options.py
+++ b/dotterelpaddle/owners/request_options.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from dotterelpaddle.counts import bounded_count, decode_count
 from dotterelpaddle.forwarding.slowdowns import SlowdownNote
 from dotterelpaddle.ids import AccountId, EndpointId, Fingerprint
 
@@ -44,8 +45,8 @@
         admission.rank,
         admission.account,
         admission.fingerprint,
-        round(admission.max_wait * MS_PER_SECOND),
-        round(admission.time_left * MS_PER_SECOND),
+        bounded_count(value=admission.max_wait * MS_PER_SECOND),
+        bounded_count(value=admission.time_left * MS_PER_SECOND),
     ]
 
 
@@ -59,7 +60,7 @@
         return None
     rank, account, fingerprint, max_wait, time_left, *_ = fields
     return Admission(
-        rank=int(rank),
+        rank=decode_count(rank),
         account=AccountId(str(account)),
         fingerprint=Fingerprint(str(fingerprint)),
         max_wait=float(max_wait) / MS_PER_SECOND,
@@ -73,8 +74,8 @@
     return [
         [
             note.endpoint,
-            round(note.slowdown * PERCENT),
-            max(1, math.ceil(note.age * MS_PER_SECOND)),
+            bounded_count(value=note.slowdown * PERCENT),
+            max(1, bounded_count(value=math.ceil(note.age * MS_PER_SECOND))),
         ]
         for note in notes
     ]
@@ -89,8 +90,8 @@
     return tuple(
         SlowdownNote(
             endpoint=EndpointId(str(endpoint)),
-            slowdown=int(percent) / PERCENT,
-            age=max(1, int(age_ms)) / MS_PER_SECOND,
+            slowdown=decode_count(percent) / PERCENT,
+            age=max(1, decode_count(age_ms)) / MS_PER_SECOND,
         )
         for endpoint, percent, age_ms in fields or ()
     )
--- a/dotterelpaddle/peers/brittle_rows.py
+++ b/dotterelpaddle/peers/brittle_rows.py
@@ -6,6 +6,7 @@
 
 import orjson
 
+from dotterelpaddle.counts import decode_count
 from dotterelpaddle.exceptions import MALFORMED_DOCUMENT, ControlError
 from dotterelpaddle.ids import ServiceName
 
@@ -26,6 +27,9 @@
     """
     try:
         limits = orjson.loads(row)["limits"]
-        return {ServiceName(str(name)): int(limit) for name, limit in limits.items()}
+        return {
+            ServiceName(str(name)): decode_count(limit)
+            for name, limit in limits.items()
+        }
     except MALFORMED_DOCUMENT as error:
         raise ControlError(f"row has no limits: {error!r}") from error
--- a/dotterelpaddle/peers/crash_notes.py
+++ b/dotterelpaddle/peers/crash_notes.py
@@ -7,6 +7,7 @@
 
 from typing import TYPE_CHECKING, Any
 
+from dotterelpaddle.counts import bounded_count, decode_count
 from dotterelpaddle.crashes.note import CrashNote, NoteKind
 from dotterelpaddle.crashes.subjects import AnySubject, PartSubject, RequestSubject
 from dotterelpaddle.ids import EndpointId, Fingerprint, PartKey
@@ -54,7 +55,7 @@
 
 
 def _encode(note: CrashNote) -> list[Any]:
-    age = round(1000 * note.age)
+    age = bounded_count(value=1000 * note.age)
     match note.subject:
         case AnySubject():
             return [ENDPOINT_ENDED, "", note.endpoint, age, 0]
@@ -64,7 +65,7 @@
             name = next(each for each, kind in PART_KINDS.items() if kind is note.kind)
             fields = [name, part, note.endpoint, age, position]
             if note.kind is not NoteKind.TRIED:
-                fields += [round(1000 * note.attempt_seconds), note.begun]
+                fields += [bounded_count(value=1000 * note.attempt_seconds), note.begun]
             return fields
 
 
@@ -78,15 +79,15 @@
         subject = RequestSubject(fingerprint=Fingerprint(str(key)))
         kind, begun = REQUEST_KINDS[name], bool(detail)
     else:
-        subject = PartSubject(part=PartKey(str(key)), position=int(detail))
+        subject = PartSubject(part=PartKey(str(key)), position=decode_count(detail))
         kind = (PART_KINDS | EARLIER_PART_KINDS)[name]
         if attempt:
-            attempt_seconds, begun = max(0, int(attempt[0])) / 1000, bool(attempt[1])
+            attempt_seconds, begun = decode_count(attempt[0]) / 1000, bool(attempt[1])
     return CrashNote(
         kind=kind,
         subject=subject,
         endpoint=None if endpoint is None else EndpointId(str(endpoint)),
-        age=max(0, int(age)) / 1000,
+        age=decode_count(age) / 1000,
         attempt_seconds=attempt_seconds,
         begun=begun,
     )
--- a/dotterelpaddle/peers/crash_rows.py
+++ b/dotterelpaddle/peers/crash_rows.py
@@ -14,7 +14,6 @@
 
 from dotterelpaddle.exceptions import MALFORMED_DOCUMENT, ControlError
 from dotterelpaddle.forwarding.store_clock import StoreTime
-from dotterelpaddle.ids import StoreEra
 from dotterelpaddle.peers.crash_notes import decode_notes, encode_notes
 
 if TYPE_CHECKING:
@@ -48,9 +47,7 @@
     """
     try:
         fields = orjson.loads(row)
-        time = StoreTime(
-            era=StoreEra(int(fields["era"])), seconds=float(fields["seconds"])
-        )
+        time = StoreTime.stated(era=fields["era"], seconds=fields["seconds"])
         notes = decode_notes(fields=fields["crashes"])
     except MALFORMED_DOCUMENT as error:
         raise ControlError(f"row has no crashes: {error!r}") from error
--- a/dotterelpaddle/peers/fields.py
+++ b/dotterelpaddle/peers/fields.py
@@ -8,8 +8,9 @@
 from typing import TYPE_CHECKING
 
 from dotterelpaddle.address import Address
+from dotterelpaddle.counts import decode_count, decode_integer
 from dotterelpaddle.forwarding.store_clock import StoreTime
-from dotterelpaddle.ids import FailureDomain, RouterId, StoreEra
+from dotterelpaddle.ids import FailureDomain, RouterId
 from dotterelpaddle.peers.report import PeerInfo
 from dotterelpaddle.registry.summary import RegistrySummary
 
@@ -31,8 +32,8 @@
         return None
     routers, active, oldest, as_of = fields
     return RegistrySummary(
-        routers=int(routers),
-        active=int(active),
+        routers=decode_count(routers),
+        active=decode_count(active),
         oldest=decode_store_time(oldest),
         as_of=decode_store_time(as_of),
     )
@@ -50,7 +51,7 @@
         router=RouterId(str(router)),
         failure_domain=FailureDomain(str(domain)),
         address=Address.parse(text=address),
-        link=int(link),
+        link=decode_integer(link),
     )
 
 
@@ -67,4 +68,4 @@
 def decode_store_time(fields: Any) -> StoreTime:
     """Decode a point in time on the store's clock."""
     era, milliseconds = fields
-    return StoreTime(era=StoreEra(int(era)), seconds=int(milliseconds) / 1000)
+    return StoreTime.stated(era=era, seconds=int(milliseconds) / 1000)
--- a/dotterelpaddle/peers/incarnations.py
+++ b/dotterelpaddle/peers/incarnations.py
@@ -8,6 +8,7 @@
 
 from typing import TYPE_CHECKING
 
+from dotterelpaddle.counts import decode_integer
 from dotterelpaddle.forwarding.model import (
     UNKNOWN_INCARNATION,
     endpoint_id,
@@ -66,6 +67,8 @@
     distinct = sorted(set(names))
     padded = incarnations or [UNKNOWN_INCARNATION] * len(distinct)
     return {
-        name: endpoint_id(name=EndpointName(name), incarnation=Incarnation(int(number)))
+        name: endpoint_id(
+            name=EndpointName(name), incarnation=Incarnation(decode_integer(number))
+        )
         for name, number in zip(distinct, padded, strict=True)
     }
--- a/dotterelpaddle/peers/messages.py
+++ b/dotterelpaddle/peers/messages.py
@@ -11,8 +11,8 @@
 import orjson
 
 from dotterelpaddle.address import Address
-from dotterelpaddle.counts import bounded_count
-from dotterelpaddle.exceptions import ControlError
+from dotterelpaddle.counts import bounded_count, decode_count, decode_integer
+from dotterelpaddle.exceptions import MALFORMED_DOCUMENT, ControlError
 from dotterelpaddle.forwarding.evacuations import EvacuationSnapshot
 from dotterelpaddle.forwarding.leaving import LeavingNotice
 from dotterelpaddle.forwarding.request_totals import (
@@ -174,7 +174,7 @@
             report.leaving,
             encode_notes(notes=report.crashes),
             [
-                (notice.endpoint, round(1000 * notice.age))
+                (notice.endpoint, bounded_count(value=1000 * notice.age))
                 for notice in report.leaving_endpoints
             ],
             report.silent_owners,
@@ -237,25 +237,27 @@
         return PeerReport(
             router=RouterId(str(fields[1])),
             failure_domain=FailureDomain(str(fields[2])),
-            link=int(fields[3]),
-            incarnation=int(fields[4]),
-            sequence=int(fields[5]),
+            link=decode_integer(fields[3]),
+            incarnation=decode_integer(fields[4]),
+            sequence=decode_integer(fields[5]),
             control=Address.parse(text=fields[6]),
-            version=int(fields[7]),
-            revision=StoreRevision(era=endpoints_era, number=Revision(int(fields[8]))),
+            version=decode_integer(fields[7]),
+            revision=StoreRevision(
+                era=endpoints_era, number=Revision(decode_integer(fields[8]))
+            ),
             configuration_as_of=decode_time(configuration_as_of),
             endpoints_as_of=decode_time(endpoints_as_of),
-            endpoints_tag=int(fields[11]),
+            endpoints_tag=decode_integer(fields[11]),
             share=_totals(
                 fields[12],
                 queued_tokens,
                 endpoints if incarnations else _resolve(endpoints, current_endpoint_id),
             ),
             ask=ReplyRequest(fields[13]),
-            routers=int(fields[14]),
+            routers=decode_count(fields[14]),
             domains=tuple(FailureDomain(str(domain)) for domain in fields[15]),
-            uses=tuple((int(part), endpoints[name]) for part, name in uses),
-            parts=int(fields[17]),
+            uses=tuple((decode_integer(part), endpoints[name]) for part, name in uses),
+            parts=decode_count(fields[17]),
             peers=tuple(decode_peer(peer) for peer in fields[18]),
             owners=tuple(
                 decode_peer(owner)
@@ -284,14 +286,7 @@
             service_lost=None if service_lost is None else bool(service_lost),
             registry=decode_registry(_optional_field(fields, REGISTRY_INDEX, None)),
         )
-    except (
-        orjson.JSONDecodeError,
-        AttributeError,
-        IndexError,
-        KeyError,
-        TypeError,
-        ValueError,
-    ) as error:
+    except MALFORMED_DOCUMENT as error:
         raise ControlError(f"datagram is not a report: {error!r}") from error
 
 
@@ -309,14 +304,15 @@
     scope, routers, loads, retries = fields
     return RequestTotals(
         scope=TotalsScope(scope),
-        routers=int(routers),
-        loads={endpoints[name]: int(load) for name, load in loads.items()},
+        routers=decode_count(routers),
+        loads={endpoints[name]: decode_count(load) for name, load in loads.items()},
         queued_tokens={
-            endpoints[name]: int(tokens) for name, tokens in queued_tokens.items()
+            endpoints[name]: decode_count(tokens)
+            for name, tokens in queued_tokens.items()
         },
         retries={
             ServiceName(name): RetryCounts(
-                requests=int(counts[0]), retries=int(counts[1])
+                requests=decode_count(counts[0]), retries=decode_count(counts[1])
             )
             for name, counts in retries.items()
         },
@@ -349,7 +345,7 @@
 
 def _eras(fields: Any) -> tuple[StoreEra, StoreEra]:
     endpoints, evacuated = fields
-    return StoreEra(int(endpoints)), StoreEra(int(evacuated))
+    return StoreEra(decode_integer(endpoints)), StoreEra(decode_integer(evacuated))
 
 
 def _evacuated(fields: Any, era: StoreEra) -> EvacuationSnapshot | None:
@@ -357,7 +353,7 @@
         return None
     number, domains = fields
     return EvacuationSnapshot(
-        revision=StoreRevision(era=era, number=Revision(int(number))),
+        revision=StoreRevision(era=era, number=Revision(decode_integer(number))),
         domains=frozenset(FailureDomain(str(domain)) for domain in domains),
     )
 
@@ -368,7 +364,7 @@
         LeavingNotice(
             endpoint=EndpointId(str(endpoint)),
             since=decode_time(time),
-            age=max(0, int(age)) / 1000,
+            age=decode_count(age) / 1000,
         )
         for (endpoint, age), time in zip_longest(fields, since)
     )
--- a/dotterelpaddle/peers/snapshot.py
+++ b/dotterelpaddle/peers/snapshot.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import re
 import zlib
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
@@ -13,7 +14,8 @@
 
 import orjson
 
-from dotterelpaddle.exceptions import ControlError, RecordError
+from dotterelpaddle.counts import decode_integer
+from dotterelpaddle.exceptions import MALFORMED_DOCUMENT, ControlError, RecordError
 from dotterelpaddle.forwarding.interface import EndpointsUpdate
 from dotterelpaddle.forwarding.revisions import FIRST_ERA, StoreRevision
 from dotterelpaddle.ids import EndpointName, Revision, StoreEra
@@ -32,6 +34,8 @@
 """zlib level: routes resemble each other, so that higher levels take several times as
 long and save only a tenth."""
 
+_NUMBER = re.compile("[0-9]{1,19}")
+
 MAX_DOCUMENT_BYTES = 32 * 1024 * 1024
 """Largest decompressed document; the platform's largest configurations have 4 MB."""
 
@@ -74,7 +78,9 @@
     def parse(cls, *, query: str) -> SnapshotRequest:
         """Parse a URL query string; a value that is no number counts as missing."""
         fields = {name: values[0] for name, values in parse_qs(query).items()}
-        numbers = {name: int(text) for name, text in fields.items() if text.isdigit()}
+        numbers = {
+            name: int(text) for name, text in fields.items() if _NUMBER.fullmatch(text)
+        }
         number = numbers.get("revision")
         era = StoreEra(numbers.get("era", FIRST_ERA))
         return cls(
@@ -180,15 +186,11 @@
             endpoints=(
                 _decode_endpoints(endpoints, documents, unusable) if endpoints else None
             ),
-            uses=tuple((int(part), endpoint_ids[name]) for part, name in uses),
+            uses=tuple(
+                (decode_integer(part), endpoint_ids[name]) for part, name in uses
+            ),
         )
-    except (
-        orjson.JSONDecodeError,
-        AttributeError,
-        KeyError,
-        TypeError,
-        ValueError,
-    ) as error:
+    except MALFORMED_DOCUMENT as error:
         raise ControlError(f"document is not a snapshot: {error!r}") from error
 
 
@@ -196,7 +198,7 @@
     fields: dict[str, Any], documents: DocumentDecoder, unusable: UnusableEntries
 ) -> EndpointsUpdate:
     """Decode entries; an entry that this release can't use counts as removed."""
-    era = StoreEra(int(fields.get("era", FIRST_ERA)))
+    era = StoreEra(decode_integer(fields.get("era", FIRST_ERA)))
     removed = {
         EndpointName(name): _revision(era, number)
         for name, number in fields["removed"].items()
@@ -222,7 +224,7 @@
 
 
 def _revision(era: StoreEra, number: Any) -> StoreRevision:
-    return StoreRevision(era=era, number=Revision(int(number)))
+    return StoreRevision(era=era, number=Revision(decode_integer(number)))
 
 
 def _decompress(content: bytes) -> bytes:
--- a/dotterelpaddle/platform/store_answers.py
+++ b/dotterelpaddle/platform/store_answers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
 
@@ -19,6 +20,8 @@
 
     from dotterelpaddle.platform.rows import Row
 
+ERA = re.compile(rb"[0-9]{1,18}")
+
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class StoreAnswer:
@@ -41,13 +44,14 @@
     """Decode the era of an answer, None if it names none.
 
     Raises:
-        PlatformUnavailable: If the era is no number.
+        PlatformUnavailable: If the era is no number of up to 18 digits.
     """
     for name, value in headers:
         if name.lower() == Header.STORE_ERA:
-            if not value.isdigit():
+            if not ERA.fullmatch(value):
                 raise PlatformUnavailable(
-                    f"the era in the answer of the store is {value!r}, not a number",
+                    f"the era in the answer of the store is {value!r}, not a number "
+                    "of up to 18 digits",
                     peer=peer,
                 )
             return StoreEra(int(value))
@@ -86,7 +90,7 @@
     """Decode when the store made an answer, None if it does not say.
 
     Raises:
-        PlatformUnavailable: If the time is no number.
+        PlatformUnavailable: If the time is no number, or none that a clock shows.
     """
     milliseconds = document.get(Field.NOW_MS)
     if milliseconds is None:
@@ -97,4 +101,9 @@
             "number",
             peer=peer,
         )
-    return StoreTime(era=era, seconds=milliseconds / 1000)
+    try:
+        return StoreTime.stated(era=era, seconds=milliseconds / 1000)
+    except ValueError as error:
+        raise PlatformUnavailable(
+            f"'{Field.NOW_MS}' in the answer of the store: {error}", peer=peer
+        ) from error
--- a/dotterelpaddle/registry/registration.py
+++ b/dotterelpaddle/registry/registration.py
@@ -9,7 +9,6 @@
 
 from dotterelpaddle.exceptions import MALFORMED_DOCUMENT, ControlError
 from dotterelpaddle.forwarding.store_clock import StoreTime
-from dotterelpaddle.ids import StoreEra
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -61,4 +60,4 @@
 
 def _time(fields: Sequence[Any]) -> StoreTime:
     era, seconds = fields
-    return StoreTime(era=StoreEra(int(era)), seconds=float(seconds))
+    return StoreTime.stated(era=era, seconds=seconds)
--- a/dotterelpaddle/streams/messages.py
+++ b/dotterelpaddle/streams/messages.py
@@ -11,7 +11,8 @@
 
 import orjson
 
-from dotterelpaddle.exceptions import ControlError
+from dotterelpaddle.counts import bounded_count, decode_count
+from dotterelpaddle.exceptions import MALFORMED_DOCUMENT, ControlError
 from dotterelpaddle.ids import RequestId, ServiceName, SoftwareVersion
 from dotterelpaddle.streams.origins import StreamOrigin, StreamRecord
 
@@ -94,7 +95,7 @@
                 )
             case fields:
                 raise ControlError(f"message about a stream is unreadable: {fields!r}")
-    except (orjson.JSONDecodeError, TypeError, ValueError) as error:
+    except MALFORMED_DOCUMENT as error:
         raise ControlError(f"malformed message about a stream: {error!r}") from error
 
 
@@ -102,7 +103,7 @@
     """Encode records as a field of a report, grouped by their origin."""
     groups: dict[StreamOrigin, list[Any]] = {}
     for record in records:
-        milliseconds = max(0, round(MS_PER_SECOND * record.seconds))
+        milliseconds = bounded_count(value=round(MS_PER_SECOND * record.seconds))
         groups.setdefault(record.origin, []).append([record.stream, milliseconds])
     return [
         [origin.service, origin.version, streams] for origin, streams in groups.items()
@@ -123,7 +124,7 @@
                 service=ServiceName(str(service)),
                 version=SoftwareVersion(str(version)),
             ),
-            seconds=max(0, int(milliseconds)) / MS_PER_SECOND,
+            seconds=decode_count(milliseconds) / MS_PER_SECOND,
         )
         for service, version, streams in fields
         for stream, milliseconds in streams
--- a/dotterelpaddle/streams/rows.py
+++ b/dotterelpaddle/streams/rows.py
@@ -10,6 +10,7 @@
 
 import orjson
 
+from dotterelpaddle.counts import decode_integer
 from dotterelpaddle.exceptions import MALFORMED_DOCUMENT, ControlError
 from dotterelpaddle.forwarding.revisions import StoreRevision
 from dotterelpaddle.ids import (
@@ -145,6 +146,6 @@
     if REVISION_FIELD not in fields:
         return None
     return StoreRevision(
-        era=StoreEra(int(fields[ERA_FIELD])),
-        number=Revision(int(fields[REVISION_FIELD])),
+        era=StoreEra(decode_integer(fields[ERA_FIELD])),
+        number=Revision(decode_integer(fields[REVISION_FIELD])),
     )
--- a/dotterelpaddle/tests/owners/test_messages.py
+++ b/dotterelpaddle/tests/owners/test_messages.py
@@ -19,6 +19,7 @@
     RouterId,
     ServiceName,
 )
+from dotterelpaddle.owners.handover import Handover, RouterCounts
 from dotterelpaddle.owners.messages import (
     DATAGRAM_PREFIX,
     Grant,
@@ -33,6 +34,7 @@
     encode,
 )
 from dotterelpaddle.owners.request_options import Admission
+from dotterelpaddle.tests.odd_numbers import with_odd_numbers
 
 A, B = EndpointId("a@17"), EndpointId("b")
 REPORT = InFlightReport(
@@ -64,37 +66,43 @@
     time_left=1.5,
 )
 
-
-@pytest.mark.parametrize(
-    "message",
-    [
-        REPORT,
-        GrantRequest(number=4, report=REPORT, query=QUERY),
-        GrantRequest(number=4, report=REPORT, query=QUERY, slowdowns=NOTES),
-        GrantRequest(
-            number=4, report=REPORT, query=replace(QUERY, brittle=True), slowdowns=NOTES
-        ),
-        Grant(number=4),
-        Grant(
-            number=4,
-            endpoint=A,
-            fetch_from=B,
-            reason=ChoiceReason.CACHED,
-            load=3,
-            mean_load=2.5,
-            missing_tokens=100,
-            work_tokens=90,
-        ),
-        GrantRequest(number=4, report=REPORT, query=replace(QUERY, brittle=True)),
-        GrantRequest(
-            number=4, report=REPORT, query=replace(QUERY, admission=ADMISSION)
-        ),
-        Grant(number=4, endpoint=A, others_wait=False),
-        Grant(number=4, endpoint=A, others_wait=True),
-        Waiting(number=4),
-        Refusal(number=4, retry_after=0.25, reason=RefusalReason.QUEUE_FULL),
-    ],
+HANDOVER = Handover(
+    router=RouterId("router-1"),
+    domain=FailureDomain("here"),
+    number=2,
+    part=0,
+    parts=1,
+    counts=(RouterCounts(report=REPORT, granted={4: A}, age=0.5),),
 )
+
+MESSAGES: list[Message] = [
+    REPORT,
+    GrantRequest(number=4, report=REPORT, query=QUERY),
+    GrantRequest(number=4, report=REPORT, query=QUERY, slowdowns=NOTES),
+    GrantRequest(
+        number=4, report=REPORT, query=replace(QUERY, brittle=True), slowdowns=NOTES
+    ),
+    Grant(number=4),
+    Grant(
+        number=4,
+        endpoint=A,
+        fetch_from=B,
+        reason=ChoiceReason.CACHED,
+        load=3,
+        mean_load=2.5,
+        missing_tokens=100,
+        work_tokens=90,
+    ),
+    GrantRequest(number=4, report=REPORT, query=replace(QUERY, brittle=True)),
+    GrantRequest(number=4, report=REPORT, query=replace(QUERY, admission=ADMISSION)),
+    Grant(number=4, endpoint=A, others_wait=False),
+    Grant(number=4, endpoint=A, others_wait=True),
+    Waiting(number=4),
+    Refusal(number=4, retry_after=0.25, reason=RefusalReason.QUEUE_FULL),
+]
+
+
+@pytest.mark.parametrize("message", MESSAGES)
 def test_message_round_trips(message: Message) -> None:
     datagram = encode(message=message)
 
@@ -199,3 +207,18 @@
     refusal = decode(datagram=b'["refused",4,250,"a reason of a later release"]')
 
     assert refusal == Refusal(number=4, retry_after=0.25, reason=RefusalReason.UNKNOWN)
+
+
+# Guards against an owner, or a router that asks one, that ends as it can't pass on what
+# another one has stated.
+@pytest.mark.parametrize("message", [*MESSAGES, HANDOVER])
+def test_message_with_any_number_is_refused_or_can_be_written_again(
+    message: Message,
+) -> None:
+    for datagram in with_odd_numbers(document=encode(message=message)):
+        try:
+            decoded = decode(datagram=datagram)
+        except ControlError as error:
+            assert error.message
+            continue
+        assert encode(message=decoded)
