Keep a router running when one of its tasks meets an unexpected error

Cause: the tasks share the task group of the whole router, and nothing between them and it takes an error that a step did not expect.

Now each task runs under a supervisor: an unexpected error is logged with its place (task_failed), counted (task_failures_total) and the task starts again after 0.1 s, 0.2 s and so on up to 5 s, so that nothing fails silently for good. A datagram that can't be processed costs itself alone. What restarts takes up its work: suspects and endpoints to look at are probed anew. A router whose probe of a crash fails takes the endpoint for running, as with a probe without a result.

Tests that saw such an error by the end of the process see it by the supervisor: the harness and the processes of tests fail on any failed task that a test does not expect.

--- a/dotterelpaddle/crashes/guard.py
+++ b/dotterelpaddle/crashes/guard.py
@@ -19,7 +19,6 @@
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
-    from dotterelpaddle.clock import Clock
     from dotterelpaddle.crashes.subjects import CrashSubject
     from dotterelpaddle.crashes.termination_probes import TerminationProber
     from dotterelpaddle.crashes.tracker import CrashTracker
@@ -39,7 +38,6 @@
         termination_prober: Determines whether an endpoint that broke a connection
             has crashed.
         metrics: Counts blocked requests.
-        clock: Monotonic clock.
     """
 
     def __init__(
@@ -48,13 +46,11 @@
         crashes: CrashTracker,
         termination_prober: TerminationProber,
         metrics: ForwardMetrics,
-        clock: Clock,
     ) -> None:
         self._crashes = crashes
         self._termination_prober = termination_prober
         self._running = termination_prober.running
         self._metrics = metrics
-        self._clock = clock
 
     def check(self, *, exchange: ForwardExchange) -> None:
         """Refuse a request that causes crashes, or that has a part which does.
--- a/dotterelpaddle/crashes/termination_probes.py
+++ b/dotterelpaddle/crashes/termination_probes.py
@@ -27,6 +27,7 @@
     from dotterelpaddle.ids import EndpointId
     from dotterelpaddle.network import LinkedBackend
     from dotterelpaddle.peers.tunnels import TunnelBackend
+    from dotterelpaddle.supervision import TaskSupervisor
 
 log = get_logger(name=__name__)
 
@@ -66,6 +67,7 @@
         reachability: Records endpoints that have terminated.
         crashes: Records the requests during which they terminated.
         leaving: Endpoints that have announced their shutdown.
+        supervisor: Logs unexpected errors of one probe.
         clock: Monotonic clock.
     """
 
@@ -77,6 +79,7 @@
         reachability: Reachability,
         crashes: CrashTracker,
         leaving: LeavingEndpoints,
+        supervisor: TaskSupervisor,
         clock: Clock,
     ) -> None:
         self._backend = backend
@@ -84,6 +87,7 @@
         self._reachability = reachability
         self._crashes = crashes
         self._leaving = leaving
+        self._supervisor = supervisor
         self._clock = clock
         self._running = RunningAttempts()
         self._pending: dict[EndpointId, list[_BrokenRequest]] = {}
@@ -142,14 +146,17 @@
         """Probe reported endpoints until cancelled."""
         async with anyio.create_task_group() as tasks:
             while True:
-                await self._unprobed_event.wait()
                 self._unprobed_event = anyio.Event()
                 unprobed, self._unprobed = self._unprobed, []
                 for entry in unprobed:
                     tasks.start_soon(self._probe, entry)
+                await self._unprobed_event.wait()
 
     async def _probe(self, entry: EndpointEntry) -> None:
-        terminated = await self._has_terminated(entry=entry)
+        terminated = False
+        # An endpoint whose probe fails counts as running until the next broken request.
+        with self._supervisor.contained(task="termination probes"):
+            terminated = await self._has_terminated(entry=entry)
         broken = self._pending.pop(entry.endpoint)
         log.info(
             "endpoint_looked_at",
--- a/dotterelpaddle/forwarding/components.py
+++ b/dotterelpaddle/forwarding/components.py
@@ -48,6 +48,7 @@
 from dotterelpaddle.streams.confirmation import EndpointsConfirmation
 from dotterelpaddle.streams.lifetimes import EndpointLifetimes
 from dotterelpaddle.streams.resumption import ResumptionFilter
+from dotterelpaddle.supervision import TaskSupervisor
 
 if TYPE_CHECKING:
     from dotterelpaddle.forwarding.dependencies import Dependencies
@@ -71,8 +72,7 @@
         client: Sends requests to endpoints.
         follower: Follows changes of the source.
         reachability: Probes endpoints that could not be reached.
-        termination_prober: Determines whether an endpoint that broke a connection
-            has crashed.
+        termination_prober: Probes whether an endpoint that broke a connection ended.
         isolation: Detects whether this router is on the smaller side of a partition.
         exchange: Exchanges reports with other routers.
         tunnel_server: Connects other routers to endpoints that they can't reach.
@@ -84,6 +84,7 @@
         crash_archive: Keeps what crashes endpoints in the platform's store.
         registry: Registers this router in the platform's store; None without one.
         metrics: Renders the metrics page.
+        supervisor: Restarts tasks after unexpected errors.
     """
 
     state: SharedState
@@ -105,6 +106,7 @@
     crash_archive: CrashArchive
     registry: RouterRegistry | None
     metrics: MetricsPage
+    supervisor: TaskSupervisor
 
     def start_draining(self, *, seconds: float) -> None:
         """Announce to callers and to other routers that this router is leaving.
@@ -176,11 +178,10 @@
         connection_limits=state.connection_limits,
     )
     peer_summary = PeerSummary(
-        view=state.view,
-        directory=directory,
-        totals=state.totals,
+        view=state.view, directory=directory, totals=state.totals
     )
     metrics = ForwardMetrics()
+    supervisor = TaskSupervisor(on_failure=metrics.count_task_failure, clock=clock)
     follower = Follower(
         source=dependencies.source,
         view=state.view,
@@ -197,6 +198,7 @@
         reachability=reachability,
         crashes=state.crashes,
         leaving=state.view.leaving,
+        supervisor=supervisor,
         clock=clock,
     )
     isolation = IsolationDetector(
@@ -250,7 +252,6 @@
             crashes=state.crashes,
             termination_prober=termination_prober,
             metrics=metrics,
-            clock=clock,
         ),
         confirmation=confirmation,
         lifetimes=lifetimes,
@@ -329,6 +330,7 @@
             tunnel_servers=tunnel_servers,
             stream_origins=state.stream_origins,
             stream_lookup=streams.lookup,
+            supervisor=supervisor,
             generator=generator,
         ),
         tunnel_server=tunnel_server,
@@ -364,6 +366,7 @@
                 held=state.held,
             ),
         ),
+        supervisor=supervisor,
         epoch_discovery=EpochDiscovery(
             view=state.view,
             confirmed_age=lambda: follower.confirmed_endpoints_age,
--- a/dotterelpaddle/forwarding/metrics.py
+++ b/dotterelpaddle/forwarding/metrics.py
@@ -77,6 +77,10 @@
             doc="Calls to the platform's store, by what was asked and result.",
         )
 
+        self._task_failures = counter(
+            name="task_failures_total",
+            doc="Unexpected errors of tasks that last as long as the process, by task.",
+        )
         self._waiting = self.registry.gauge(
             name="admission_waiting",
             doc="Requests of this router that wait for a slot, by service.",
@@ -125,6 +129,10 @@
             {"service": choice.entry.service, "alone_because": local_reason}
         )
 
+    def count_task_failure(self, task: str) -> None:
+        """Count an unexpected error of a task that lasts as long as the process."""
+        self._task_failures.inc({"task": task})
+
     def add_waiting(self, *, service: str, count: int) -> None:
         """Add to the number of requests that wait for a slot."""
         self._waiting.add({"service": service}, count)
--- a/dotterelpaddle/forwarding/reachability.py
+++ b/dotterelpaddle/forwarding/reachability.py
@@ -150,11 +150,11 @@
         probed: set[EndpointId] = set()
         async with anyio.create_task_group() as tasks:
             while True:
-                await self._suspects_added.wait()
                 self._suspects_added = anyio.Event()
                 for endpoint in self._suspects.keys() - probed:
                     probed.add(endpoint)
                     tasks.start_soon(self._probe, endpoint, probed)
+                await self._suspects_added.wait()
 
     def _entries_in(self, *, failure_domain: FailureDomain) -> list[EndpointEntry]:
         entries = self._view.routed_entries
--- a/dotterelpaddle/forwarding/router.py
+++ b/dotterelpaddle/forwarding/router.py
@@ -4,6 +4,7 @@
 
 from contextlib import AsyncExitStack, asynccontextmanager
 from dataclasses import dataclass
+from functools import partial
 from typing import TYPE_CHECKING
 
 import anyio
@@ -18,12 +19,15 @@
 
 if TYPE_CHECKING:
     import socket
-    from collections.abc import AsyncIterator
+    from collections.abc import AsyncIterator, Awaitable, Callable
 
     from dotterelpaddle.address import Address
     from dotterelpaddle.forwarding.components import Components
     from dotterelpaddle.forwarding.dependencies import Dependencies
     from dotterelpaddle.forwarding.settings import ForwardSettings
+    from dotterelpaddle.peers.datagrams import DatagramSocket
+
+    Task = Callable[[], Awaitable[None]]
 
 log = get_logger(name=__name__)
 
@@ -84,11 +88,9 @@
         anyio.create_task_group() as tasks,
         AsyncExitStack() as stack,
     ):
-        tasks.start_soon(components.follower.run)
-        tasks.start_soon(components.reachability.run)
-        tasks.start_soon(components.termination_prober.run)
-        tasks.start_soon(components.isolation.run)
-        tasks.start_soon(_run_housekeeping, components)
+        keep_running = components.supervisor.keep_running
+        for task, run in _own_tasks(components).items():
+            tasks.start_soon(keep_running, task, run)
         control = await stack.enter_async_context(
             serve(
                 app=ControlApp(
@@ -102,15 +104,8 @@
             await stack.enter_async_context(
                 components.tunnel_server.serve(address=settings.tunnels)
             )
-        tasks.start_soon(components.exchange.run, datagrams, control)
-        tasks.start_soon(components.owners.run, datagrams)
-        tasks.start_soon(state.abandoned.run)
-        tasks.start_soon(components.fetcher.run)
-        tasks.start_soon(components.epoch_discovery.run)
-        tasks.start_soon(components.stream_archive.run)
-        tasks.start_soon(components.crash_archive.run)
-        if components.registry is not None:
-            tasks.start_soon(components.registry.run)
+        for task, run in _fleet_tasks(components, datagrams, control).items():
+            tasks.start_soon(keep_running, task, run)
         readiness = await stack.enter_async_context(
             serve(
                 app=ReadinessApp(is_ready=lambda: app.ready), address=settings.readiness
@@ -148,6 +143,35 @@
         tasks.cancel_scope.cancel()
 
 
+def _own_tasks(components: Components) -> dict[str, Task]:
+    """Return the tasks that need no address of this router, by name."""
+    return {
+        "follower": components.follower.run,
+        "reachability": components.reachability.run,
+        "termination probes": components.termination_prober.run,
+        "isolation": components.isolation.run,
+        "housekeeping": partial(_run_housekeeping, components),
+    }
+
+
+def _fleet_tasks(
+    components: Components, datagrams: DatagramSocket, control: Address
+) -> dict[str, Task]:
+    """Return the tasks that begin once other routers can reach this one, by name."""
+    fleet_tasks: dict[str, Task] = {
+        "reports": partial(components.exchange.run, datagrams, control),
+        "owners": partial(components.owners.run, datagrams),
+        "abandoned requests": components.state.abandoned.run,
+        "fetcher": components.fetcher.run,
+        "epoch discovery": components.epoch_discovery.run,
+        "stream archive": components.stream_archive.run,
+        "crash archive": components.crash_archive.run,
+    }
+    if components.registry is not None:
+        fleet_tasks["registry"] = components.registry.run
+    return fleet_tasks
+
+
 async def _run_housekeeping(components: Components) -> None:
     state = components.state
     while True:
--- a/dotterelpaddle/peers/exchange.py
+++ b/dotterelpaddle/peers/exchange.py
@@ -51,6 +51,7 @@
     from dotterelpaddle.retries.budget import RetryBudget
     from dotterelpaddle.streams.lookup import StreamLookup
     from dotterelpaddle.streams.origins import StreamOrigins, StreamRecord
+    from dotterelpaddle.supervision import TaskSupervisor
 
 log = get_logger(name=__name__)
 
@@ -95,6 +96,7 @@
         tunnel_servers: Tunnel servers of the other routers.
         stream_origins: Where streams began.
         stream_lookup: Answers other routers that ask for streams.
+        supervisor: Logs unexpected errors of one datagram.
         generator: Source of jitter.
     """
 
@@ -118,6 +120,7 @@
         tunnel_servers: TunnelServers,
         stream_origins: StreamOrigins,
         stream_lookup: StreamLookup,
+        supervisor: TaskSupervisor,
         generator: random.Random,
     ) -> None:
         self._own = directory.own
@@ -139,6 +142,7 @@
         self._tunnel_servers = tunnel_servers
         self._stream_origins = stream_origins
         self._stream_lookup = stream_lookup
+        self._supervisor = supervisor
         self._generator = generator
         self._incarnation = secrets.randbits(53)
         self._sequence = 0
@@ -302,30 +306,42 @@
     async def _receive(self, socket: DatagramSocket, control: Address) -> None:
         while True:
             datagram, address = await socket.receive()
-            if datagram.startswith(STREAM_DATAGRAM_PREFIX):
-                await self._stream_lookup.receive(datagram=datagram, address=address)
-                continue
-            if datagram.startswith(DATAGRAM_PREFIX):
-                await self._owners.receive(datagram=datagram, address=address)
-                continue
-            try:
-                report = decode_report(
-                    datagram=datagram,
-                    current_endpoint_id=self._view.current_endpoint_id,
-                )
-            except ControlError as error:
-                self._dropped += 1
-                log.warning(
-                    "report_dropped",
-                    peer=str(address),
-                    cause=error.message,
-                    dropped=self._dropped,
-                )
-                continue
-            if self._apply_report(report=report, address=address):
-                await self._send_answer(socket, control, address)
-            if report.streams:
-                await self._stream_lookup.answer_waiting()
+            # What others wrote must not end the exchange with all others.
+            with self._supervisor.contained(task="datagrams"):
+                await self._handle(socket, control, datagram, address)
+
+    async def _handle(
+        self,
+        socket: DatagramSocket,
+        control: Address,
+        datagram: bytes,
+        address: Address,
+    ) -> None:
+        """Process one datagram of another router."""
+        if datagram.startswith(STREAM_DATAGRAM_PREFIX):
+            await self._stream_lookup.receive(datagram=datagram, address=address)
+            return
+        if datagram.startswith(DATAGRAM_PREFIX):
+            await self._owners.receive(datagram=datagram, address=address)
+            return
+        try:
+            report = decode_report(
+                datagram=datagram,
+                current_endpoint_id=self._view.current_endpoint_id,
+            )
+        except ControlError as error:
+            self._dropped += 1
+            log.warning(
+                "report_dropped",
+                peer=str(address),
+                cause=error.message,
+                dropped=self._dropped,
+            )
+            return
+        if self._apply_report(report=report, address=address):
+            await self._send_answer(socket, control, address)
+        if report.streams:
+            await self._stream_lookup.answer_waiting()
 
     async def _send_answer(
         self, socket: DatagramSocket, control: Address, address: Address
--- a/dotterelpaddle/tests/crashes/test_termination_probes.py
+++ b/dotterelpaddle/tests/crashes/test_termination_probes.py
@@ -21,6 +21,7 @@
 from dotterelpaddle.ids import EndpointId, FailureDomain, Fingerprint
 from dotterelpaddle.links import Links
 from dotterelpaddle.network import LinkedBackend
+from dotterelpaddle.supervision import TaskSupervisor
 from dotterelpaddle.tests.forwarding.entries import make_entry
 from dotterelpaddle.tests.forwarding.harness import wait_until
 
@@ -38,6 +39,7 @@
 
     def __init__(self) -> None:
         backend = LinkedBackend(links=Links())
+        self.task_failures: list[str] = []
         self.crashes = CrashTracker(clock=monotonic)
         view = FleetView(clock=monotonic)
         self.leaving = view.leaving
@@ -52,6 +54,9 @@
             reachability=self.reachability,
             crashes=self.crashes,
             leaving=self.leaving,
+            supervisor=TaskSupervisor(
+                on_failure=self.task_failures.append, clock=monotonic
+            ),
             clock=monotonic,
         )
 
--- a/dotterelpaddle/tests/forwarding/harness.py
+++ b/dotterelpaddle/tests/forwarding/harness.py
@@ -101,6 +101,7 @@
         http: HTTP client of callers.
         stack: Stops stand-ins and routers at the end of the test.
         store_address: Address of the store.
+        expected_task_failures: Tasks of routers that the test lets fail.
     """
 
     store: StoreStandin
@@ -111,6 +112,7 @@
     http: httpcore.AsyncConnectionPool
     stack: AsyncExitStack
     store_address: Address
+    expected_task_failures: tuple[str, ...] = ()
 
     async def add_runner(self, name: str, **fields: Any) -> RunnerStandin:
         """Start an endpoint and register it."""
@@ -174,8 +176,14 @@
             )
         )
         self.routers.append(router)
+        self.stack.callback(self._check_tasks, router)
         return router
 
+    def _check_tasks(self, router: RunningForwarder) -> None:
+        """Check that only the expected tasks of a router have failed."""
+        failures = set(router.components.supervisor.failures)
+        assert failures <= set(self.expected_task_failures)
+
     async def call(
         self,
         path: str,
--- a/dotterelpaddle/tests/forwarding/router_processes.py
+++ b/dotterelpaddle/tests/forwarding/router_processes.py
@@ -94,3 +94,6 @@
         if self.process is not None and self.process.poll() is None:
             self.process.kill()
             self.process.wait()
+        if self.process is not None:
+            log = self.settings.with_suffix(".log").read_bytes()
+            assert b'"task_failed"' not in log
