Release the parser of an endpoint's answer with the answer

Cause: the answer and its parser refer to each other, so that each answer was left to the garbage collector with all its headers; that of a stream of some seconds had reached the oldest generation by then, which is collected after two million new objects.

Now the parser is let go once the exchange has ended, well or not.

--- a/dotterelpaddle/endpoint/http_connection.py
+++ b/dotterelpaddle/endpoint/http_connection.py
@@ -55,6 +55,8 @@
 
     def __init__(self, *, method: bytes) -> None:
         self._method = method
+        # It refers back to the answer.
+        self._parser: httptools.HttpResponseParser | None
         self._parser = httptools.HttpResponseParser(self)
         self._parts: list[bytes] = []
         self.status = 0
@@ -71,6 +73,7 @@
         Raises:
             httpcore.RemoteProtocolError: If they are no answer in the protocol.
         """
+        assert self._parser is not None
         self._framing_bytes += len(data)
         try:
             self._parser.feed_data(data)
@@ -104,6 +107,10 @@
             )
         self.complete = True
 
+    def release(self) -> None:
+        """Let go of the parser, after the last bytes."""
+        self._parser = None
+
     def take(self) -> bytes:
         """Return what has come of the body."""
         parts, self._parts = self._parts, []
@@ -123,6 +130,7 @@
         """End the head."""
         if self.complete:
             return
+        assert self._parser is not None
         status = self._parser.get_status_code()
         if status not in STATUSES:
             raise httpcore.RemoteProtocolError(f"the answer has the status {status:03}")
@@ -194,6 +202,7 @@
             while not answer.head_complete:
                 await self._receive(answer)
         except BaseException:
+            answer.release()
             await self.aclose()
             raise
         return httpcore.Response(
@@ -227,6 +236,7 @@
 
     async def end(self, answer: _Answer) -> None:
         """End the exchange; the connection is kept if it was whole."""
+        answer.release()
         if self._state is not _State.ACTIVE:
             return
         if answer.complete and answer.reusable:
