Run the tests side by side, and those with processes alone after them

Now six workers run all tests but those that start processes or measure time, which are marked 'processes' and follow alone. Every test stays. The parameters of one test had names that differed between workers.

--- a/dotterelpaddle/tests/daemon/test_process.py
+++ b/dotterelpaddle/tests/daemon/test_process.py
@@ -32,7 +32,7 @@
 
     from dotterelpaddle.address import Address
 
-pytestmark = pytest.mark.anyio
+pytestmark = [pytest.mark.anyio, pytest.mark.processes]
 
 LIMIT = 30.0
 """Seconds after which a wait fails; a start takes less than one second."""
--- a/dotterelpaddle/tests/forwarding/test_brittle_processes.py
+++ b/dotterelpaddle/tests/forwarding/test_brittle_processes.py
@@ -33,7 +33,7 @@
 
     Scene = Callable[[BrittleProcesses], Coroutine[Any, Any, None]]
 
-pytestmark = pytest.mark.anyio
+pytestmark = [pytest.mark.anyio, pytest.mark.processes]
 
 SOURCE = os.environ.get("BRITTLE_SOURCE", "")
 SEEDS = os.environ.get("BRITTLE_SEEDS", "")
--- a/dotterelpaddle/tests/forwarding/test_crash_controls_processes.py
+++ b/dotterelpaddle/tests/forwarding/test_crash_controls_processes.py
@@ -32,7 +32,7 @@
 if TYPE_CHECKING:
     from pathlib import Path
 
-pytestmark = pytest.mark.anyio
+pytestmark = [pytest.mark.anyio, pytest.mark.processes]
 
 SEEDS = seeds(default="1 1")
 ROUTERS, ENGINES = 3, 10
--- a/dotterelpaddle/tests/forwarding/test_crash_moments_processes.py
+++ b/dotterelpaddle/tests/forwarding/test_crash_moments_processes.py
@@ -35,7 +35,7 @@
 
     from dotterelpaddle.tests.forwarding.parts_world import PartsWorld
 
-pytestmark = pytest.mark.anyio
+pytestmark = [pytest.mark.anyio, pytest.mark.processes]
 
 SEEDS = seeds(default="1 1")
 SOUND_SECONDS = 6.0
--- a/dotterelpaddle/tests/forwarding/test_crowd_processes.py
+++ b/dotterelpaddle/tests/forwarding/test_crowd_processes.py
@@ -36,7 +36,7 @@
     from collections.abc import AsyncIterator
     from pathlib import Path
 
-pytestmark = pytest.mark.anyio
+pytestmark = [pytest.mark.anyio, pytest.mark.processes]
 
 SOURCE = os.environ.get("CROWD_SOURCE", "")
 MEMORY_MB = 100
--- a/dotterelpaddle/tests/forwarding/test_cut_off_soak.py
+++ b/dotterelpaddle/tests/forwarding/test_cut_off_soak.py
@@ -23,7 +23,7 @@
 if TYPE_CHECKING:
     from dotterelpaddle.tests.forwarding.harness import Fleet, Headers
 
-pytestmark = pytest.mark.anyio
+pytestmark = [pytest.mark.anyio, pytest.mark.processes]
 
 FIRST_SEED, SEED_COUNT, ROUTERS = (
     int(each) for each in os.environ.get("CUT_SEEDS", "1 2 3").split()
--- a/dotterelpaddle/tests/forwarding/test_grace_processes.py
+++ b/dotterelpaddle/tests/forwarding/test_grace_processes.py
@@ -18,7 +18,7 @@
 if TYPE_CHECKING:
     from pathlib import Path
 
-pytestmark = pytest.mark.anyio
+pytestmark = [pytest.mark.anyio, pytest.mark.processes]
 
 FIRST_SEED, SEED_COUNT = map(int, os.environ.get("GRACE_SEEDS", "1 1").split())
 SOURCE = os.environ.get("GRACE_SOURCE", "")
--- a/dotterelpaddle/tests/forwarding/test_held_processes.py
+++ b/dotterelpaddle/tests/forwarding/test_held_processes.py
@@ -25,7 +25,7 @@
 if TYPE_CHECKING:
     from pathlib import Path
 
-pytestmark = pytest.mark.anyio
+pytestmark = [pytest.mark.anyio, pytest.mark.processes]
 
 FIRST_SEED, SEED_COUNT = map(int, os.environ.get("HELD_SEEDS", "1 1").split())
 SOURCE = os.environ.get("HELD_SOURCE", "")
--- a/dotterelpaddle/tests/forwarding/test_prompt_parts_processes.py
+++ b/dotterelpaddle/tests/forwarding/test_prompt_parts_processes.py
@@ -27,7 +27,7 @@
 
     from dotterelpaddle.tests.forwarding.parts_world import PartsWorld
 
-pytestmark = pytest.mark.anyio
+pytestmark = [pytest.mark.anyio, pytest.mark.processes]
 
 SEEDS, LOSS_SEEDS = seeds(default="1 1"), seeds(default="29 1")
 
--- a/dotterelpaddle/tests/forwarding/test_repeats_in_cuts.py
+++ b/dotterelpaddle/tests/forwarding/test_repeats_in_cuts.py
@@ -24,7 +24,7 @@
 
     from dotterelpaddle.tests.forwarding.datagram_proxies import DatagramProxies
 
-pytestmark = pytest.mark.anyio
+pytestmark = [pytest.mark.anyio, pytest.mark.processes]
 
 Scene = Callable[[CutWorld], Coroutine[Any, Any, None]]
 
--- a/dotterelpaddle/tests/forwarding/test_repeats_processes.py
+++ b/dotterelpaddle/tests/forwarding/test_repeats_processes.py
@@ -24,7 +24,7 @@
 if TYPE_CHECKING:
     from pathlib import Path
 
-pytestmark = pytest.mark.anyio
+pytestmark = [pytest.mark.anyio, pytest.mark.processes]
 
 Trouble = Callable[[RepeatsWorld], Coroutine[Any, Any, None]]
 
--- a/dotterelpaddle/tests/forwarding/test_silence_soak.py
+++ b/dotterelpaddle/tests/forwarding/test_silence_soak.py
@@ -25,7 +25,7 @@
 
     from dotterelpaddle.standins.runner import RunnerStandin
 
-pytestmark = pytest.mark.anyio
+pytestmark = [pytest.mark.anyio, pytest.mark.processes]
 
 FIRST_SEED, SEED_COUNT, ROUTERS = (
     int(each) for each in os.environ.get("SILENCE_SEEDS", "1 1 3").split()
--- a/dotterelpaddle/tests/forwarding/test_slots_processes.py
+++ b/dotterelpaddle/tests/forwarding/test_slots_processes.py
@@ -25,6 +25,7 @@
 
 pytestmark = [
     pytest.mark.anyio,
+    pytest.mark.processes,
     pytest.mark.skipif("BRITTLE_SEEDS" not in os.environ, reason="played by hand"),
 ]
 
--- a/dotterelpaddle/tests/forwarding/test_store_return_soak.py
+++ b/dotterelpaddle/tests/forwarding/test_store_return_soak.py
@@ -29,7 +29,7 @@
     from dotterelpaddle.forwarding.view import FleetView
     from dotterelpaddle.tests.forwarding.harness import Fleet
 
-pytestmark = pytest.mark.anyio
+pytestmark = [pytest.mark.anyio, pytest.mark.processes]
 
 FIRST_SEED, SEED_COUNT, ROUTERS = (
     int(each) for each in os.environ.get("STORE_SEEDS", "3 2 3").split()
--- a/dotterelpaddle/tests/forwarding/test_versions_after_loss.py
+++ b/dotterelpaddle/tests/forwarding/test_versions_after_loss.py
@@ -28,7 +28,7 @@
 
     Change = Callable[[VersionsWorld], Awaitable[None]]
 
-pytestmark = pytest.mark.anyio
+pytestmark = [pytest.mark.anyio, pytest.mark.processes]
 
 ROUTERS = int(os.environ.get("LOSS_ROUTERS", "3"))
 FIRST_SEED, SEED_COUNT = map(int, os.environ.get("LOSS_SEEDS", "1 1").split())
--- a/dotterelpaddle/tests/forwarding/test_versions_soak.py
+++ b/dotterelpaddle/tests/forwarding/test_versions_soak.py
@@ -24,7 +24,7 @@
     from dotterelpaddle.standins.runner import RunnerStandin
     from dotterelpaddle.tests.forwarding.versions_world import VersionsWorld
 
-pytestmark = pytest.mark.anyio
+pytestmark = [pytest.mark.anyio, pytest.mark.processes]
 
 FIRST_SEED, SEED_COUNT, ROUTERS = (
     int(each) for each in os.environ.get("VERSIONS_SEEDS", "1 1 3").split()
--- a/dotterelpaddle/tests/streams/test_messages.py
+++ b/dotterelpaddle/tests/streams/test_messages.py
@@ -30,7 +30,11 @@
 ]
 
 
-@pytest.mark.parametrize("message", [QUESTION, *ANSWERS], ids=str)
+@pytest.mark.parametrize(
+    "message",
+    [QUESTION, *ANSWERS],
+    ids=["question", "unknown", "with a record", "with versions"],
+)
 def test_message_round_trip(message: StreamQuestion | StreamAnswer) -> None:
     datagram = encode_message(message=message)
 
--- a/test.sh
+++ b/test.sh
@@ -7,5 +7,11 @@
 "$venv/bin/ruff" format --check .
 "$venv/bin/ruff" check .
 "$venv/bin/mypy"
-"$venv/bin/python" -m pytest "$@"
+if [ "$#" -gt 0 ]; then
+    "$venv/bin/python" -m pytest "$@"
+else
+    # Idle workers take tests over from others, as some files take minutes.
+    "$venv/bin/python" -m pytest -m "not processes" --numprocesses 6 --dist worksteal
+    "$venv/bin/python" -m pytest -m processes
+fi
 bash ./.ci/smoke "$venv/bin/dotterelpaddle"
