Collect garbage whenever a router has grown by 16 MB

What callers would see: the same as before, several times later: asyncio's transport refers to itself, so that each closed connection still leaves 8 objects and some 2 KB until the oldest generation is collected, after two million new objects.

A bound on memory has to be checked by the memory of the process: each second the daemon looks whether it has grown by 16 MB since it was least, and collects garbage then. What is in use is no reason to collect again. Raising or lowering GC_THRESHOLDS was ruled out: they count objects, whatever these hold, and a collection takes the same time however little there is to find.

Test: test_garbage_is_collected_each_time_the_process_has_grown.

--- a/dotterelpaddle/daemon/process.py
+++ b/dotterelpaddle/daemon/process.py
@@ -9,6 +9,7 @@
 import anyio
 
 from dotterelpaddle.clock import monotonic
+from dotterelpaddle.daemon.collector import GarbageCollector
 from dotterelpaddle.forwarding.dependencies import Dependencies
 from dotterelpaddle.forwarding.router import run_forwarder
 from dotterelpaddle.line_logs import LineSink
@@ -22,6 +23,7 @@
 
 if TYPE_CHECKING:
     import socket
+    from collections.abc import AsyncIterator
 
     from dotterelpaddle.forwarding.settings import ForwardSettings
 
@@ -58,13 +60,21 @@
         clock=monotonic,
     )
     with anyio.open_signal_receiver(*STOP_SIGNALS, signal.SIGHUP) as signals:
-        async with run_forwarder(
-            settings=settings, dependencies=dependencies, listener=listener
-        ):
-            async for received in signals:
-                if received in STOP_SIGNALS:
-                    break
-                # A reload changes nothing: every setting is an address or a limit of
-                # the process that takes effect only at its start.
-                log.info("settings_unchanged", signal=received.name)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(GarbageCollector().run)
+            async with run_forwarder(
+                settings=settings, dependencies=dependencies, listener=listener
+            ):
+                await _wait_for_stop(signals)
+            tasks.cancel_scope.cancel()
     await source.aclose()
+
+
+async def _wait_for_stop(signals: AsyncIterator[signal.Signals]) -> None:
+    """Wait for a signal that stops the router."""
+    async for received in signals:
+        if received in STOP_SIGNALS:
+            return
+        # A reload changes nothing: every setting is an address or a limit of the
+        # process that takes effect only at its start.
+        log.info("settings_unchanged", signal=received.name)
--- a/dotterelpaddle/forwarding/metrics.py
+++ b/dotterelpaddle/forwarding/metrics.py
@@ -4,10 +4,10 @@
 
 import math
 from dataclasses import dataclass
-from pathlib import Path
 from typing import TYPE_CHECKING
 
 from dotterelpaddle.forwarding.model import RequestKind
+from dotterelpaddle.memory.resident import resident_bytes
 from dotterelpaddle.metrics import Metrics
 
 if TYPE_CHECKING:
@@ -24,11 +24,6 @@
     from dotterelpaddle.peers.directory import PeerDirectory
     from dotterelpaddle.retries.budget import RetryBudget
 
-MEMORY_FILE = Path("/proc/self/statm")
-"""Memory of the process in pages; the second field is the resident size."""
-
-PAGE_BYTES = 4096
-
 
 class ForwardMetrics:
     """Counters and histograms of requests and of calls to the platform."""
@@ -278,7 +273,7 @@
             {"state": "blocked_parts"}, sources.crashes.blocked_part_count
         )
         self._peers.set({}, len(sources.directory.alive))
-        self._memory.set({}, _resident_bytes())
+        self._memory.set({}, resident_bytes())
         self._held.set({"state": "held"}, sources.held.held)
         for (service, kind), size in sources.held.by_use().items():
             labels = {"service": service or "", "kind": kind.value}
@@ -315,10 +310,3 @@
     """Set the ages of both kinds of data; an infinite one is shown as NaN."""
     for what, age in (("configuration", configuration), ("endpoints", endpoints)):
         gauge.set({"what": what}, age if math.isfinite(age) else math.nan)
-
-
-def _resident_bytes() -> int:
-    """Return the resident memory, 0 on systems without procfs such as macOS."""
-    if not MEMORY_FILE.exists():
-        return 0
-    return int(MEMORY_FILE.read_text().split()[1]) * PAGE_BYTES
--- /dev/null
+++ b/dotterelpaddle/tests/daemon/test_collector.py
@@ -0,0 +1,75 @@
+"""Garbage is collected by the growth of the process."""
+
+from __future__ import annotations
+
+import gc
+from typing import TYPE_CHECKING
+
+from dotterelpaddle.daemon.collector import GROWTH_BYTES, GarbageCollector
+
+if TYPE_CHECKING:
+    import pytest
+
+START = 40_000_000
+
+
+class _Process:
+    """A process whose memory a test sets; a collection releases some of it."""
+
+    def __init__(self, monkeypatch: pytest.MonkeyPatch, *, garbage: int = 0) -> None:
+        self.memory = START
+        self.garbage = garbage
+        self.collections = 0
+        monkeypatch.setattr(gc, "collect", self._collect)
+        self.collector = GarbageCollector(memory=lambda: self.memory)
+
+    def _collect(self) -> int:
+        self.collections += 1
+        self.memory -= self.garbage
+        return 1
+
+    def grow(self, size: int) -> None:
+        self.memory += size
+        self.collector.check()
+
+
+def test_process_that_does_not_grow_is_left_alone(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    process = _Process(monkeypatch)
+    for size in (0, 1, GROWTH_BYTES - 2, -GROWTH_BYTES // 2, 0):
+        process.grow(size)
+
+    assert process.collections == 0
+
+
+# Guards against garbage that waits for millions of new objects while it grows by
+# hundreds of megabytes.
+def test_garbage_is_collected_each_time_the_process_has_grown(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    process = _Process(monkeypatch, garbage=GROWTH_BYTES)
+    for _ in range(20):
+        process.grow(GROWTH_BYTES // 2)
+
+    assert process.collections == 10
+    assert process.memory <= START + GROWTH_BYTES
+
+
+def test_memory_in_use_is_no_reason_to_collect_again(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    process = _Process(monkeypatch)
+    process.grow(2 * GROWTH_BYTES)
+    for _ in range(10):
+        process.grow(0)
+
+    assert process.collections == 1
+
+
+def test_growth_counts_from_the_least_memory(monkeypatch: pytest.MonkeyPatch) -> None:
+    process = _Process(monkeypatch)
+    process.grow(-GROWTH_BYTES)
+    process.grow(GROWTH_BYTES)
+
+    assert process.collections == 1
