Compare suspects with each other once for a crash, not once for each part

Cause: each part beyond 512 sorted all suspects to drop one; an answer to a chat and a line of the log sought all causes anew for each part; and nothing else ran meanwhile.

Which suspects stay, and the bounds, are as before.

--- a/dotterelpaddle/crashes/subjects.py
+++ b/dotterelpaddle/crashes/subjects.py
@@ -45,6 +45,16 @@
 CrashSubject = RequestSubject | PartSubject
 
 
+def fingerprint_text(subject: CrashSubject) -> str:
+    """Return the fingerprint of a request for the log, empty for a part."""
+    return subject.fingerprint if isinstance(subject, RequestSubject) else ""
+
+
+def part_text(subject: CrashSubject) -> str:
+    """Return the key of a part for the log, empty for a request."""
+    return subject.part if isinstance(subject, PartSubject) else ""
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class AnySubject:
     """Whatever an endpoint was running, whether or not it is suspected any more."""
--- a/dotterelpaddle/crashes/termination_probes.py
+++ b/dotterelpaddle/crashes/termination_probes.py
@@ -40,6 +40,9 @@
 PROBE_INTERVAL_SECONDS = 0.5
 """Seconds between two probes of an endpoint."""
 
+EVENTS_PER_TURN = 256
+"""Events that are recorded without a pause for others, in a few milliseconds."""
+
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class _BrokenRequest:
@@ -167,7 +170,9 @@
         if terminated:
             self._reachability.suspect(entry=entry, timed_out=False)
             broken += self._still_running(endpoint=entry.endpoint)
-        for request in broken:
+        for number, request in enumerate(broken, 1):
+            if number % EVENTS_PER_TURN == 0:
+                await anyio.sleep(0)
             if terminated:
                 self._crashes.record_crash(
                     subject=request.subject,
--- a/dotterelpaddle/crashes/tracker.py
+++ b/dotterelpaddle/crashes/tracker.py
@@ -23,7 +23,14 @@
 from dotterelpaddle.crashes.current_causes import SETTLE_SECONDS, CurrentCauses
 from dotterelpaddle.crashes.note import CrashNote, NoteKind
 from dotterelpaddle.crashes.served_parts import ServedParts
-from dotterelpaddle.crashes.subjects import AnySubject, PartSubject, RequestSubject
+from dotterelpaddle.crashes.subjects import (
+    AnySubject,
+    PartSubject,
+    RequestSubject,
+    fingerprint_text,
+    part_text,
+)
+from dotterelpaddle.crashes.suspect_table import SuspectTable
 from dotterelpaddle.crashes.suspects import Event, ReportableEvent, Suspect
 from dotterelpaddle.forwarding.report_state import ReportState
 from dotterelpaddle.logs import get_logger
@@ -46,12 +53,6 @@
 MIN_WAIT_SECONDS = 1.0
 """Minimum retry-after, also while the request has an attempt in flight elsewhere."""
 
-MAX_SUSPECTS = 256
-"""Tracked requests, 200 KB: all requests of several crashed endpoints."""
-
-MAX_SUSPECT_PARTS = 512
-"""Tracked prompt parts, 400 KB: those of all requests of several crashed endpoints."""
-
 MAX_CRASHED_ENDPOINTS = 256
 """Endpoints whose last crash a router remembers, 30 KB."""
 
@@ -76,17 +77,19 @@
     ) -> None:
         self._clock = clock
         self._may_try_parts = may_try_parts
-        self._suspects: dict[CrashSubject, Suspect] = {}
+        self._suspects = SuspectTable(on_removal=lambda: self._causes.invalidate())
         self._served_parts = ServedParts()
         self._all_crashes = Suspect()
         self._causes = CurrentCauses(
-            suspects=self._suspects, all_crashes=self._all_crashes, clock=clock
+            suspects=lambda: self._suspects.all,
+            all_crashes=self._all_crashes,
+            clock=clock,
         )
 
     @property
     def suspect_count(self) -> int:
         """Number of requests and parts that were running during a recent crash."""
-        return sum(bool(suspect.crashes) for suspect in self._suspects.values())
+        return sum(bool(suspect.crashes) for suspect in self._suspects.all.values())
 
     @property
     def causes(self) -> frozenset[CrashSubject]:
@@ -236,7 +239,7 @@
         return [
             event.note(now=now)
             for subject in self.causes
-            for event in self._suspects[subject].reportable(subject=subject)
+            for event in self._suspects.all[subject].reportable(subject=subject)
             if event.kind is NoteKind.ENDED
         ]
 
@@ -258,7 +261,7 @@
     def _apply_crash(
         self, subject: CrashSubject, endpoint: EndpointId, event: Event
     ) -> None:
-        suspect = self._suspects.setdefault(subject, Suspect())
+        suspect = self._suspects.add(subject)
         self._apply_served_part(subject, suspect)
         served = suspect.served
         if served is not None and served.began_at >= event.began_at:
@@ -266,8 +269,8 @@
             served.report_state.report_again()
             log.info(
                 "crash_not_counted",
-                fingerprint=_fingerprint(subject),
-                part=_part(subject),
+                fingerprint=fingerprint_text(subject),
+                part=part_text(subject),
                 endpoint=endpoint,
                 seconds_ago=round(self._clock() - event.at, 3),
                 answered_seconds_ago=round(self._clock() - served.at, 3),
@@ -283,28 +286,26 @@
         suspect.crashes[endpoint] = event
         suspect.attempts.pop(endpoint, None)
         self._causes.invalidate()
-        self._evict(like=subject)
+        self._suspects.limit()
         log.info(
             "request_suspected",
-            fingerprint=_fingerprint(subject),
-            part=_part(subject),
+            fingerprint=fingerprint_text(subject),
+            part=part_text(subject),
             endpoint=endpoint,
             seconds_ago=round(self._clock() - event.at, 3),
             begun=event.begun,
             ended=len(suspect.crashes),
-            is_cause=len(suspect.crashes) >= MIN_CRASHES_TO_BLOCK
-            and subject in self.causes,
         )
 
     def _apply_attempt(
         self, subject: CrashSubject, endpoint: EndpointId, event: Event
     ) -> None:
-        suspect = self._suspects.setdefault(subject, Suspect())
+        suspect = self._suspects.add(subject)
         served = suspect.served
         is_outdated = served is not None and served.began_at >= event.began_at
         if not is_outdated and endpoint not in suspect.crashes:
             suspect.attempts.setdefault(endpoint, event)
-        self._evict(like=subject)
+        self._suspects.limit()
 
     def _apply_served_part(self, subject: CrashSubject, suspect: Suspect) -> None:
         """Let the last answer to a request with a part count, if it is a later one."""
@@ -325,15 +326,18 @@
     def _clear(self, subject: CrashSubject, suspect: Suspect, event: Event) -> None:
         if suspect.served is not None and suspect.served.began_at >= event.began_at:
             return
-        was_blocked = subject in self.causes
+        # Only the causes are compared with each other, which takes long.
+        was_blocked = (
+            len(suspect.crashes) >= MIN_CRASHES_TO_BLOCK and subject in self.causes
+        )
         suspect.served = event
         suspect.forget_before(began_at=event.began_at)
         self._causes.invalidate()
         if was_blocked and subject not in self.causes:
             log.info(
                 "request_block_ended",
-                fingerprint=_fingerprint(subject),
-                part=_part(subject),
+                fingerprint=fingerprint_text(subject),
+                part=part_text(subject),
                 cause="served",
             )
 
@@ -347,14 +351,15 @@
 
     def _events(self) -> Iterator[ReportableEvent]:
         yield from self._all_crashes.reportable(subject=AnySubject())
-        for subject, suspect in self._suspects.items():
+        for subject, suspect in self._suspects.all.items():
             yield from suspect.reportable(subject=subject)
 
     def _expire(self, *, now: float) -> None:
         causes = self.causes
         if self._all_crashes.forget_before(began_at=now - SUSPICION_SECONDS):
             self._causes.invalidate()
-        for subject, suspect in tuple(self._suspects.items()):
+        suspects = self._suspects.all
+        for subject, suspect in tuple(suspects.items()):
             expiry = SUSPICION_SECONDS
             if subject in causes:
                 expiry += block_time(subject=subject, suspect=suspect)
@@ -364,34 +369,5 @@
                 if now - event.at <= MAX_ATTEMPT_SECONDS
             }
             if now - suspect.last_seen_at > expiry and not suspect.attempts:
-                del self._suspects[subject]
+                del suspects[subject]
                 self._causes.invalidate()
-
-    def _evict(self, *, like: CrashSubject) -> None:
-        """Remove what has the fewest crashes, oldest first, above the maximum.
-
-        Args:
-            like: A subject of the kind to remove.
-        """
-        maximum = MAX_SUSPECT_PARTS if isinstance(like, PartSubject) else MAX_SUSPECTS
-        if len(self._suspects) <= maximum:
-            return
-        ranked = sorted(
-            (each for each in self._suspects if type(each) is type(like)),
-            key=lambda each: (
-                len(self._suspects[each].crashes),
-                self._suspects[each].last_seen_at,
-            ),
-            reverse=True,
-        )
-        for each in ranked[maximum:]:
-            del self._suspects[each]
-            self._causes.invalidate()
-
-
-def _fingerprint(subject: CrashSubject) -> str:
-    return subject.fingerprint if isinstance(subject, RequestSubject) else ""
-
-
-def _part(subject: CrashSubject) -> str:
-    return subject.part if isinstance(subject, PartSubject) else ""
--- a/dotterelpaddle/tests/crashes/test_tracker.py
+++ b/dotterelpaddle/tests/crashes/test_tracker.py
@@ -11,6 +11,7 @@
 
 from dotterelpaddle.crashes.blocks import MIN_BLOCK_SECONDS
 from dotterelpaddle.crashes.subjects import RequestSubject
+from dotterelpaddle.crashes.suspect_table import MAX_SUSPECTS
 from dotterelpaddle.crashes.suspects import (
     ONE_CRASH_INTERVAL_SECONDS,
     REPORT_INTERVAL_SECONDS,
@@ -18,7 +19,6 @@
 from dotterelpaddle.crashes.tracker import (
     MAX_ATTEMPT_SECONDS,
     MAX_NOTES_PER_REPORT,
-    MAX_SUSPECTS,
     MIN_CRASHES_TO_BLOCK,
     SUSPICION_SECONDS,
     CrashTracker,
@@ -326,7 +326,8 @@
     def few_crashes_block_few_requests(self) -> None:
         for router in self.routers:
             crashes = sum(
-                len(suspect.crashes) for suspect in router.tracker._suspects.values()
+                len(suspect.crashes)
+                for suspect in router.tracker._suspects.all.values()
             )
             assert router.tracker.blocked_count <= crashes // MIN_CRASHES_TO_BLOCK
 
--- a/dotterelpaddle/tests/forwarding/test_crash_parts.py
+++ b/dotterelpaddle/tests/forwarding/test_crash_parts.py
@@ -6,9 +6,9 @@
 
 from dotterelpaddle.crashes.blocks import MIN_BLOCK_SECONDS
 from dotterelpaddle.crashes.subjects import PartSubject, RequestSubject
+from dotterelpaddle.crashes.suspect_table import MAX_SUSPECT_PARTS
 from dotterelpaddle.crashes.suspects import RECENT_ANSWER_SECONDS
 from dotterelpaddle.crashes.tracker import (
-    MAX_SUSPECT_PARTS,
     SETTLE_SECONDS,
     CrashTracker,
 )
