Bound the uses of prompt parts that wait for reports

Cause: reports contain 80 new uses a second in full, and the queue of those that wait had no bound, while the map of cached parts has one.

Now a queue has at most 8,000 uses, as many as reports contain within 100 s, and the one that waits longest gives way: an endpoint may have evicted such a part by then, and others would take it for cached. A bound for each request was ruled out, as the first parts of a chat, which others share, are not told from its last ones by their number.

--- a/dotterelpaddle/forwarding/use_queue.py
+++ b/dotterelpaddle/forwarding/use_queue.py
@@ -19,6 +19,10 @@
 """Forwarded uses in one report, 4 KB: after a start, twenty routers place some hundred
 uncached prompts per second."""
 
+MAX_QUEUED_USES = 8_000
+"""Uses in a queue, 2 MB: as many as reports contain within 100 s. Endpoints may have
+evicted a part that was used earlier."""
+
 PartTag = int
 """32-bit hash of a prompt part and the name of its model."""
 
@@ -37,10 +41,17 @@
         self._max_per_report = max_per_report
         self._reports_left: OrderedDict[PartUse, int] = OrderedDict()
 
+    @property
+    def size(self) -> int:
+        """Number of uses that reports have yet to contain."""
+        return len(self._reports_left)
+
     def put(self, *, use: PartUse) -> None:
-        """Queue a use for the next reports."""
+        """Queue a use for the next reports; the one that waits longest gives way."""
         self._reports_left[use] = REPORTS_PER_USE
         self._reports_left.move_to_end(use)
+        if len(self._reports_left) > MAX_QUEUED_USES:
+            self._reports_left.popitem(last=False)
 
     def discard(self, *, use: PartUse) -> None:
         """Remove a use from the queue."""
--- a/dotterelpaddle/tests/forwarding/test_caches.py
+++ b/dotterelpaddle/tests/forwarding/test_caches.py
@@ -3,13 +3,16 @@
 from __future__ import annotations
 
 from dotterelpaddle.forwarding.caches import (
+    MAX_PARTS,
     MIN_REPEAT_REPORT_SECONDS,
     CacheMap,
     UseOrigin,
 )
 from dotterelpaddle.forwarding.use_queue import (
     MAX_LOCAL_USES_PER_REPORT,
+    MAX_QUEUED_USES,
     REPORTS_PER_USE,
+    UseQueue,
 )
 from dotterelpaddle.ids import EndpointId
 from dotterelpaddle.tests.forwarding.entries import make_request
@@ -74,3 +77,31 @@
     assert caches.take_pending(origin=UseOrigin.SAME_DOMAIN) == [(1, A)]
     assert caches.take_pending(origin=UseOrigin.OTHER_DOMAIN) == []
     assert caches.take_pending() == []
+
+
+# Guards against a router whose memory fills with the uses of prompts of 1,500 parts,
+# faster than reports to other routers can contain them.
+def test_queue_of_uses_has_a_bound_and_keeps_the_latest() -> None:
+    queue = UseQueue(max_per_report=2 * MAX_QUEUED_USES)
+    for part in range(3 * MAX_QUEUED_USES):
+        queue.put(use=(part, A))
+
+    assert queue.size == MAX_QUEUED_USES
+    latest = range(2 * MAX_QUEUED_USES, 3 * MAX_QUEUED_USES)
+    assert queue.take() == [(part, A) for part in latest]
+
+
+# Guards against the same by what other routers report, which is passed on.
+def test_long_prompts_leave_the_map_of_caches_bounded() -> None:
+    caches = CacheMap(clock=lambda: 0.0)
+    parts = 1_500
+    for number in range(40):
+        names = [(f"{number}-{part}", 7) for part in range(parts)]
+        caches.record_prompt(endpoint=A, request=make_request(*names))
+        uses = [(-(parts * number + part), B) for part in range(parts)]
+        for origin in (UseOrigin.SAME_DOMAIN, UseOrigin.OTHER_DOMAIN):
+            caches.receive(uses=uses, forward_as=origin)
+
+    assert caches.part_count <= MAX_PARTS
+    assert all(each.size <= MAX_QUEUED_USES for each in caches._pending.values())
+    assert len(caches._reported_at) <= MAX_PARTS
