Take no endpoint for terminated because this process has no descriptor

What callers would see: sound requests refused as deadly, and endpoints that get nothing, at a router whose descriptors are all held by callers.

Cause: a connect that fails for want of a descriptor, a port or memory of this host was the same error as a refusal by the endpoint. A probe then counted as proof of a crash, a tunnel told other routers that the endpoint refuses, and an attempt made it suspect.

Now such an error has a type of its own: a probe has no result, a tunnel server says that it is busy, and an attempt, which has sent nothing, leaves the endpoint as it was.

Before: test_router_without_descriptors_takes_no_endpoint_for_terminated finds the request blocked. The tunnel server and the attempt have no test of their own.

--- a/dotterelpaddle/endpoint/pool.py
+++ b/dotterelpaddle/endpoint/pool.py
@@ -11,6 +11,7 @@
 
 from dotterelpaddle.endpoint.http_connection import HttpConnection
 from dotterelpaddle.exceptions import EndpointUnreachable
+from dotterelpaddle.transport import NoLocalResources
 
 if TYPE_CHECKING:
     from dotterelpaddle.address import Address
@@ -227,6 +228,7 @@
             raise EndpointUnreachable(
                 f"no connection: {error or type(error).__name__}",
                 timed_out=isinstance(error, httpcore.ConnectTimeout),
+                is_local=isinstance(error, NoLocalResources),
                 peer=str(self._address),
             ) from error
         return Connection(stream=stream, opened_at=self._clock())
--- a/dotterelpaddle/exceptions.py
+++ b/dotterelpaddle/exceptions.py
@@ -289,6 +289,8 @@
 
     Attributes:
         timed_out: Whether the connection attempt got no answer, not a refusal.
+        is_local: Whether this process could open no connection to anybody, which tells
+            nothing of the endpoint.
     """
 
     default_step = Step.CONNECT
@@ -298,11 +300,13 @@
         message: str,
         *,
         timed_out: bool = False,
+        is_local: bool = False,
         step: Step | None = None,
         peer: str = "",
     ):
         super().__init__(message, step=step, peer=peer)
         self.timed_out = timed_out
+        self.is_local = is_local
 
 
 class EndpointSilent(EndpointError):
--- a/dotterelpaddle/forwarding/attempt_sender.py
+++ b/dotterelpaddle/forwarding/attempt_sender.py
@@ -247,6 +247,8 @@
                 pass
             case ConnectionLimitReached() | UnreadAnswerBroken():
                 pass
+            case EndpointUnreachable() if error.is_local:
+                pass
             case EndpointUnreachable():
                 self._reachability.suspect(entry=entry, timed_out=error.timed_out)
                 self._guard.report_silence(entry=entry)
--- a/dotterelpaddle/forwarding/reachability.py
+++ b/dotterelpaddle/forwarding/reachability.py
@@ -18,6 +18,7 @@
 
 from dotterelpaddle.forwarding.service_groups import group_by_service
 from dotterelpaddle.logs import get_logger
+from dotterelpaddle.transport import NoLocalResources
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -216,9 +217,9 @@
     """
     try:
         stream = await backend.connect_tcp(address.host, address.port, timeout)
+    except (NoLocalResources, httpcore.ConnectTimeout):
+        return ConnectionOutcome.TIMED_OUT
     except httpcore.ConnectError:
         return ConnectionOutcome.REFUSED
-    except httpcore.ConnectTimeout:
-        return ConnectionOutcome.TIMED_OUT
     await stream.aclose()
     return ConnectionOutcome.ESTABLISHED
--- a/dotterelpaddle/peers/tunnel_server.py
+++ b/dotterelpaddle/peers/tunnel_server.py
@@ -21,6 +21,7 @@
 from dotterelpaddle.logs import get_logger
 from dotterelpaddle.memory.held_bytes import REQUEST_BYTES
 from dotterelpaddle.memory.kinds import HeldKind
+from dotterelpaddle.transport import NoLocalResources
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Awaitable, Callable, Iterator
@@ -188,6 +189,8 @@
             upstream = await self._backend.connect_tcp(
                 address.host, address.port, CONNECT_TIMEOUT_SECONDS
             )
+        except NoLocalResources:
+            return STATUS_BUSY, None
         except httpcore.ConnectTimeout:
             self._reachability.suspect(entry=entry, timed_out=True)
             return STATUS_TIMED_OUT, None
--- a/dotterelpaddle/tests/crashes/test_termination_probes.py
+++ b/dotterelpaddle/tests/crashes/test_termination_probes.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import asyncio
+import errno
+import os
 from contextlib import asynccontextmanager
 from typing import TYPE_CHECKING
 
@@ -125,3 +128,21 @@
         harness.report_broken(address=CLOSED)
 
         assert not harness.prober._pending
+
+
+# Guards against sound requests that are blocked as a router has no descriptor left to
+# look whether endpoints still run.
+async def test_router_without_descriptors_takes_no_endpoint_for_terminated(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def _fail(*args: object, **fields: object) -> object:
+        raise OSError(errno.EMFILE, os.strerror(errno.EMFILE))
+
+    async with _run_prober() as harness:
+        loop = asyncio.get_running_loop()
+        monkeypatch.setattr(loop, "create_connection", _fail)
+        harness.report_broken(address=CLOSED)
+        await wait_until(lambda: not harness.prober._pending)
+
+    assert harness.crashes.suspect_count == 0
+    assert not harness.is_blocked
--- a/dotterelpaddle/transport.py
+++ b/dotterelpaddle/transport.py
@@ -10,6 +10,7 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import math
 from typing import TYPE_CHECKING, Any
 
@@ -23,6 +24,11 @@
 MAX_BUFFERED_BYTES = 256 * 1024
 """Size of the receive buffer above which the transport stops reading."""
 
+LOCAL_ERRORS = frozenset(
+    {errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL}
+)
+"""Errors of a connect that come of this host, not of the peer."""
+
 MAX_WRITE_BYTES = 64 * 1024
 """Bytes passed to the transport at a time, which copies what it can't send at once."""
 
@@ -214,6 +220,10 @@
         return None
 
 
+class NoLocalResources(httpcore.ConnectError):
+    """This process can open no connection, which tells nothing of the peer."""
+
+
 class TcpBackend(httpcore.AsyncNetworkBackend):
     """Opens TCP connections."""
 
@@ -228,6 +238,7 @@
         """Open a connection.
 
         Raises:
+            NoLocalResources: If the process has no descriptor or port left.
             httpcore.ConnectError: If the peer refuses the connection.
             httpcore.ConnectTimeout: If the peer does not answer in time.
         """
@@ -240,6 +251,8 @@
                 )
                 return TcpStream(protocol=protocol)
         except OSError as error:
+            if error.errno in LOCAL_ERRORS:
+                raise NoLocalResources(str(error)) from error
             raise httpcore.ConnectError(str(error)) from error
         raise httpcore.ConnectTimeout(f"{host}:{port} did not answer in time")
 
