Keep what was never answered among the suspects of a crash

Cause: of the thousands of parts that ran at a crash 512 stay suspects, those with the most crashes and then those seen last; an answer counted as being seen, so that sound parts pushed out the one that is never answered.

--- a/dotterelpaddle/crashes/suspect_table.py
+++ b/dotterelpaddle/crashes/suspect_table.py
@@ -62,7 +62,7 @@
             self._remove_surplus()
 
     def _remove_surplus(self) -> None:
-        """Remove those with the fewest crashes, oldest first, above each maximum."""
+        """Remove those that caused the fewest crashes, most likely, above a maximum."""
         self._is_crowded = False
         self._remove(kind=PartSubject, maximum=MAX_SUSPECT_PARTS)
         self._remove(kind=RequestSubject, maximum=MAX_SUSPECTS)
@@ -76,6 +76,10 @@
             del self._suspects[each]
         self._on_removal()
 
-    def _rank(self, subject: CrashSubject) -> tuple[int, float]:
+    def _rank(self, subject: CrashSubject) -> tuple[int, bool, float]:
+        """Return the sort key; those to keep have a greater one.
+
+        Of all that ran at a crash, what was never answered is most likely the cause.
+        """
         suspect = self._suspects[subject]
-        return len(suspect.crashes), suspect.last_seen_at
+        return len(suspect.crashes), not suspect.was_answered, suspect.last_seen_at
