Read the memory of a process that has no descriptor left

Now the file is opened at the start of the process, and the collector runs under the supervisor like the other tasks.

Before: test_memory_is_read_without_a_descriptor_left could not be met, as each reading opened the file.

--- a/dotterelpaddle/daemon/collector.py
+++ b/dotterelpaddle/daemon/collector.py
@@ -14,7 +14,6 @@
 import anyio
 
 from dotterelpaddle.logs import get_logger
-from dotterelpaddle.memory.resident import resident_bytes
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -35,7 +34,7 @@
         memory: Returns the memory of the process, bytes.
     """
 
-    def __init__(self, *, memory: Callable[[], int] = resident_bytes) -> None:
+    def __init__(self, *, memory: Callable[[], int]) -> None:
         self._memory = memory
         self._least = memory()
 
--- a/dotterelpaddle/daemon/process.py
+++ b/dotterelpaddle/daemon/process.py
@@ -15,6 +15,7 @@
 from dotterelpaddle.line_logs import LineSink
 from dotterelpaddle.links import Links
 from dotterelpaddle.logs import Level, get_logger, log_to_sink
+from dotterelpaddle.memory.resident import memory_reader
 from dotterelpaddle.platform.documents import PlatformDocumentDecoder
 from dotterelpaddle.platform.engines import EngineCacheReader
 from dotterelpaddle.platform.protocols import PlatformCodec
@@ -59,13 +60,20 @@
         links=links,
         clock=monotonic,
     )
-    with anyio.open_signal_receiver(*STOP_SIGNALS, signal.SIGHUP) as signals:
-        async with anyio.create_task_group() as tasks:
-            tasks.start_soon(GarbageCollector().run)
-            async with run_forwarder(
+    with (
+        anyio.open_signal_receiver(*STOP_SIGNALS, signal.SIGHUP) as signals,
+        memory_reader() as memory,
+    ):
+        collector = GarbageCollector(memory=memory)
+        async with (
+            run_forwarder(
                 settings=settings, dependencies=dependencies, listener=listener
-            ):
-                await _wait_for_stop(signals)
+            ) as router,
+            anyio.create_task_group() as tasks,
+        ):
+            keep_running = router.components.supervisor.keep_running
+            tasks.start_soon(keep_running, "garbage", collector.run)
+            await _wait_for_stop(signals)
             tasks.cancel_scope.cancel()
     await source.aclose()
 
--- a/dotterelpaddle/tests/daemon/test_collector.py
+++ b/dotterelpaddle/tests/daemon/test_collector.py
@@ -3,12 +3,13 @@
 from __future__ import annotations
 
 import gc
-from typing import TYPE_CHECKING
+import os
+import resource
 
-from dotterelpaddle.daemon.collector import GROWTH_BYTES, GarbageCollector
+import pytest
 
-if TYPE_CHECKING:
-    import pytest
+from dotterelpaddle.daemon.collector import GROWTH_BYTES, GarbageCollector
+from dotterelpaddle.memory.resident import memory_reader
 
 START = 40_000_000
 
@@ -73,3 +74,17 @@
     process.grow(GROWTH_BYTES)
 
     assert process.collections == 1
+
+
+# Guards against a router that ends, or whose memory nobody looks at, while callers hold
+# all its descriptors.
+def test_memory_is_read_without_a_descriptor_left() -> None:
+    with memory_reader() as read:
+        limits = resource.getrlimit(resource.RLIMIT_NOFILE)
+        resource.setrlimit(resource.RLIMIT_NOFILE, (0, limits[1]))
+        try:
+            with pytest.raises(OSError, match="Too many open files"):
+                os.open(os.devnull, os.O_RDONLY)
+            assert read() > 0
+        finally:
+            resource.setrlimit(resource.RLIMIT_NOFILE, limits)
