--- a/dotterelpaddle/crashes/suspect_table.py
+++ b/dotterelpaddle/crashes/suspect_table.py
@@ -62,7 +62,7 @@
             self._remove_surplus()
 
     def _remove_surplus(self) -> None:
-        """Remove those that caused the fewest crashes, most likely, above a maximum."""
+        """Remove those least likely to cause crashes, above each maximum."""
         self._is_crowded = False
         self._remove(kind=PartSubject, maximum=MAX_SUSPECT_PARTS)
         self._remove(kind=RequestSubject, maximum=MAX_SUSPECTS)
--- a/dotterelpaddle/crashes/tracker.py
+++ b/dotterelpaddle/crashes/tracker.py
@@ -326,7 +326,7 @@
     def _clear(self, subject: CrashSubject, suspect: Suspect, event: Event) -> None:
         if suspect.served is not None and suspect.served.began_at >= event.began_at:
             return
-        # Only the causes are compared with each other, which takes long.
+        # Causes are sought only for a suspect that may be one, as that takes long.
         was_blocked = (
             len(suspect.crashes) >= MIN_CRASHES_TO_BLOCK and subject in self.causes
         )
